Lay out the workspace and the shared units

Cause: every part needs the same ids, sizes and rates, and the crates must be agreed before work on them goes side by side. Conclusion: the text forms round-trip and bad texts say what was expected.

--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Benchmarks.
+
+fn main() {}
--- /dev/null
+++ b/bin/appleshore/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line.
+
+fn main() {}
--- /dev/null
+++ b/bin/appleshored/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon that runs beside a target.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The role that serves callers: match, claim, choose, relay, answer.
--- /dev/null
+++ b/crates/feed/src/lib.rs
@@ -0,0 +1,1 @@
+//! How rules and roster reach every daemon: watchers, relays, fall-backs.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims for requests that may not be repeated, grouped into conditional updates.
--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which instances exist, which are live, which leave, and who watches for whom.
--- /dev/null
+++ b/crates/rule/src/lib.rs
@@ -0,0 +1,1 @@
+//! The ordered rules: parse, check, match, explain.
--- /dev/null
+++ b/crates/setting/src/lib.rs
@@ -0,0 +1,1 @@
+//! The settings of one daemon, checked whole before start.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! A small stand-in for the platform's object API, with faults that can be switched on.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The platform's object API: a plain struct of closures, its HTTP adapter, and the call budget.
--- /dev/null
+++ b/crates/unit/src/report.rs
@@ -0,0 +1,36 @@
+//! What a gate says of its load; it rides on every answer.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// The load of one gate at the moment a frame left it.
+///
+/// An entry reads it late, so it is a hint only: the gate decides.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// Requests running at the target now.
+    pub running: u16,
+    /// Requests waiting, by [`Urgency::rank`](crate::Urgency::rank).
+    pub queued: [u16; 3],
+    /// Requests the gate lets run at once now.
+    pub limit: u16,
+    /// Smoothed service time of the target in microseconds.
+    pub service_us: u32,
+    /// Requests answered since this incarnation began, for the ramp after a cold start.
+    pub answered: u32,
+    /// The gate has no free slot and a queue, and would rather be passed over.
+    pub hot: bool,
+}
+
+impl Report {
+    /// Requests waiting over all urgencies.
+    pub fn waiting(&self) -> u32 {
+        self.queued.iter().map(|count| u32::from(*count)).sum()
+    }
+
+    /// Smoothed service time of the target.
+    pub fn service(&self) -> Duration {
+        Duration::from_micros(u64::from(self.service_us))
+    }
+}
--- /dev/null
+++ b/crates/unit/tests/text.rs
@@ -0,0 +1,38 @@
+//! The text forms of ids, sizes and rates.
+
+use unit::{Caller, Fingerprint, Rate, Size, Span, Token, Urgency, Zone};
+
+fn round_trip<T>(text: &str)
+where
+    T: std::str::FromStr + std::fmt::Display,
+    T::Err: std::fmt::Debug,
+{
+    let value: T = text.parse().expect("the text form parses");
+    assert_eq!(value.to_string(), text);
+}
+
+#[test]
+fn text_forms_round_trip() {
+    round_trip::<Zone>("trois-rivieres");
+    round_trip::<Token>("000000000000000000000000000000ff");
+    round_trip::<Size>("9KB");
+    round_trip::<Rate>("0.5/s");
+    round_trip::<Span>("250ms");
+    round_trip::<Urgency>("routine");
+    round_trip::<Fingerprint>(&"ab".repeat(32));
+}
+
+#[test]
+fn bad_texts_say_what_was_expected() {
+    let error = "9 kilobytes".parse::<Size>().unwrap_err().to_string();
+    assert!(
+        error.contains("9 kilobytes") && error.contains("KB"),
+        "{error}"
+    );
+    assert!("".parse::<Zone>().is_err());
+    assert!("a b".parse::<Caller>().is_err());
+    assert!("-1/s".parse::<Rate>().is_err());
+    assert!("+f00000000000000000000000000000f".parse::<Token>().is_err());
+    assert!("é".repeat(32).parse::<Fingerprint>().is_err());
+    assert!("18446744073709551615GB".parse::<Size>().is_err());
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Frames and mutually authenticated links between daemons, over quinn.
