Read rules and settings with all faults at once

Cause: operators steer the mesh by its rules alone, so a bad document must be refused whole, with line, column, cause and what is allowed. Change: `jsonc` (JSON with comments and positions), `rule` (parse, check, match, explain, path hygiene, keys) and `setting`. A rule that only several earlier rules shadow together is not found; the page says so.

--- /dev/null
+++ b/crates/rule/src/explain.rs
@@ -0,0 +1,113 @@
+//! Why a request is treated as it is.
+
+use std::fmt;
+
+use crate::when::Field;
+use crate::{Request, Rule, When};
+
+/// The rules that a request passed by, and the one that it met.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explanation {
+    /// The rules before the one that matched, in order; all rules if none matched.
+    pub missed: Vec<Miss>,
+    /// The name of the rule that matched.
+    pub matched: Option<String>,
+}
+
+/// Why one rule did not match.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+#[display("rule {rule:?} did not match: {field} is {saw}, expected {wanted}")]
+pub struct Miss {
+    /// The rule's name.
+    pub rule: String,
+    /// The first condition that did not hold.
+    pub field: Field,
+    /// What the request has there.
+    pub saw: String,
+    /// What the rule asks for.
+    pub wanted: String,
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for miss in &self.missed {
+            writeln!(f, "{miss}")?;
+        }
+        match &self.matched {
+            Some(rule) => write!(f, "rule {rule:?} matched"),
+            None => f.write_str("no rule matched"),
+        }
+    }
+}
+
+pub(crate) fn explain(rules: &[Rule], request: &Request<'_>) -> Explanation {
+    let mut missed = Vec::new();
+    for rule in rules {
+        let Some(field) = rule.when.first_failure(request) else {
+            let matched = Some(rule.name.clone());
+            return Explanation { missed, matched };
+        };
+        missed.push(Miss {
+            rule: rule.name.clone(),
+            saw: saw(&field, request),
+            wanted: wanted(&field, &rule.when),
+            field,
+        });
+    }
+    let matched = None;
+    Explanation { missed, matched }
+}
+
+fn saw(field: &Field, request: &Request<'_>) -> String {
+    match field {
+        Field::Service => request.service.map_or(ABSENT.to_string(), quoted),
+        Field::Method => request.method.to_string(),
+        Field::Path => quoted(request.path),
+        Field::Header(name) => {
+            let values = request.headers.get_all(name).iter();
+            let values = values.map(|value| quoted(String::from_utf8_lossy(value.as_bytes())));
+            or_absent(values.collect())
+        }
+        Field::Caller => quoted(request.caller),
+        Field::Zone => quoted(request.zone),
+    }
+}
+
+fn wanted(field: &Field, when: &When) -> String {
+    match field {
+        Field::Service => listed(&when.services),
+        Field::Method => when
+            .methods
+            .iter()
+            .map(ToString::to_string)
+            .collect::<Vec<_>>()
+            .join(" or "),
+        Field::Path => when.path.as_ref().map(quoted).unwrap_or_default(),
+        Field::Header(name) => {
+            let header = when.headers.iter().find(|header| header.name == *name);
+            let value = header.and_then(|header| header.value.as_ref());
+            value.map_or("any value".to_string(), quoted)
+        }
+        Field::Caller => when.caller.as_ref().map(quoted).unwrap_or_default(),
+        Field::Zone => listed(&when.zones),
+    }
+}
+
+/// What stands for something that the request does not have.
+const ABSENT: &str = "absent";
+
+fn quoted(text: impl fmt::Display) -> String {
+    format!("{:?}", text.to_string())
+}
+
+fn listed<T: fmt::Display>(all: &[T]) -> String {
+    let all: Vec<String> = all.iter().map(quoted).collect();
+    all.join(" or ")
+}
+
+fn or_absent(all: Vec<String>) -> String {
+    match all.is_empty() {
+        true => ABSENT.to_string(),
+        false => all.join(" and "),
+    }
+}
--- /dev/null
+++ b/crates/rule/src/key.rs
@@ -0,0 +1,99 @@
+//! The key of a request that may run at most once.
+
+use http::HeaderName;
+use quick_error::quick_error;
+
+use crate::{Request, percent};
+
+/// Where the key of a request stands.
+#[derive(Debug, Clone, PartialEq, Eq, derive_more::Display)]
+pub enum Key {
+    /// In the header field of this name, in lower case.
+    #[display("header {_0}")]
+    Header(String),
+    /// In the query parameter of this name.
+    #[display("query parameter {_0}")]
+    Query(String),
+}
+
+quick_error! {
+    /// Why the key of a request can't be told; the entry answers 400 and the request never runs.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum KeyError {
+        /// The key is longer than [`Key::MAX`].
+        Long(key: Key, bytes: usize) {
+            display("{key}: {bytes} bytes are too many: at most {} are allowed", Key::MAX)
+        }
+        /// The key stands there more than once.
+        Repeated(key: Key) {
+            display("{key}: given more than once")
+        }
+        /// The key is not readable text.
+        Text(key: Key) {
+            display("{key}: not readable text")
+        }
+    }
+}
+
+impl Key {
+    /// Longest key in bytes, decoded.
+    pub const MAX: usize = 512;
+
+    /// The key of `request`; an empty one counts as absent.
+    ///
+    /// A query parameter is percent-decoded, and `+` stands for a space, as forms are encoded: two
+    /// spellings of one key must not run twice.
+    ///
+    /// # Errors
+    ///
+    /// A key that is too long or not readable, or given more than once: the target might
+    /// take another of them than we do, and a resend with the two in another order would run again.
+    pub fn find(&self, request: &Request<'_>) -> Result<Option<String>, KeyError> {
+        let found = match self {
+            Key::Header(name) => self.in_header(name, request)?,
+            Key::Query(name) => self.in_query(name, request)?,
+        };
+        let found = found.filter(|text| !text.is_empty());
+        match found {
+            Some(text) if text.len() > Key::MAX => Err(KeyError::Long(self.clone(), text.len())),
+            Some(text) if text.chars().any(char::is_control) => Err(KeyError::Text(self.clone())),
+            found => Ok(found),
+        }
+    }
+
+    fn in_header(&self, name: &str, request: &Request<'_>) -> Result<Option<String>, KeyError> {
+        let Ok(name) = HeaderName::from_bytes(name.as_bytes()) else {
+            return Ok(None);
+        };
+        let mut values = request.headers.get_all(name).iter();
+        let Some(value) = values.next() else {
+            return Ok(None);
+        };
+        if values.next().is_some() {
+            return Err(KeyError::Repeated(self.clone()));
+        }
+        let text = std::str::from_utf8(value.as_bytes());
+        let text = text.map_err(|_| KeyError::Text(self.clone()))?;
+        Ok(Some(text.trim().to_string()))
+    }
+
+    fn in_query(&self, name: &str, request: &Request<'_>) -> Result<Option<String>, KeyError> {
+        let mut found = None;
+        for pair in request.query.unwrap_or_default().split('&') {
+            let (raw, value) = pair.split_once('=').unwrap_or((pair, ""));
+            if form_decode(raw).as_deref() != Some(name) {
+                continue;
+            }
+            if found.is_some() {
+                return Err(KeyError::Repeated(self.clone()));
+            }
+            let value = form_decode(value).ok_or_else(|| KeyError::Text(self.clone()))?;
+            found = Some(value.trim().to_string());
+        }
+        Ok(found)
+    }
+}
+
+fn form_decode(text: &str) -> Option<String> {
+    percent::decode(&text.replace('+', " "))
+}
--- /dev/null
+++ b/crates/rule/src/percent.rs
@@ -0,0 +1,32 @@
+//! Percent-decoding, strict.
+
+/// Decodes `%XX` in `text`; `None` where a `%` has no two hex digits or the result is not UTF-8.
+pub(crate) fn decode(text: &str) -> Option<String> {
+    if !text.contains('%') {
+        return Some(text.to_string());
+    }
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let Some((first, tail)) = rest.split_first() {
+        if *first != b'%' {
+            decoded.push(*first);
+            rest = tail;
+            continue;
+        }
+        decoded.push(pair(tail)?);
+        rest = &tail[2..];
+    }
+    String::from_utf8(decoded).ok()
+}
+
+/// Whether a `%XX` stands anywhere in `text`.
+pub(crate) fn is_encoded(text: &str) -> bool {
+    let mut windows = text.as_bytes().windows(3);
+    windows.any(|window| window[0] == b'%' && pair(&window[1..]).is_some())
+}
+
+fn pair(bytes: &[u8]) -> Option<u8> {
+    let high = char::from(*bytes.first()?).to_digit(16)?;
+    let low = char::from(*bytes.get(1)?).to_digit(16)?;
+    u8::try_from(high * 16 + low).ok()
+}
--- /dev/null
+++ b/crates/rule/tests/pages.rs
@@ -0,0 +1,12 @@
+//! The examples of the operators' page are the documents that `good` holds.
+
+#[test]
+fn page_shows_the_tested_documents() {
+    let page = include_str!("../../../docs/operators/rules.md");
+    for text in [
+        include_str!("good/song-hong.jsonc"),
+        include_str!("good/quebec.jsonc"),
+    ] {
+        assert!(page.contains(&format!("```jsonc\n{text}```")));
+    }
+}
--- /dev/null
+++ b/crates/rule/tests/path.rs
@@ -0,0 +1,75 @@
+//! Spellings of a path that would pass by a rule.
+
+use rule::path::{PathError, clean};
+use rule::pattern::Path;
+
+/// The caller of a destruction order wants it run without the rule that makes it run once. It
+/// spells the path so that the rule does not match while the target still understands it. Each
+/// spelling must either meet the rule all the same or be refused before it is sent anywhere.
+#[test]
+fn no_spelling_dodges_a_rule() {
+    let pattern: Path = "/vault/destroy/*".parse().unwrap();
+    for raw in [
+        "/vault/destroy/7",
+        "/vault/destroy/7/",
+        "//vault///destroy/7",
+        "/%76ault/%64%65stroy/7",
+        "/vault/destroy;jsessionid=1/7",
+        "/;x/vault/destroy/7",
+        "/vault%3Bx/destroy/7",
+    ] {
+        let cleaned = clean(raw).unwrap();
+        assert!(pattern.matches(&cleaned), "{raw} became {cleaned}");
+    }
+    for raw in [
+        "/public/../vault/destroy/7",
+        "/public/%2e%2E/vault/destroy/7",
+        "/public/..;/vault/destroy/7",
+        "/public/..%3B/vault/destroy/7",
+        "/vault/./destroy/7",
+        "/vault%2Fdestroy/7",
+        "/vault\\destroy/7",
+        "/vault%5cdestroy/7",
+        "/vault/%2564estroy/7",
+        "/vault/destroy%00/7",
+        "/vault/destroy%0a/7",
+        "/vault/%c1%a4estroy/7",
+        "/vault/%6/7",
+        "vault/destroy/7",
+        "*",
+    ] {
+        assert!(clean(raw).is_err(), "{raw} was taken");
+    }
+}
+
+#[test]
+fn keeps_what_targets_read_alike() {
+    assert_eq!(clean("/").as_deref(), Ok("/"));
+    assert_eq!(
+        clean("/files/%C4%91%E1%BA%A5t").as_deref(),
+        Ok("/files/đất")
+    );
+    assert_eq!(clean("/files/100%25").as_deref(), Ok("/files/100%"));
+    assert_eq!(clean("/files/...").as_deref(), Ok("/files/..."));
+    let long = format!("/{}", "a".repeat(8_192));
+    assert_eq!(clean(&long), Err(PathError::Long(8_193)));
+}
+
+#[test]
+fn patterns_match_whole_segments() {
+    let matches = |pattern: &str, path: &str| {
+        let pattern: Path = pattern.parse().expect("a pattern");
+        assert_eq!(pattern.to_string().parse(), Ok(pattern.clone()));
+        pattern.matches(path)
+    };
+    assert!(matches("/a/*", "/a/b"));
+    assert!(!matches("/a/*", "/a"));
+    assert!(!matches("/a/*", "/a/b/c"));
+    assert!(matches("/a/**", "/a"));
+    assert!(matches("/a/**", "/a/b/c"));
+    assert!(!matches("/a/**", "/ab"));
+    assert!(matches("/**", "/"));
+    assert!(matches("/", "/"));
+    assert!(!matches("/", "/a"));
+    assert!(matches("/a/", "/a"));
+}
--- /dev/null
+++ b/crates/setting/src/read.rs
@@ -0,0 +1,264 @@
+//! Turns the text of the settings into a [`Setting`].
+
+use std::net::SocketAddr;
+
+use jsonc::{Error, Fields, Reader, Value};
+use log::LevelFilter;
+
+use crate::address::{self, Place};
+use crate::{Limits, Setting, check, limits};
+
+const FIELDS: [&str; 18] = [
+    "instance",
+    "zone",
+    "region",
+    "service",
+    "callers",
+    "outbound",
+    "link",
+    "operator",
+    "operator_public",
+    "target",
+    "slots",
+    "store",
+    "rules_key",
+    "announce_prefix",
+    "ledger_prefix",
+    "limits",
+    "log",
+    "threads",
+];
+
+const LEVELS: [(&str, LevelFilter); 6] = [
+    ("off", LevelFilter::Off),
+    ("error", LevelFilter::Error),
+    ("warn", LevelFilter::Warn),
+    ("info", LevelFilter::Info),
+    ("debug", LevelFilter::Debug),
+    ("trace", LevelFilter::Trace),
+];
+
+/// Longest text of the settings in bytes.
+const MAX_TEXT: usize = 100_000;
+const MAX_SLOTS: u32 = 10_000;
+const MAX_STORE: usize = 8;
+const MAX_THREADS: u32 = 1_024;
+const MAX_KEY: usize = 128;
+
+/// The addresses of a daemon, each missing where it could not be read.
+struct Addresses {
+    callers: Option<Place>,
+    outbound: Option<Place>,
+    link: Option<Place>,
+    operator: Option<Place>,
+    target: Option<Place>,
+}
+
+/// The keys in the platform's store.
+struct Keys {
+    rules: String,
+    announce: String,
+    ledger: String,
+}
+
+pub(crate) fn setting(text: &str) -> Result<Setting, Error> {
+    jsonc::read(text, MAX_TEXT, read)
+}
+
+fn read<'t>(reader: &mut Reader<'t>, root: &Value<'t>) -> Option<Setting> {
+    let fields = reader.object(root, &FIELDS)?;
+    // Each field is read before any is asked for, so that one bad field hides no other's fault.
+    let instance = parsed(reader, &fields, "instance");
+    let zone = parsed(reader, &fields, "zone");
+    let region = region(reader, &fields);
+    let service = parsed(reader, &fields, "service");
+    let operator_public = fields.get("operator_public");
+    let operator_public = operator_public.and_then(|value| reader.flag(value));
+    let operator_public = operator_public.unwrap_or(false);
+    let addresses = addresses(reader, &fields, operator_public);
+    let slots = reader.required(&fields, "slots");
+    let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
+    let store = reader.required(&fields, "store");
+    let store = store.and_then(|value| store_addresses(reader, value));
+    let keys = keys(reader, &fields);
+    let limits = fields.get("limits");
+    let limits = limits.and_then(|value| limits::read(reader, value));
+    let log = fields.get("log");
+    let log = log.and_then(|value| reader.choice(value, &LEVELS));
+    let threads = fields.get("threads");
+    let threads = threads.and_then(|value| reader.count(value, 1..=MAX_THREADS));
+    Some(Setting {
+        instance: instance?,
+        zone: zone?,
+        region,
+        service: service?,
+        callers: addresses.callers?.address,
+        outbound: addresses.outbound?.address,
+        link: addresses.link?.address,
+        operator: addresses.operator?.address,
+        operator_public,
+        target: addresses.target?.address,
+        slots: slots?,
+        store: store?,
+        rules_key: keys.rules,
+        announce_prefix: keys.announce,
+        ledger_prefix: keys.ledger,
+        limits: limits.unwrap_or_else(Limits::default),
+        log: log.unwrap_or(LevelFilter::Info),
+        threads,
+    })
+}
+
+fn parsed<'t, T>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>, name: &str) -> Option<T>
+where
+    T: std::str::FromStr<Err = unit::Error>,
+{
+    let value = reader.required(fields, name)?;
+    reader.parsed(value)
+}
+
+/// A region is spelled as a zone is.
+fn region<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> String {
+    let default = || "local".to_string();
+    let Some(value) = fields.get("region") else {
+        return default();
+    };
+    let text = reader.text(value).unwrap_or("local");
+    if text.parse::<unit::Zone>().is_err() {
+        let cause = format!("{text:?} is not a region: expected a name such as qc-east");
+        reader.fault_at(value, cause);
+    }
+    text.to_string()
+}
+
+fn addresses<'t>(
+    reader: &mut Reader<'t>,
+    fields: &Fields<'_, 't>,
+    operator_public: bool,
+) -> Addresses {
+    let addresses = Addresses {
+        callers: address::required(reader, fields, "callers"),
+        outbound: address::required(reader, fields, "outbound"),
+        link: address::required(reader, fields, "link"),
+        operator: address::required(reader, fields, "operator"),
+        target: address::required(reader, fields, "target"),
+    };
+    for place in [&addresses.link, &addresses.target].into_iter().flatten() {
+        check::specified(reader, place);
+    }
+    if let Some(outbound) = &addresses.outbound {
+        check::outbound(reader, outbound, addresses.target.as_ref());
+    }
+    if let Some(operator) = &addresses.operator {
+        check::operator(reader, operator, operator_public);
+    }
+    let all = [
+        addresses.callers,
+        addresses.outbound,
+        addresses.link,
+        addresses.operator,
+        addresses.target,
+    ];
+    let all: Vec<Place> = all.into_iter().flatten().collect();
+    check::distinct(reader, &all);
+    addresses
+}
+
+fn store_addresses<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Vec<SocketAddr>> {
+    let list = reader.list(value, MAX_STORE)?;
+    let mut found: Vec<SocketAddr> = Vec::with_capacity(list.len());
+    for value in list {
+        let Some(place) = address::read(reader, value, "store") else {
+            continue;
+        };
+        check::specified(reader, &place);
+        if found.contains(&place.address) {
+            let cause = format!("{} is given twice: expected it once", place.address);
+            reader.fault_at(value, cause);
+        }
+        found.push(place.address);
+    }
+    Some(found)
+}
+
+fn keys<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> Keys {
+    let keys = Keys {
+        rules: key(reader, fields, "rules_key", "rules"),
+        announce: prefix(reader, fields, "announce_prefix", "instances/"),
+        ledger: prefix(reader, fields, "ledger_prefix", "ledger/"),
+    };
+    check_keys(reader, fields, &keys);
+    keys
+}
+
+/// Keys that run into each other would let an announcement overwrite the rules.
+fn check_keys<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>, keys: &Keys) {
+    let (announce, ledger) = (keys.announce.as_str(), keys.ledger.as_str());
+    let nested = announce.starts_with(ledger) || ledger.starts_with(announce);
+    let holds_rules = [announce, ledger]
+        .iter()
+        .any(|prefix| keys.rules.starts_with(prefix));
+    if nested {
+        let cause = format!("{announce:?} and {ledger:?} overlap: expected separate prefixes");
+        reader.fault(
+            place_of(fields, &["ledger_prefix", "announce_prefix"]),
+            cause,
+        );
+    }
+    if holds_rules {
+        let cause = format!(
+            "{:?} lies under a prefix: expected a key outside",
+            keys.rules
+        );
+        let places = ["rules_key", "announce_prefix", "ledger_prefix"];
+        reader.fault(place_of(fields, &places), cause);
+    }
+}
+
+/// Where the first of `names` that is given stands.
+fn place_of(fields: &Fields<'_, '_>, names: &[&str]) -> usize {
+    let given = names.iter().find_map(|name| fields.get(name));
+    given.map_or(fields.at(), jsonc::offset)
+}
+
+fn key<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>, name: &str, default: &str) -> String {
+    let Some(value) = fields.get(name) else {
+        return default.to_string();
+    };
+    let Some(text) = reader.text(value) else {
+        return default.to_string();
+    };
+    if !is_key(text) {
+        let cause = format!(
+            "{text:?} is no key: expected 1 to {MAX_KEY} letters, digits, '-', '_', '.' and single \
+             '/' between them"
+        );
+        reader.fault_at(value, cause);
+    }
+    text.to_string()
+}
+
+fn prefix<'t>(
+    reader: &mut Reader<'t>,
+    fields: &Fields<'_, 't>,
+    name: &str,
+    default: &str,
+) -> String {
+    let Some(value) = fields.get(name) else {
+        return default.to_string();
+    };
+    let Some(text) = reader.text(value) else {
+        return default.to_string();
+    };
+    if !text.strip_suffix('/').is_some_and(is_key) {
+        let cause = format!("{text:?} is no prefix: expected a key with '/' at its end");
+        reader.fault_at(value, cause);
+    }
+    text.to_string()
+}
+
+fn is_key(text: &str) -> bool {
+    let known = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
+    let segment = |text: &str| !text.is_empty() && text.bytes().all(known);
+    text.len() <= MAX_KEY && text.split('/').all(segment)
+}
