Reach the platform's object API through a struct of closures

Cause: the platform's store has outages, loses answers after writes and counts each call, a waiting watch included. Change: `store` (closures, HTTP adapter with ETag and If-Match, a call budget, back-off) whose errors say whether a write may have taken effect; `standin`, our stand-in with faults that can be switched on. Conclusion: no part of `store` repeats a write that may have been written.

--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,206 @@
+//! The faults of the platform, or of what lies between it and one client.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use store::{Bucket, Kind};
+use tokio::sync::watch;
+use tokio::time::Instant;
+use unit::Rate;
+
+/// Switches for faults; clones share them. All are off at first.
+#[derive(Debug, Clone)]
+pub struct Fault {
+    state: Arc<Mutex<State>>,
+    held: Arc<watch::Sender<bool>>,
+}
+
+#[derive(Debug)]
+struct State {
+    slow: Duration,
+    down: bool,
+    lose_next: u32,
+    lose_share: f64,
+    random: Pcg64Mcg,
+    delay_next: u32,
+    delay: Duration,
+    drop_watches: bool,
+    reads: Option<Bucket>,
+    writes: Option<Bucket>,
+}
+
+/// What is to happen to one write.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Fate {
+    /// The write takes effect this much later.
+    pub(crate) delay: Duration,
+    /// The write takes effect, and its answer is cut off.
+    pub(crate) lose: bool,
+}
+
+impl Fault {
+    pub(crate) fn new() -> Fault {
+        let state = State {
+            slow: Duration::ZERO,
+            down: false,
+            lose_next: 0,
+            lose_share: 0.0,
+            random: Pcg64Mcg::seed_from_u64(0),
+            delay_next: 0,
+            delay: Duration::ZERO,
+            drop_watches: false,
+            reads: None,
+            writes: None,
+        };
+        Fault {
+            state: Arc::new(Mutex::new(state)),
+            held: Arc::new(watch::Sender::new(false)),
+        }
+    }
+
+    /// Each call takes this much longer, half of it before the call takes effect.
+    pub fn slow(&self, by: Duration) {
+        self.state.lock().slow = by;
+    }
+
+    /// Calls fail at once as not done.
+    pub fn down(&self, down: bool) {
+        self.state.lock().down = down;
+    }
+
+    /// Calls neither take effect nor are answered until this is switched off again.
+    ///
+    /// Held writes take effect then, though their callers have long given up.
+    pub fn hold(&self, held: bool) {
+        self.held.send_replace(held);
+    }
+
+    /// The next `count` writes take effect, and their answers are cut off.
+    pub fn lose_next(&self, count: u32) {
+        self.state.lock().lose_next = count;
+    }
+
+    /// Of the writes, this share takes effect without an answer, drawn with `seed`.
+    pub fn lose_share(&self, share: f64, seed: u64) {
+        let mut state = self.state.lock();
+        state.lose_share = share;
+        state.random = Pcg64Mcg::seed_from_u64(seed);
+    }
+
+    /// The next `count` writes take effect only after `delay`.
+    pub fn delay_next(&self, count: u32, delay: Duration) {
+        let mut state = self.state.lock();
+        state.delay_next = count;
+        state.delay = delay;
+    }
+
+    /// Watches, also those that wait already, are never answered.
+    pub fn drop_watches(&self, drop: bool) {
+        self.state.lock().drop_watches = drop;
+    }
+
+    /// Writes above this rate are refused; `burst` of them may come together.
+    pub fn limit_writes(&self, rate: Rate, burst: u32) {
+        self.state.lock().writes = Some(Bucket::new(rate, burst));
+    }
+
+    /// Reads above this rate are refused; each waiting watch holds one read a second.
+    pub fn limit_reads(&self, rate: Rate, burst: u32) {
+        self.state.lock().reads = Some(Bucket::new(rate, burst));
+    }
+
+    /// Takes all rate limits away.
+    pub fn no_limits(&self) {
+        let mut state = self.state.lock();
+        state.reads = None;
+        state.writes = None;
+    }
+
+    /// Lets a call in, or says why it is refused.
+    pub(crate) fn admit(&self, write: bool) -> Result<(), Kind> {
+        let mut state = self.state.lock();
+        if state.down {
+            return Err(Kind::NotWritten("down".to_string()));
+        }
+        let bucket = if write {
+            state.writes.as_mut()
+        } else {
+            state.reads.as_mut()
+        };
+        let Some(bucket) = bucket else {
+            return Ok(());
+        };
+        let taken = bucket.take(Instant::now());
+        taken.map_err(|_| Kind::NotWritten("above the rate".to_string()))
+    }
+
+    /// Waits while calls are held.
+    pub(crate) async fn pass(&self) {
+        let mut held = self.held.subscribe();
+        // The sender lives as long as this fault, so that the wait can't fail.
+        let _ = held.wait_for(|held| !held).await;
+    }
+
+    /// The time that a call takes before it takes effect, and after that.
+    ///
+    /// The first is in whole milliseconds, as the runtime's timers are: two halves of an odd number
+    /// would each be rounded up.
+    pub(crate) fn halves(&self) -> [Duration; 2] {
+        let slow = self.state.lock().slow;
+        let whole = u64::try_from(slow.as_millis() / 2).unwrap_or(u64::MAX);
+        let first = Duration::from_millis(whole);
+        [first, slow.saturating_sub(first)]
+    }
+
+    pub(crate) fn watches_dropped(&self) -> bool {
+        self.state.lock().drop_watches
+    }
+
+    /// Draws what is to happen to one write.
+    pub(crate) fn fate(&self) -> Fate {
+        let mut state = self.state.lock();
+        let mut fate = Fate::default();
+        if state.lose_next > 0 {
+            state.lose_next -= 1;
+            fate.lose = true;
+        } else if state.lose_share > 0.0 {
+            let share = state.lose_share;
+            fate.lose = state.random.random_bool(share);
+        }
+        if state.delay_next > 0 {
+            state.delay_next -= 1;
+            fate.delay = state.delay;
+        }
+        fate
+    }
+
+    /// Notes that a watch waits, for the limit of reads.
+    pub(crate) fn wait(&self) -> Waiting {
+        self.open(true);
+        Waiting(self.clone())
+    }
+
+    fn open(&self, begins: bool) {
+        let mut state = self.state.lock();
+        let Some(bucket) = state.reads.as_mut() else {
+            return;
+        };
+        if begins {
+            bucket.hold(Instant::now());
+        } else {
+            bucket.free(Instant::now());
+        }
+    }
+}
+
+/// A watch that waits, until it is dropped.
+pub(crate) struct Waiting(Fault);
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.open(false);
+    }
+}
--- /dev/null
+++ b/crates/store/tests/store/main.rs
@@ -0,0 +1,4 @@
+//! The HTTP adapter against the stand-in's server, and the call budget.
+
+mod budget;
+mod http;
