Decide who exists, who is live and who watches for whom

Cause: there is no list of targets, no heartbeat may go to the platform, and one observer's silence must not remove a live instance. Change: `roster`: records that merge by a join, beats to a few observers, votes with quorum, refutation by a higher incarnation, listing repair, relay tree. Conclusion: beats go to per-instance observers and not to the zone's watchers, who would carry 7 KB/s of them.

--- /dev/null
+++ b/crates/roster/src/beat.rs
@@ -0,0 +1,86 @@
+//! Heartbeats between daemons: who beats to whom, how often, and at what cost.
+//!
+//! Each daemon beats to its own observers: four of its zone and one of each other zone. At the
+//! design size, with 8 zones, that is 11 beats each 5 s, and as many received on average. We
+//! weighed beats to the zone's three watchers: each would receive from 225 daemons, and its
+//! traffic alone would come near the whole allowance; see `docs/design/roster.md`.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+use unit::{Incarnation, Instance, Rate, Version};
+
+use crate::roster::Roster;
+
+/// Bytes on the network for one beat: 12 to 28 of payload, a frame and packet of QUIC with its
+/// tag, and the headers of UDP and IP.
+pub const BEAT_BYTES: u64 = 90;
+/// Bytes on the network for the acknowledgement of a beat.
+pub const ACK_BYTES: u64 = 65;
+/// By how much of the period a beat comes earlier or later, as its denominator.
+const JITTER: u32 = 5;
+
+/// What a heartbeat says. It makes each beat a check that rosters and rules agree.
+///
+/// A daemon that sees another total asks for the sender's [`Summary`](crate::Summary); one that
+/// sees a higher version of the rules asks for these. With two beats a second on average, a
+/// daemon that the fan-out tree has missed notices within a second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// The sender's incarnation.
+    pub incarnation: Incarnation,
+    /// The digest of the sender's roster; see [`Summary::total`](crate::Summary::total).
+    pub total: u64,
+    /// The version of the rules that the sender has in force.
+    pub rules: Version,
+}
+
+/// What heartbeats cost one daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Cost {
+    /// Beats sent a second.
+    pub beats: Rate,
+    /// Bytes a second, sent and received, acknowledgements included.
+    pub bytes: Rate,
+}
+
+/// The cost of sending `out` beats and receiving `in_` beats each period.
+pub fn cost(period: Duration, out: usize, in_: usize) -> Cost {
+    let each = (BEAT_BYTES + ACK_BYTES) as f64;
+    let seconds = period.as_secs_f64();
+    Cost {
+        beats: Rate::of(out as f64 / seconds),
+        bytes: Rate::of((out + in_) as f64 * each / seconds),
+    }
+}
+
+impl Roster {
+    /// To whom this daemon beats: its observers.
+    pub fn beats(&self) -> Vec<Instance> {
+        self.observers(&self.me)
+    }
+
+    /// When to beat next: a period from now, give or take a fifth so that beats don't bunch.
+    pub fn next_beat(&mut self, now: Instant) -> Instant {
+        let period = self.policy.beat;
+        let early = period - period / JITTER;
+        now + early + self.jitter(period / JITTER * 2)
+    }
+
+    /// What to say in a beat, with the rules' version in force here.
+    pub fn beat(&self, rules: Version) -> Beat {
+        Beat {
+            incarnation: self.own.record().incarnation,
+            total: self.summary.total(),
+            rules,
+        }
+    }
+
+    /// Notes a beat, and tells whether the sender's roster differs from this one.
+    pub fn beaten(&mut self, now: Instant, from: &Instance, beat: &Beat) -> bool {
+        self.heard(now, from);
+        self.fed(now);
+        beat.total != self.summary.total()
+    }
+}
--- /dev/null
+++ b/crates/roster/tests/it/world.rs
@@ -0,0 +1,167 @@
+//! Records by the dozen, and a handful of rosters that talk by direct calls.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use roster::{Ask, Policy, Record, Roster, State, Vote};
+use tokio::time::Instant;
+use unit::{Fingerprint, Incarnation, Instance, Version};
+
+pub const SECOND: Duration = Duration::from_secs(1);
+
+/// Instance `number` of a zone, such as `levis-3`.
+pub fn record(zone: &str, number: u16) -> Record {
+    let name = format!("{zone}-{number}");
+    let mut fingerprint = [0; 32];
+    fingerprint[..16].copy_from_slice(&unit::Digest::of(name.as_bytes()).0.to_le_bytes());
+    Record {
+        instance: name.parse().expect("a name"),
+        incarnation: Incarnation(1),
+        state: State::Live,
+        zone: zone.parse().expect("a zone"),
+        region: "qc-east".to_string(),
+        service: "reservations".parse().expect("a service"),
+        link: ([127, 0, 0, 1], 7000 + number).into(),
+        fingerprint: Fingerprint(fingerprint),
+    }
+}
+
+/// `each` instances in each of the zones.
+pub fn records(zones: &[&str], each: u16) -> Vec<Record> {
+    let inside = |zone: &&str| {
+        let zone = zone.to_string();
+        (0..each).map(move |number| record(&zone, number))
+    };
+    zones.iter().flat_map(inside).collect()
+}
+
+/// The roster of `own`, which knows all of `records`.
+pub fn roster(now: Instant, own: &Record, records: &[Record]) -> Roster {
+    let seed = u64::from(own.link.port());
+    let mut roster = Roster::new(now, own.clone(), Policy::default(), seed);
+    for record in records {
+        roster.merge(now, record.clone());
+    }
+    roster.own();
+    roster.written(own);
+    roster.review(now);
+    roster
+}
+
+/// Several daemons that exchange heartbeats, votes, removals and differing buckets.
+pub struct World {
+    pub now: Instant,
+    pub rosters: BTreeMap<Instance, Roster>,
+    /// How often a daemon wrote to the platform.
+    pub writes: usize,
+    /// How often a daemon read from the platform for want of news.
+    pub reads: usize,
+    beats: BTreeMap<Instance, Instant>,
+}
+
+impl World {
+    pub fn new(records: &[Record]) -> World {
+        let now = Instant::now();
+        let all = records
+            .iter()
+            .map(|own| (own.instance.clone(), roster(now, own, records)));
+        World {
+            now,
+            rosters: all.collect(),
+            writes: 0,
+            reads: 0,
+            beats: BTreeMap::new(),
+        }
+    }
+
+    pub fn roster(&mut self, name: &str) -> &mut Roster {
+        self.rosters
+            .get_mut(&name.parse::<Instance>().expect("a name"))
+            .expect("a roster")
+    }
+
+    /// Lets time pass, where `open` tells whether a message gets from one daemon to another.
+    pub fn run(&mut self, seconds: u64, open: &dyn Fn(&Instance, &Instance) -> bool) {
+        for _ in 0..seconds {
+            self.now += SECOND;
+            let names: Vec<Instance> = self.rosters.keys().cloned().collect();
+            for name in &names {
+                self.act(name, open);
+            }
+        }
+    }
+
+    fn act(&mut self, name: &Instance, open: &dyn Fn(&Instance, &Instance) -> bool) {
+        let now = self.now;
+        let me = self.rosters.get_mut(name).expect("a roster");
+        let review = me.review(now);
+        let mut told = review.removed;
+        told.extend(me.own());
+        let write = me.write(now);
+        if let Some(record) = &write {
+            me.written(record);
+        }
+        let asks = matches!(me.fallback(now), Some(Ask::Platform));
+        let due = self.beats.get(name).is_none_or(|at| *at <= now);
+        let beats = if due { me.beats() } else { Vec::new() };
+        if due {
+            self.beats.insert(name.clone(), me.next_beat(now));
+        }
+        self.writes += usize::from(write.is_some());
+        self.reads += usize::from(asks);
+        self.tell(name, told, open);
+        for vote in review.votes {
+            self.cast(&vote, open);
+        }
+        for to in beats.iter().filter(|to| open(name, to)) {
+            self.beat(name, to);
+        }
+    }
+
+    fn tell(
+        &mut self,
+        from: &Instance,
+        told: Vec<Record>,
+        open: &dyn Fn(&Instance, &Instance) -> bool,
+    ) {
+        for record in told {
+            for (name, other) in self.rosters.iter_mut().filter(|(name, _)| open(from, name)) {
+                if name != from {
+                    other.merge(self.now, record.clone());
+                }
+            }
+        }
+    }
+
+    fn cast(&mut self, vote: &Vote, open: &dyn Fn(&Instance, &Instance) -> bool) {
+        let observers = self.rosters[&vote.observer].observers(&vote.about);
+        for name in observers.iter().filter(|name| open(&vote.observer, name)) {
+            if let Some(other) = self.rosters.get_mut(name) {
+                other.observe(self.now, vote);
+            }
+        }
+    }
+
+    /// One heartbeat, and an exchange of the buckets that differ.
+    fn beat(&mut self, from: &Instance, to: &Instance) {
+        let Some(mut receiver) = self.rosters.remove(to) else {
+            return;
+        };
+        let sender = self.rosters.get_mut(from).expect("a roster");
+        if receiver.beaten(self.now, from, &sender.beat(Version(0))) {
+            for bucket in receiver.missing(sender.summary()) {
+                let back = receiver.exchange(self.now, bucket, sender.bucket(bucket));
+                sender.exchange(self.now, bucket, back.reply);
+            }
+        }
+        self.rosters.insert(to.clone(), receiver);
+    }
+
+    /// How many live instances `name` holds, and how many of these are suspect.
+    pub fn counts(&self, name: &str) -> (usize, usize) {
+        let name: Instance = name.parse().expect("a name");
+        let live = self.rosters[&name].live(&"reservations".parse().expect("a service"));
+        let suspect = live.iter().filter(|target| target.suspect).count();
+        (live.len(), suspect)
+    }
+}
