Run orders once: claim before run, join resends, keep answers

Cause: a member's firm sent one retrieval slip twice and the warehouse got two. Change: the entry claims the key at its owner before any gate is asked, runs the request in a task that outlives its caller, records the end, and answers resends with the first answer; the owner is asked over links, the next in rank when it is lost. A mesh's daemons run in runtimes of their own, so that tests can kill them.

--- a/crates/appleshore/src/book.rs
+++ b/crates/appleshore/src/book.rs
@@ -20,6 +20,8 @@
     peers: HashMap<Instance, Peer>,
     names: HashMap<Fingerprint, Instance>,
     services: Vec<Service>,
+    /// Those that may be asked for keys, by name: live, and heard lately.
+    live: Arc<Vec<Instance>>,
 }
 
 impl Book {
@@ -38,13 +40,20 @@
         self.pages.read().names.get(fingerprint).cloned()
     }
 
+    /// The instances that are live and not suspect, this one included.
+    pub(crate) fn live(&self) -> Arc<Vec<Instance>> {
+        self.pages.read().live.clone()
+    }
+
     /// Reads the roster anew, and tells `entry` of the targets.
     pub(crate) fn refresh(&self, entry: &Entry) {
         let records = self.roster.with(|roster| {
             let own = roster.own_record().clone();
             roster.peers().cloned().chain([own]).collect::<Vec<_>>()
         });
-        let pages = Arc::new(Pages::of(&records));
+        let mut pages = Pages::of(&records);
+        pages.live = Arc::new(live(&self.roster, &pages.services));
+        let pages = Arc::new(pages);
         let before = std::mem::replace(&mut *self.pages.write(), pages.clone());
         for service in before.services.iter().chain(&pages.services) {
             entry.set_targets(service, &targets(&self.roster, service));
@@ -73,6 +82,17 @@
     }
 }
 
+fn live(roster: &Shared, services: &[Service]) -> Vec<Instance> {
+    let mut live = Vec::new();
+    for service in services {
+        let heard = roster.live(service);
+        let heard = heard.iter().filter(|target| !target.suspect);
+        live.extend(heard.map(|target| target.instance.clone()));
+    }
+    live.sort();
+    live
+}
+
 fn targets(roster: &Shared, service: &Service) -> Vec<pick::Target> {
     let live = roster.live(service);
     let some_heard = live.iter().any(|target| !target.suspect);
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -9,6 +9,7 @@
 use feed::{Current, Follow};
 use gate::Gate;
 use gotham::router::Router;
+use ledger::Ledger;
 use nest::Table;
 use roster::{Policy, Record, Roster};
 use setting::Setting;
@@ -18,10 +19,12 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 use unit::{Depth, Incarnation, Size};
 use wire::{Dialer, Identity, Listener, Trust};
 
 use crate::book::Book;
+use crate::claims::Desk;
 use crate::dump::{Dump, EntryState, LinkState, Part, RulesState, ServiceState};
 use crate::error::Error;
 use crate::inbound::Inbound;
@@ -48,6 +51,7 @@
     pub(crate) setting: Setting,
     pub(crate) entry: Arc<Entry>,
     pub(crate) server: Arc<Server>,
+    pub(crate) desk: Arc<Desk>,
     pub(crate) roster: Arc<roster::Shared>,
     pub(crate) current: Arc<Current>,
     pub(crate) dialer: Arc<Dialer>,
@@ -98,12 +102,20 @@
         let nests = Table::default();
         let held = held::Table::new(HELD, HELD_FOR);
         let server = Arc::new(server(&setting, &nests, &held));
-        let entry = Arc::new(entry(&setting, &dialer, &current, &book, held));
+        let desk = Arc::new(desk(&setting, &store, &dialer, &book));
+        let ways = Ways {
+            dialer: &dialer,
+            current: &current,
+            book: &book,
+            desk: &desk,
+        };
+        let entry = Arc::new(entry(&setting, &ways, held));
         let drain = CancellationToken::new();
         let state = State {
             setting,
             entry,
             server,
+            desk,
             roster,
             current,
             dialer,
@@ -141,6 +153,7 @@
         self.port(ports.operator, operator, Bound::default());
         let inbound = Arc::new(Inbound {
             server: self.state.server.clone(),
+            desk: self.state.desk.clone(),
         });
         self.tasks.spawn(inbound.run(self.listener.clone()));
         let (target, gate) = (self.state.setting.target, self.state.server.gate().clone());
@@ -205,6 +218,7 @@
                 "daemon: drain bound of {bound:?} hit with {count} relayed, {running} running."
             );
         }
+        state.desk.settle(Instant::now() + GOODBYE).await;
         self.close.cancel();
         let ports = async { while self.ports.join_next().await.is_some() {} };
         drop(timeout(GOODBYE, ports).await);
@@ -264,20 +278,37 @@
         .build()
 }
 
-fn entry(
-    setting: &Setting,
-    dialer: &Arc<Dialer>,
-    current: &Arc<Current>,
-    book: &Arc<Book>,
-    held: held::Table,
-) -> Entry {
+/// What ties an entry to the other parts.
+struct Ways<'a> {
+    dialer: &'a Arc<Dialer>,
+    current: &'a Arc<Current>,
+    book: &'a Arc<Book>,
+    desk: &'a Arc<Desk>,
+}
+
+fn desk(setting: &Setting, store: &Store, dialer: &Arc<Dialer>, book: &Arc<Book>) -> Desk {
+    let ledger = Ledger::builder(store.clone())
+        .prefix(&setting.ledger_prefix)
+        .owner(setting.instance.clone())
+        .seed(rand::random())
+        .open();
+    Desk {
+        me: setting.instance.clone(),
+        ledger,
+        dialer: dialer.clone(),
+        book: book.clone(),
+        open: TaskTracker::new(),
+    }
+}
+
+fn entry(setting: &Setting, ways: &Ways<'_>, held: held::Table) -> Entry {
     let limits = Limits {
         body: setting.limits.body,
         pause: setting.limits.idle.0,
         depth: Depth(setting.limits.depth),
         ..Limits::default()
     };
-    let (current, book) = (current.clone(), book.clone());
+    let (current, book) = (ways.current.clone(), ways.book.clone());
     let Setting {
         instance,
         zone,
@@ -288,12 +319,13 @@
         instance.clone(),
         zone.clone(),
         service.clone(),
-        dialer.clone(),
+        ways.dialer.clone(),
     )
     .rules(Arc::new(move || current.get().map(|rules| rules.document)))
     .peers(Arc::new(move |instance| book.peer(instance)))
     .limits(limits)
     .held(held)
+    .claims(ways.desk.claims())
     .build()
 }
 
@@ -335,6 +367,7 @@
             Part::Setting => serde_json::to_value(format!("{:?}", self.setting)),
             Part::Rules => serde_json::to_value(self.rules()),
             Part::Entry => serde_json::to_value(self.entry_state()),
+            Part::Ledger => serde_json::to_value(self.desk.ledger.dump()),
             Part::Gate => serde_json::to_value(self.server.gate().dump()),
             Part::Roster => {
                 serde_json::to_value(self.roster.with(|roster| roster.dump(Instant::now())))
--- a/crates/appleshore/src/dump.rs
+++ b/crates/appleshore/src/dump.rs
@@ -25,6 +25,9 @@
     /// The roster.
     #[display("roster")]
     Roster,
+    /// The ledger's shards that this daemon has worked on.
+    #[display("ledger")]
+    Ledger,
     /// The links.
     #[display("links")]
     Links,
@@ -32,12 +35,13 @@
 
 impl Part {
     /// All parts.
-    pub const ALL: [Part; 6] = [
+    pub const ALL: [Part; 7] = [
         Part::Setting,
         Part::Rules,
         Part::Entry,
         Part::Gate,
         Part::Roster,
+        Part::Ledger,
         Part::Links,
     ];
 }
--- a/crates/appleshore/src/inbound.rs
+++ b/crates/appleshore/src/inbound.rs
@@ -3,11 +3,14 @@
 use std::sync::Arc;
 
 use target::Server;
-use wire::{Error, Frame, Handshake, Listener, Stream};
+use wire::{Error, Frame, Handshake, Listener, Note, Sender, Stream, Topic};
+
+use crate::claims::Desk;
 
 /// What answers the frames of other daemons.
 pub(crate) struct Inbound {
     pub(crate) server: Arc<Server>,
+    pub(crate) desk: Arc<Desk>,
 }
 
 impl Inbound {
@@ -40,6 +43,7 @@
         match stream.receiver.recv().await? {
             Some(Frame::Call(call)) => self.server.call(stream, call).await,
             Some(Frame::Ask(ask)) => self.server.ask(stream.sender, ask).await,
+            Some(Frame::Note(note)) => self.note(stream.sender, note).await,
             Some(frame) => {
                 log::warn!(
                     "wire: {} opens a stream with {frame:?}.",
@@ -50,4 +54,13 @@
             None => Ok(()),
         }
     }
+
+    async fn note(&self, mut sender: Sender, note: Note) -> Result<(), Error> {
+        let answer = match note.topic {
+            Topic::Ledger => self.desk.note(&note.payload).await?,
+            Topic::Feed | Topic::Load => return Ok(()),
+        };
+        sender.push(&Frame::Note(answer))?;
+        sender.finish().await
+    }
 }
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 mod book;
+mod claims;
 mod daemon;
 mod dump;
 mod error;
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -3,10 +3,10 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::stream;
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::Frame as Piece;
 use tokio::time::timeout;
 use unit::{Instance, Outcome};
@@ -32,32 +32,29 @@
 /// What is held until an answer's body has gone to the caller.
 pub(crate) struct Hold {
     /// Counts the request as under way, for a planned stop.
-    pub(crate) relay: Relay,
+    pub(crate) _relay: Relay,
     /// The caller's place, if the rule bounds its requests.
-    pub(crate) place: Option<pick::limit::Guard>,
+    pub(crate) _place: Option<pick::limit::Guard>,
     /// Longest pause inside the body.
     pub(crate) pause: Duration,
-    /// Where a copy goes, for a request that may not be repeated.
-    pub(crate) keep: Option<held::Running>,
 }
 
 struct Source {
+    /// What has been read of the body already.
+    start: Bytes,
     receiver: Receiver,
-    reply: Reply,
     hold: Hold,
-    copy: BytesMut,
 }
 
 impl Answer {
-    /// The HTTP answer; its body streams from the link.
-    pub(crate) fn response(self, hold: Hold) -> Response<Body> {
+    /// The HTTP answer; its body is `start` and what streams from the link behind it.
+    pub(crate) fn response(self, start: Bytes, hold: Hold) -> Response<Body> {
         let mut response = head(&self.reply, Outcome::Ran);
         put(response.headers_mut(), TARGET, self.gate.as_str());
         let source = Source {
+            start,
             receiver: self.receiver,
-            reply: self.reply,
             hold,
-            copy: BytesMut::new(),
         };
         let pieces = stream::unfold(Some(source), |source| async move { next(source?).await });
         *response.body_mut() = StreamBody::new(pieces).boxed_unsync();
@@ -65,6 +62,33 @@
     }
 }
 
+/// An answer that has come as a whole, of a request that may not be repeated.
+pub(crate) fn whole(
+    answer: held::Answer,
+    outcome: Outcome,
+    gate: Option<&Instance>,
+) -> Response<Body> {
+    let mut response = head(&answer.reply, outcome);
+    if let Some(gate) = gate {
+        put(response.headers_mut(), TARGET, gate.as_str());
+    }
+    let body = Full::from(answer.body).map_err(|never| match never {});
+    *response.body_mut() = body.boxed_unsync();
+    response
+}
+
+/// The outcome that an answer tells its caller.
+pub(crate) fn outcome(response: &Response<Body>) -> Outcome {
+    let text = response
+        .headers()
+        .get(OUTCOME)
+        .and_then(|value| value.to_str().ok());
+    let found = Outcome::ALL
+        .into_iter()
+        .find(|outcome| Some(outcome.to_string().as_str()) == text);
+    found.unwrap_or(Outcome::Unknown)
+}
+
 fn head(reply: &Reply, outcome: Outcome) -> Response<Body> {
     let mut response = Response::new(Body::default());
     *response.status_mut() = StatusCode::from_u16(reply.status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -76,16 +100,14 @@
 type Next = Option<(io::Result<Piece<Bytes>>, Option<Source>)>;
 
 async fn next(mut source: Source) -> Next {
+    if !source.start.is_empty() {
+        let start = std::mem::take(&mut source.start);
+        return Some((Ok(Piece::data(start)), Some(source)));
+    }
     let frame = timeout(source.hold.pause, source.receiver.recv()).await;
     let cause = match frame {
-        Ok(Ok(Some(Frame::Data(data)))) => {
-            source.keep(&data);
-            return Some((Ok(Piece::data(data)), Some(source)));
-        }
-        Ok(Ok(Some(Frame::End))) => {
-            source.whole();
-            return None;
-        }
+        Ok(Ok(Some(Frame::Data(data)))) => return Some((Ok(Piece::data(data)), Some(source))),
+        Ok(Ok(Some(Frame::End))) => return None,
         Ok(Ok(Some(Frame::Abort(cause)))) => cause,
         Ok(Ok(_)) => "the answer was cut".to_string(),
         Ok(Err(error)) => error.to_string(),
@@ -96,27 +118,3 @@
     log::warn!("entry: an answer broke off: {cause}.");
     Some((Err(io::Error::other(cause)), None))
 }
-
-impl Source {
-    fn keep(&mut self, data: &Bytes) {
-        if self.hold.keep.is_none() {
-            return;
-        }
-        if self.copy.len() + data.len() > held::MAX_BODY {
-            self.hold.keep = None;
-            return;
-        }
-        self.copy.extend_from_slice(data);
-    }
-
-    fn whole(self) {
-        if let Some(keep) = self.hold.keep {
-            keep.done(held::Answer {
-                reply: self.reply,
-                body: self.copy.freeze(),
-            });
-        }
-        drop(self.hold.place);
-        drop(self.hold.relay);
-    }
-}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -27,8 +27,8 @@
 }
 
 /// What one try needs of the request that it is for.
-pub(crate) struct Attempt<'a> {
-    pub(crate) entry: &'a Entry,
+pub(crate) struct Attempt {
+    pub(crate) entry: Arc<Entry>,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) call: Call,
     pub(crate) deadline: Instant,
@@ -40,7 +40,7 @@
 /// Longest time that one question lets the gate wait for the end of a running call.
 const ASK_WAIT: Duration = Duration::from_secs(5);
 
-impl Attempt<'_> {
+impl Attempt {
     /// Makes the try at the instance of `guard`.
     pub(crate) async fn run(self, guard: Guard, intake: &mut Intake) -> Tried {
         let instance = guard.instance().clone();
@@ -186,7 +186,7 @@
             wait: remaining.min(ASK_WAIT),
             remaining,
         };
-        let mut receiver = ask_after(self.entry, peer, ask).await?;
+        let mut receiver = ask_after(&self.entry, peer, ask).await?;
         Ok(match receiver.recv().await? {
             Some(Frame::Known(Known::Unknown { fenced: true })) => Some(Tried::NotSent(format!(
                 "{} has fenced the call",
--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -7,7 +7,7 @@
 use unit::{Depth, Instance, Service, Size, Zone};
 use wire::{Dialer, Peer};
 
-use crate::Entry;
+use crate::{Claims, Entry};
 
 /// Gives the rules in force; `None` before the first have come.
 pub type Rules = Arc<dyn Fn() -> Option<Arc<Document>> + Send + Sync>;
@@ -51,6 +51,7 @@
     pub(crate) way: Duration,
     pub(crate) limits: Limits,
     pub(crate) held: held::Table,
+    pub(crate) claims: Claims,
 }
 
 impl Entry {
@@ -71,6 +72,7 @@
             way: Duration::from_micros(500),
             limits: Limits::default(),
             held: held::Table::new(Size::of(8_000_000), Duration::from_secs(120)),
+            claims: Claims::none(),
         }
     }
 }
@@ -106,6 +108,12 @@
         self
     }
 
+    /// The way to the ledger. Without one, requests that may not be repeated are refused.
+    pub fn claims(mut self, claims: Claims) -> Builder {
+        self.claims = claims;
+        self
+    }
+
     /// The entry.
     pub fn build(self) -> Entry {
         Entry::new(self)
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -2,16 +2,18 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::request::Parts;
 use http::{Request, Response, StatusCode};
 use pick::retry::Allowance;
 use rule::{Document, Route, Rule, Then};
 use tokio::time::Instant;
-use unit::{Caller, Depth, Urgency};
+use unit::{Caller, Depth, Digest, Urgency};
 
-use crate::answer::Hold;
+use crate::answer::{self, Hold};
 use crate::intake::{Bound, Intake, REPLAYABLE};
 use crate::job::{Head, Job, Purse};
+use crate::once::{Once, claim_key};
 use crate::tries::Tries;
 use crate::{Body, Entry, Origin, Reason, Refusal};
 
@@ -23,18 +25,21 @@
 
 impl Entry {
     /// Answers one request.
-    pub async fn handle(&self, origin: Origin, request: Request<Body>) -> Response<Body> {
+    pub async fn handle(
+        self: &Arc<Self>,
+        origin: Origin,
+        request: Request<Body>,
+    ) -> Response<Body> {
         let relay = self.relay();
         let (parts, body) = request.into_parts();
         let answered = self.serve(&origin, &parts, body, relay).await;
-        answered.unwrap_or_else(|refusal| {
-            self.count_outcome(refusal.outcome());
-            refusal.response()
-        })
+        let response = answered.unwrap_or_else(|refusal| refusal.response());
+        self.count_outcome(answer::outcome(&response));
+        response
     }
 
     async fn serve(
-        &self,
+        self: &Arc<Self>,
         origin: &Origin,
         parts: &Parts,
         body: Body,
@@ -53,33 +58,87 @@
         };
         let place = self.place(matched.rule, route, &matched.caller)?;
         let depth = self.depth(origin)?;
-        let bound = Bound {
-            size: self.setting.limits.body,
-            pause: self.setting.limits.pause,
+        let pause = self.setting.limits.pause;
+        let hold = Hold {
+            _relay: relay,
+            _place: place,
+            pause,
+        };
+        let key = self.key(route, origin, parts, &matched)?;
+        let (whole, size) = match key {
+            Some(_) => (usize::MAX, self.setting.limits.once_body),
+            None => (REPLAYABLE, self.setting.limits.body),
         };
-        let mut intake = Intake::read(body, REPLAYABLE, bound).await?;
+        let mut intake = Intake::read(body, whole, Bound { size, pause }).await?;
+        let rule = matched.rule.name.clone();
+        let mut job = self.job(origin, parts, route, matched.caller, depth, &intake);
+        if let Some(key) = key {
+            let once = Once {
+                job,
+                key,
+                body: intake.whole(),
+                rule,
+                hold,
+            };
+            return once.serve().await;
+        }
+        let answer = Tries::new(&mut job).run(&mut intake).await?;
+        Ok(answer.response(Bytes::new(), hold))
+    }
+
+    fn job(
+        self: &Arc<Self>,
+        origin: &Origin,
+        parts: &Parts,
+        route: &Route,
+        caller: Caller,
+        depth: Depth,
+        intake: &Intake,
+    ) -> Job {
         let head = Head::new(parts.method.clone(), &parts.uri, &parts.headers);
-        let mut job = Job {
-            entry: self,
+        Job {
+            entry: self.clone(),
             upstream: self.upstream(&route.service),
-            route,
-            caller: matched.caller,
+            route: route.clone(),
+            caller,
             urgency: urgency(origin, route),
             depth,
             deadline: deadline(origin, route),
             purse: purse(origin),
             kind: head.kind(intake.start()),
             head,
+        }
+    }
+
+    /// The claim's key, if the rule says that the request may not be repeated.
+    fn key(
+        &self,
+        route: &Route,
+        origin: &Origin,
+        parts: &Parts,
+        matched: &Matched<'_>,
+    ) -> Result<Option<Digest>, Refusal> {
+        let Some(key) = &route.once else {
+            return Ok(None);
         };
-        let answer = Tries::new(&mut job).run(&mut intake).await?;
-        self.count_outcome(unit::Outcome::Ran);
-        let pause = self.setting.limits.pause;
-        Ok(answer.response(Hold {
-            relay,
-            place,
-            pause,
-            keep: None,
-        }))
+        let nested = matches!(origin, Origin::Nested(_));
+        let request = rule::Request {
+            service: nested.then_some(&self.setting.service),
+            method: &parts.method,
+            path: parts.uri.path(),
+            query: parts.uri.query(),
+            headers: &parts.headers,
+            caller: &matched.caller,
+            zone: &self.setting.zone,
+        };
+        let found = key.find(&request);
+        let found = found.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))?;
+        let missing = || {
+            let detail = format!("rule {:?} asks for a key in the {key}", matched.rule.name);
+            Refusal::not_run(Reason::NoKey).detail(detail)
+        };
+        let text = found.ok_or_else(missing)?;
+        Ok(Some(claim_key(&matched.caller, &route.service, &text)))
     }
 
     fn document(&self) -> Result<Arc<Document>, Refusal> {
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    /// The body, where all of it was read.
+    pub(crate) fn whole(self) -> Bytes {
+        match self {
+            Intake::Whole(bytes) => bytes,
+            Intake::Empty | Intake::Streamed(..) | Intake::Spent => Bytes::new(),
+        }
+    }
+
     /// The first bytes, for the fingerprint of the request.
     pub(crate) fn start(&self) -> &[u8] {
         match self {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -16,10 +16,10 @@
 const KIND_BYTES: usize = 1_024;
 
 /// One request, with all that its tries share.
-pub(crate) struct Job<'a> {
-    pub(crate) entry: &'a Entry,
+pub(crate) struct Job {
+    pub(crate) entry: Arc<Entry>,
     pub(crate) upstream: Arc<Upstream>,
-    pub(crate) route: &'a Route,
+    pub(crate) route: Route,
     pub(crate) caller: Caller,
     pub(crate) urgency: Urgency,
     pub(crate) depth: Depth,
@@ -92,7 +92,7 @@
     }
 }
 
-impl Job<'_> {
+impl Job {
     /// The first frame of a try.
     pub(crate) fn call(&mut self, token: Token, body: Payload) -> Call {
         Call {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,6 +22,7 @@
 mod handle;
 mod intake;
 mod job;
+mod once;
 mod origin;
 mod refusal;
 pub mod server;
@@ -31,6 +32,7 @@
 
 pub use answer::OUTCOME;
 pub use builder::{Builder, Limits, Peers, Rules};
+pub use once::{Claims, Granted, NoClaim, claim_key};
 pub use origin::Origin;
 pub use refusal::{REASON, Reason, Refusal};
 pub use state::{Count, Entry, Relay};
--- /dev/null
+++ b/crates/entry/src/once.rs
@@ -0,0 +1,333 @@
+//! Requests that may not be repeated: claim before run, and one answer for all who ask.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::future::BoxFuture;
+use http::Response;
+use ledger::{Claim, Claimed, End, Moment, Record};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+use unit::{Caller, Digest, Outcome, Service, Token};
+use wire::{Ask, Frame, Known, Receiver};
+
+use crate::answer::{self, Answer, Hold};
+use crate::attempt::{ask_after, token};
+use crate::intake::Intake;
+use crate::job::Job;
+use crate::tries::Tries;
+use crate::{Body, Entry, Reason, Refusal};
+
+/// Pause before a key whose run has just ended is claimed again.
+const CLAIM_AGAIN: Duration = Duration::from_millis(20);
+
+/// Why a claim was not had: the request has not run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NoClaim {
+    /// What failed, at which step and peer.
+    pub cause: String,
+    /// When it is worth trying again.
+    pub retry_after: Duration,
+}
+
+/// What the ledger says to a claim.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Granted {
+    /// The token that the claim was made under in the end; each owner asked gets a fresh one.
+    pub token: Token,
+    /// What became of it.
+    pub claimed: Claimed,
+}
+
+type AskClaim = dyn Fn(Claim) -> BoxFuture<'static, Result<Granted, NoClaim>> + Send + Sync;
+type Tell = dyn Fn(End) + Send + Sync;
+
+/// The way to the ledger.
+pub struct Claims {
+    /// Claims a key; an error means that the request must not run.
+    pub claim: Box<AskClaim>,
+    /// Reports an end; it is delivered in the background.
+    pub end: Box<Tell>,
+}
+
+impl Claims {
+    /// No way to any ledger: every claim fails.
+    pub(crate) fn none() -> Claims {
+        let cause = "no ledger".to_string();
+        let no = NoClaim {
+            cause,
+            retry_after: Duration::from_secs(60),
+        };
+        Claims {
+            claim: Box::new(move |_| Box::pin(std::future::ready(Err(no.clone())))),
+            end: Box::new(|_| {}),
+        }
+    }
+}
+
+/// The key under which a request of `caller` to `service` is claimed: keys count per caller.
+pub fn claim_key(caller: &Caller, service: &Service, key: &str) -> Digest {
+    let parts = [
+        caller.as_str().as_bytes(),
+        service.as_str().as_bytes(),
+        key.as_bytes(),
+    ];
+    Digest::of_parts(&parts)
+}
+
+/// A request that may not be repeated, on its way.
+pub(crate) struct Once {
+    pub(crate) job: Job,
+    pub(crate) key: Digest,
+    pub(crate) body: Bytes,
+    pub(crate) rule: String,
+    pub(crate) hold: Hold,
+}
+
+/// What came of the first run of a key, for one who asks again.
+enum Joined {
+    /// The first run's answer.
+    Answer(held::Answer),
+    /// It still runs.
+    Running,
+    /// It has ended, and its answer is gone.
+    Gone,
+    /// Nobody can be asked.
+    Unreachable,
+}
+
+impl Once {
+    /// Claims, runs or joins, and answers.
+    ///
+    /// It runs in a task of its own to its end, whether its caller waits or not: the end of a
+    /// claimed request must be recorded.
+    pub(crate) async fn serve(self) -> Result<Response<Body>, Refusal> {
+        let served = tokio::spawn(self.run()).await;
+        served.unwrap_or_else(|error| {
+            Err(Refusal::unknown(Reason::Lost).detail(format!("the request's task ended: {error}")))
+        })
+    }
+
+    async fn run(self) -> Result<Response<Body>, Refusal> {
+        loop {
+            let Granted { token, claimed } = self.claim().await?;
+            match claimed {
+                Claimed::Granted => return self.granted(token).await,
+                Claimed::Mismatch => return Err(mismatch()),
+                Claimed::Done(record) => return self.done(&record).await,
+                Claimed::Running(record) => {
+                    if let Some(answered) = self.running(&record).await {
+                        return answered;
+                    }
+                }
+            }
+            sleep(CLAIM_AGAIN).await;
+        }
+    }
+
+    async fn claim(&self) -> Result<Granted, Refusal> {
+        // A claim that was given up is released by its token, so each gets a fresh one.
+        let token = token();
+        let claim = Claim {
+            key: self.key,
+            body: Digest::of(&self.body),
+            caller: self.job.caller.clone(),
+            token,
+            entry: self.entry().setting.instance.clone(),
+            deadline: self.job.deadline,
+            rule: self.rule.clone(),
+        };
+        let granted = (self.entry().setting.claims.claim)(claim).await;
+        granted.map_err(|no| {
+            Refusal::not_run(Reason::NoClaim)
+                .detail(no.cause)
+                .retry_after(no.retry_after)
+        })
+    }
+
+    fn entry(&self) -> &Arc<Entry> {
+        &self.job.entry
+    }
+
+    /// The claim is ours: run, record the end, answer.
+    async fn granted(mut self, token: Token) -> Result<Response<Body>, Refusal> {
+        let running = self.entry().setting.held.begin(token);
+        let mut intake = match self.body.is_empty() {
+            true => Intake::Empty,
+            false => Intake::Whole(self.body.clone()),
+        };
+        let tried = Tries::new(&mut self.job).run(&mut intake).await;
+        let answer = match tried {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                self.end(token, refusal.outcome(), None, 0);
+                return Err(refusal);
+            }
+        };
+        let Answer {
+            reply,
+            mut receiver,
+            gate,
+        } = answer;
+        let status = reply.status;
+        match collect(&mut receiver, self.hold.pause).await {
+            Collected::Whole(body) => {
+                self.end(token, Outcome::Ran, Some(gate.clone()), status);
+                let kept = held::Answer { reply, body };
+                let response = answer::whole(kept.clone(), Outcome::Ran, Some(&gate));
+                running.done(kept);
+                Ok(response)
+            }
+            Collected::Large(start) => {
+                self.end(token, Outcome::Ran, Some(gate.clone()), status);
+                Ok(Answer {
+                    reply,
+                    receiver,
+                    gate,
+                }
+                .response(start, self.hold))
+            }
+            Collected::Cut(cause) => {
+                self.end(token, Outcome::Unknown, Some(gate), status);
+                Err(Refusal::unknown(Reason::Lost).detail(cause))
+            }
+        }
+    }
+
+    fn end(&self, token: Token, outcome: Outcome, target: Option<unit::Instance>, status: u16) {
+        let at = Moment::now();
+        let end = End {
+            key: self.key,
+            token,
+            target,
+            at,
+            outcome,
+            status,
+        };
+        (self.entry().setting.claims.end)(end);
+    }
+
+    /// The key has run: its answer if it is still held, else the record.
+    async fn done(&self, record: &Record) -> Result<Response<Body>, Refusal> {
+        match self.join(record, Instant::now()).await {
+            Joined::Answer(answer) => Ok(answer::whole(answer, Outcome::AlreadyRun, None)),
+            _ => Err(already(record)),
+        }
+    }
+
+    /// The key runs: waits for the same answer. `None` if the run ended without one, so that the
+    /// key may be free again.
+    async fn running(&self, record: &Record) -> Option<Result<Response<Body>, Refusal>> {
+        let deadline = self.job.deadline;
+        match self.join(record, deadline).await {
+            Joined::Answer(answer) => Some(Ok(answer::whole(answer, Outcome::AlreadyRun, None))),
+            Joined::Gone if Instant::now() + CLAIM_AGAIN < deadline => None,
+            Joined::Gone | Joined::Running => {
+                let detail = "the first request with this key has not ended yet";
+                Some(Err(Refusal::unknown(Reason::Deadline).detail(detail)))
+            }
+            Joined::Unreachable => {
+                let detail = format!("the first request came by {}, which is gone", record.entry);
+                Some(Err(Refusal::unknown(Reason::Lost).detail(detail)))
+            }
+        }
+    }
+
+    /// Waits until `until` for the answer of the run that holds the key.
+    async fn join(&self, record: &Record, until: Instant) -> Joined {
+        let entry = self.entry();
+        if record.entry == entry.setting.instance {
+            return match entry.setting.held.wait(record.token, until).await {
+                held::Found::Answer(answer) => Joined::Answer(answer),
+                held::Found::Running => Joined::Running,
+                // A run of an earlier life of this instance leaves nothing behind.
+                held::Found::Ended => Joined::Gone,
+                held::Found::Nothing => Joined::Unreachable,
+            };
+        }
+        let asked = timeout_at(
+            until.max(Instant::now() + ASK_AT_LEAST),
+            self.ask(record, until),
+        );
+        asked.await.unwrap_or(Joined::Running)
+    }
+
+    async fn ask(&self, record: &Record, until: Instant) -> Joined {
+        let Some(peer) = (self.entry().setting.peers)(&record.entry) else {
+            return Joined::Unreachable;
+        };
+        let wait = until.saturating_duration_since(Instant::now());
+        let ask = Ask {
+            token: record.token,
+            fence: false,
+            wait,
+            remaining: wait,
+        };
+        let Ok(mut receiver) = ask_after(self.entry(), &peer, ask).await else {
+            return Joined::Unreachable;
+        };
+        match receiver.recv().await {
+            Ok(Some(Frame::Known(Known::Running))) => Joined::Running,
+            Ok(Some(Frame::Known(Known::Done { held: false }))) => Joined::Gone,
+            Ok(Some(Frame::Known(Known::Done { held: true }))) => {
+                kept(&mut receiver, self.hold.pause).await
+            }
+            _ => Joined::Unreachable,
+        }
+    }
+}
+
+/// A question to another entry gets at least this long, also when nothing is waited for.
+const ASK_AT_LEAST: Duration = Duration::from_millis(500);
+
+async fn kept(receiver: &mut Receiver, pause: Duration) -> Joined {
+    let Ok(Some(Frame::Reply(reply))) = receiver.recv().await else {
+        return Joined::Unreachable;
+    };
+    match collect(receiver, pause).await {
+        Collected::Whole(body) => Joined::Answer(held::Answer { reply, body }),
+        Collected::Large(_) | Collected::Cut(_) => Joined::Unreachable,
+    }
+}
+
+/// A body read into memory.
+enum Collected {
+    /// All of it.
+    Whole(Bytes),
+    /// Its beginning; it is too large to be kept.
+    Large(Bytes),
+    /// It broke off, for this reason.
+    Cut(String),
+}
+
+async fn collect(receiver: &mut Receiver, pause: Duration) -> Collected {
+    let mut body = BytesMut::new();
+    loop {
+        match timeout(pause, receiver.recv()).await {
+            Ok(Ok(Some(Frame::Data(data)))) => body.extend_from_slice(&data),
+            Ok(Ok(Some(Frame::End))) => return Collected::Whole(body.freeze()),
+            Ok(Ok(Some(Frame::Abort(cause)))) => return Collected::Cut(cause),
+            Ok(Ok(_)) => return Collected::Cut("the answer was cut".to_string()),
+            Ok(Err(error)) => return Collected::Cut(error.to_string()),
+            Err(_) => return Collected::Cut(format!("no byte for {pause:?}")),
+        }
+        if body.len() > held::MAX_BODY {
+            return Collected::Large(body.freeze());
+        }
+    }
+}
+
+fn mismatch() -> Refusal {
+    Refusal::not_run(Reason::KeyMismatch).detail("this key was used with another body")
+}
+
+fn already(record: &Record) -> Refusal {
+    let ended = record.end.as_ref();
+    let outcome = ended.map_or("not recorded".to_string(), |end| end.outcome.to_string());
+    let status = ended.map_or(0, |end| end.status);
+    let detail = format!(
+        "this key was claimed by {} at {} by way of {}; outcome {outcome}, status {status}",
+        record.caller, record.at, record.entry,
+    );
+    Refusal::already_run().detail(detail)
+}
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -27,8 +27,8 @@
 }
 
 /// The tries of one request.
-pub(crate) struct Tries<'a, 'b> {
-    job: &'a mut Job<'b>,
+pub(crate) struct Tries<'a> {
+    job: &'a mut Job,
     tried: Vec<Instance>,
     left: u32,
     /// Some try may have run, so that the end can't be "not run".
@@ -37,8 +37,8 @@
     refused: Option<Refusal>,
 }
 
-impl<'a, 'b> Tries<'a, 'b> {
-    pub(crate) fn new(job: &'a mut Job<'b>) -> Tries<'a, 'b> {
+impl<'a> Tries<'a> {
+    pub(crate) fn new(job: &'a mut Job) -> Tries<'a> {
         let left = job.route.retries;
         Tries {
             job,
@@ -112,10 +112,10 @@
         }
     }
 
-    fn make(&mut self, intake: &Intake) -> Attempt<'b> {
+    fn make(&mut self, intake: &Intake) -> Attempt {
         let call = self.job.call(token(), intake.payload());
         Attempt {
-            entry: self.job.entry,
+            entry: self.job.entry.clone(),
             upstream: self.job.upstream.clone(),
             call,
             deadline: self.job.deadline,
--- /dev/null
+++ b/crates/feed/tests/it/world.rs
@@ -0,0 +1,258 @@
+//! Feeds over a network and a platform in memory, on the runtime's paused clock.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use feed::{Carrier, Current, Error, Feed};
+use parking_lot::Mutex;
+use roster::{Policy, Record, Roster, Shared, State};
+use standin::Platform;
+use store::Condition;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use unit::{Fingerprint, Incarnation, Instance, Version, Zone};
+
+/// One way between two daemons, and the time that each call on the platform takes.
+pub const HOP: Duration = Duration::from_millis(5);
+pub const RULES: &str = "rules";
+
+const ZONES: [&str; 4] = ["longbien", "gialam", "caugiay", "dongda"];
+
+/// The network; a message that can't pass is never answered.
+#[derive(Default)]
+pub struct Net {
+    feeds: Mutex<BTreeMap<Instance, Feed>>,
+    dead: Mutex<BTreeSet<Instance>>,
+    /// Those named here hear only each other.
+    aside: Mutex<BTreeSet<Instance>>,
+    /// Messages to these take longer.
+    slow: Mutex<BTreeMap<Instance, Duration>>,
+}
+
+/// One daemon.
+pub struct Node {
+    pub name: Instance,
+    pub feed: Feed,
+    pub roster: Arc<Shared>,
+    pub current: Arc<Current>,
+    task: JoinHandle<()>,
+}
+
+pub struct World {
+    pub platform: Platform,
+    pub net: Arc<Net>,
+    pub nodes: Vec<Node>,
+    zones: usize,
+}
+
+impl Net {
+    fn passes(&self, from: &Instance, to: &Instance) -> bool {
+        let dead = self.dead.lock();
+        let aside = self.aside.lock();
+        let alive = !dead.contains(from) && !dead.contains(to);
+        alive && aside.contains(from) == aside.contains(to)
+    }
+
+    async fn hop(&self, from: &Instance, to: &Instance) {
+        let slow = self.slow.lock().get(to).copied().unwrap_or_default();
+        sleep(HOP + slow).await;
+        if !self.passes(from, to) {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn carry(&self, from: Instance, to: Instance, payload: Bytes) -> Result<Bytes, Error> {
+        self.hop(&from, &to).await;
+        let feed = self.feeds.lock().get(&to).cloned();
+        let feed = feed.ok_or_else(|| Error::Stranger(to.clone()))?;
+        let answer = feed.note(&from, &payload)?;
+        self.hop(&to, &from).await;
+        Ok(answer)
+    }
+
+    /// Parts `names` from the others; nobody is parted if there are none.
+    pub fn part(&self, names: impl IntoIterator<Item = Instance>) {
+        *self.aside.lock() = names.into_iter().collect();
+    }
+
+    pub fn slow(&self, name: &Instance, by: Duration) {
+        self.slow.lock().insert(name.clone(), by);
+    }
+}
+
+impl Node {
+    fn start(net: &Arc<Net>, platform: &Platform, record: Record, seed: u64) -> Node {
+        let name = record.instance.clone();
+        let roster = Roster::new(Instant::now(), record, Policy::default(), seed);
+        let roster = Arc::new(Shared::new(roster));
+        let current = Arc::new(Current::default());
+        let (way, from) = (net.clone(), name.clone());
+        let carrier: Carrier = Arc::new(move |peer, payload| {
+            let (way, from) = (way.clone(), from.clone());
+            Box::pin(async move { way.carry(from, peer.instance, payload).await })
+        });
+        let store = platform.store_named(name.as_str());
+        let feed = Feed::builder(store, roster.clone(), current.clone())
+            .carrier(carrier)
+            .rules_key(RULES)
+            .seed(seed)
+            .build();
+        net.feeds.lock().insert(name.clone(), feed.clone());
+        let run = feed.clone();
+        let task = tokio::spawn(async move { run.run().await });
+        Node {
+            name,
+            feed,
+            roster,
+            current,
+            task,
+        }
+    }
+
+    /// The instances that this daemon holds for live.
+    pub fn live(&self) -> usize {
+        let record = self.record(&self.name);
+        let service = record.expect("holds itself").service;
+        self.roster.live(&service).len()
+    }
+
+    pub fn record(&self, of: &Instance) -> Option<Record> {
+        self.roster.with(|roster| roster.get(of).cloned())
+    }
+
+    pub fn is_watcher(&self) -> bool {
+        self.roster.with(|roster| roster.is_watcher())
+    }
+
+    pub fn rules(&self) -> Version {
+        self.current.version()
+    }
+
+    pub fn zone(&self) -> Zone {
+        self.roster.with(|roster| roster.zone().clone())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl World {
+    /// `count` daemons in `zones` zones, up to four, on a platform with rules.
+    pub async fn start(count: usize, zones: usize) -> World {
+        let world = World::unsettled(count, zones).await;
+        let all = world.until(60, || world.nodes.iter().all(|node| node.live() == count));
+        all.await.expect("all know all within a minute");
+        world
+    }
+
+    /// The same, before they know each other.
+    pub async fn unsettled(count: usize, zones: usize) -> World {
+        let platform = Platform::builder().latency(HOP).open();
+        let mut world = World {
+            platform,
+            net: Arc::default(),
+            nodes: Vec::new(),
+            zones,
+        };
+        world.put_rules(&text("first")).await;
+        for number in 0..count {
+            world.add(number);
+        }
+        world
+    }
+
+    /// Starts the daemon of this number.
+    pub fn add(&mut self, number: usize) {
+        let record = record(number, self.zones);
+        let node = Node::start(&self.net, &self.platform, record, number as u64);
+        self.nodes.push(node);
+    }
+
+    /// Stops a daemon without a word.
+    pub fn kill(&self, name: &Instance) {
+        self.net.dead.lock().insert(name.clone());
+        let node = self.nodes.iter().find(|node| node.name == *name);
+        node.expect("is there").task.abort();
+    }
+
+    /// Writes rules as an operator.
+    pub async fn put_rules(&self, text: &str) -> Version {
+        let store = self.platform.store_named("operator");
+        let value = Bytes::from(text.to_string());
+        let put = store.put(RULES, value, Condition::Any).await;
+        put.expect("the operator reaches the platform")
+    }
+
+    /// The daemons that were not killed.
+    pub fn alive(&self) -> impl Iterator<Item = &Node> {
+        let dead = self.net.dead.lock().clone();
+        let nodes = self.nodes.iter();
+        nodes.filter(move |node| !dead.contains(&node.name))
+    }
+
+    pub fn watchers(&self) -> Vec<&Node> {
+        self.alive().filter(|node| node.is_watcher()).collect()
+    }
+
+    /// The time until `holds`, or nothing if it doesn't within `most` seconds.
+    pub async fn until(&self, most: u64, holds: impl Fn() -> bool) -> Option<Duration> {
+        let begin = Instant::now();
+        while !holds() {
+            if begin.elapsed() > Duration::from_secs(most) {
+                return None;
+            }
+            sleep(Duration::from_millis(5)).await;
+        }
+        Some(begin.elapsed())
+    }
+
+    /// The time until all have rules of at least `version` in force.
+    pub async fn in_force(&self, version: Version, most: u64) -> Option<Duration> {
+        self.until(most, || self.alive().all(|node| node.rules() >= version))
+            .await
+    }
+
+    /// The calls on the platform begun so far.
+    pub fn calls(&self) -> u64 {
+        self.platform.count().total()
+    }
+
+    /// Bytes on the network so far, as all daemons count them.
+    pub fn bytes(&self) -> u64 {
+        let dumps = self.nodes.iter().map(|node| node.feed.dump());
+        dumps.map(|dump| dump.network_bytes()).sum()
+    }
+}
+
+/// The announcement of the daemon of a number.
+pub fn record(number: usize, zones: usize) -> Record {
+    let parsed = "is a name";
+    let mut print = [0; 32];
+    print[..8].copy_from_slice(&(number as u64).to_le_bytes());
+    Record {
+        instance: format!("desk-{number}").parse().expect(parsed),
+        incarnation: Incarnation(1),
+        state: State::Live,
+        zone: ZONES[number % zones].parse().expect(parsed),
+        region: "hanoi".to_string(),
+        service: "vault-desk".parse().expect(parsed),
+        link: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7000).into(),
+        fingerprint: Fingerprint(print),
+    }
+}
+
+/// A document of rules that differs by its name.
+pub fn text(name: &str) -> String {
+    format!(r#"{{ "rules": [{{ "name": "{name}", "then": {{ "service": "vault-desk" }} }}] }}"#)
+}
+
+/// A document of at least `bytes` bytes.
+pub fn long_text(name: &str, bytes: usize) -> String {
+    let pad = " ".repeat(bytes);
+    format!("{}{pad}", text(name))
+}
--- a/crates/ledger/src/claim.rs
+++ b/crates/ledger/src/claim.rs
@@ -54,7 +54,7 @@
 }
 
 /// What became of a claim.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
     /// The store has confirmed the claim: the request may run now, and nobody else runs its key.
     Granted,
@@ -101,7 +101,7 @@
 }
 
 /// The report that a claimed request has ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
     /// The hash of the key.
     pub key: Digest,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -49,6 +49,7 @@
 mod lane;
 mod ledger;
 mod load;
+pub mod message;
 mod owner;
 mod peek;
 mod setting;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,9 +17,11 @@
 mod address;
 mod client;
 mod mesh;
+mod process;
 mod target;
 
 pub use address::{Address, Block};
 pub use client::{Answer, Client};
 pub use mesh::{Builder, Mesh, RULES};
+pub use process::Process;
 pub use target::Target;
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use appleshore::{Daemon, Part};
+use appleshore::Part;
 use bytes::Bytes;
 use http::Method;
 use setting::Setting;
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-use crate::{Address, Answer, Block, Client, Target};
+use crate::{Address, Answer, Block, Client, Process, Target};
 
 /// Rules that suit the paths of [`Target`].
 pub const RULES: &str = r#"{
@@ -49,7 +49,7 @@
     /// A caller.
     pub client: Client,
     targets: Vec<Option<Target>>,
-    daemons: Vec<Option<Daemon>>,
+    daemons: Vec<Option<Process>>,
     block: Block,
     builder: Builder,
     _handle: Handle,
@@ -116,13 +116,18 @@
         self.targets[index] = Some(Target::start(&name(index), address, outbound).await);
     }
 
+    /// Kills the daemon of instance `index`; its target lives on.
+    pub fn kill_daemon(&mut self, index: usize) {
+        self.take_daemon(index).kill();
+    }
+
     /// The daemon of instance `index`, unless it was stopped.
-    pub fn daemon(&self, index: usize) -> &Daemon {
+    pub fn daemon(&self, index: usize) -> &Process {
         self.daemons[index].as_ref().expect("the daemon runs")
     }
 
     /// Takes the daemon of instance `index` out, to stop or to drop it.
-    pub fn take_daemon(&mut self, index: usize) -> Daemon {
+    pub fn take_daemon(&mut self, index: usize) -> Process {
         self.daemons[index].take().expect("the daemon runs")
     }
 
@@ -130,8 +135,7 @@
     pub async fn start_daemon(&mut self, index: usize) {
         let text = self.builder.setting(index, self.block);
         let setting = Setting::parse(&text).expect("good settings");
-        let daemon = Daemon::start(setting).await.expect("the daemon starts");
-        self.daemons[index] = Some(daemon);
+        self.daemons[index] = Some(Process::start(setting).await);
     }
 
     /// Runs of each path over all targets that live.
@@ -163,7 +167,7 @@
 }
 
 /// The daemon has rules, and `count` targets to choose from.
-fn is_ready(daemon: &Daemon, count: usize) -> bool {
+fn is_ready(daemon: &Process, count: usize) -> bool {
     let rules = daemon.dump(Part::Rules).state;
     let roster = daemon.dump(Part::Roster).state;
     let lines = roster["instances"].as_array().map_or(0, |lines| {
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -116,6 +116,17 @@
         Some(record.target.instance.clone())
     }
 
+    /// Whether some target that may serve the request was not hot when last heard from.
+    ///
+    /// A request that one gate has refused is worth a hand-over only then. When all are hot, a
+    /// hand-over is one more refusal, and more load just where there is too much.
+    pub fn has_room(&self, now: Instant, need: &Need<'_>) -> bool {
+        let scale = self.scale(now);
+        let able = self.able(need);
+        able.into_iter()
+            .any(|place| !scale.is_hot(&self.records[place]))
+    }
+
     /// Counts a call to `instance` that begins now.
     pub fn begin(&mut self, now: Instant, instance: &Instance) {
         if let Some(record) = self.find(instance) {
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -128,15 +128,28 @@
 
     /// Requests ahead: own ones under way, which we know, and those of others, from the report
     /// and from the mean.
+    ///
+    /// An urgent request passes the own ones that wait for less, so of these only those count
+    /// that the report can't have sorted yet. In an overload each entry has many routine calls
+    /// in the queues, and its urgent ones would else all go where it has the fewest.
     fn load(&self, record: &Record, urgency: Urgency, fresh: f64) -> f64 {
         let own = record.flying.len();
-        let counted = (own - record.unseen()) as u32 + record.gone;
+        let unseen = record.unseen();
+        let (mine, counted) = match urgency {
+            Urgency::Urgent => (unseen, record.gone),
+            Urgency::Routine | Urgency::Batch => (own, (own - unseen) as u32 + record.gone),
+        };
         let told = record.heard.map_or(0.0, |heard| {
             let all = ahead(&heard.report, urgency);
             f64::from(all.saturating_sub(counted))
         });
         let usual = self.mean.ahead[urgency.rank()] * self.limit(record);
-        told * fresh + usual * (1.0 - fresh) + own as f64
+        told * fresh + usual * (1.0 - fresh) + mine as f64
+    }
+
+    /// Whether the gate said of late that it is hot.
+    pub(crate) fn is_hot(&self, record: &Record) -> bool {
+        record.heard.is_some_and(|heard| heard.report.hot) && self.fresh(record) >= 0.5
     }
 
     fn limit(&self, record: &Record) -> f64 {
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -45,6 +45,11 @@
         self.pick.lock().choose(now, need)
     }
 
+    /// See [`Pick::has_room`].
+    pub fn has_room(&self, now: Instant, need: &Need<'_>) -> bool {
+        self.pick.lock().has_room(now, need)
+    }
+
     /// See [`Pick::hear`].
     pub fn hear(&self, now: Instant, instance: &Instance, report: Report) {
         self.pick.lock().hear(now, instance, report);
--- a/crates/unit/src/outcome.rs
+++ b/crates/unit/src/outcome.rs
@@ -19,3 +19,13 @@
     #[display("already-run")]
     AlreadyRun,
 }
+
+impl Outcome {
+    /// All outcomes.
+    pub const ALL: [Outcome; 4] = [
+        Outcome::Ran,
+        Outcome::NotRun,
+        Outcome::Unknown,
+        Outcome::AlreadyRun,
+    ];
+}
