--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -36,8 +36,8 @@
 pub enum Answer {
     /// Taken in, or known already.
     Done,
-    /// What the answering side holds.
-    Beat(Echo),
+    /// The answering side's own beat.
+    Beat(Beat),
     /// The rules in force; `None` before the first.
     Rules(Option<Text>),
     /// The records of the buckets in which the rosters differ.
@@ -64,16 +64,6 @@
     pub text: Option<String>,
 }
 
-/// The answer to a beat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Echo {
-    /// The answering side's own beat.
-    pub beat: Beat,
-    /// What it holds of the sender, if that is newer than what the sender says of itself. A live
-    /// instance that was removed by mistake learns of it here, and refutes it.
-    pub about: Option<Record>,
-}
-
 /// Rules as text.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Text {
--- a/crates/feed/src/note.rs
+++ b/crates/feed/src/note.rs
@@ -7,7 +7,7 @@
 
 use crate::feed::Inner;
 use crate::job::Job;
-use crate::message::{Answer, Echo, Message, News, Push};
+use crate::message::{Answer, Message, News, Push};
 use crate::rules::Origin;
 use crate::{Error, rules, sync};
 
@@ -37,25 +37,16 @@
     }
 }
 
-fn beaten(inner: &Inner, from: &Instance, beat: &Beat) -> Echo {
+fn beaten(inner: &Inner, from: &Instance, beat: &Beat) -> Beat {
     let now = Instant::now();
     if inner.current.wants(beat.rules) {
         inner.later(Job::Pull(from.clone(), beat.rules));
     }
     let rules = inner.current.version();
     inner.with(|roster| {
-        // The sender compares, since it gets our digest with the answer.
+        // The sender gets our digest with the answer, and compares.
         roster.beaten(now, from, beat);
-        let held = roster.get(from);
-        let gone = |record: &&roster::Record| record.state == roster::State::Gone;
-        let newer = |record: &&roster::Record| record.incarnation > beat.incarnation;
-        let about = held.filter(|record| {
-            record.incarnation >= beat.incarnation && (gone(record) || newer(record))
-        });
-        Echo {
-            about: about.cloned(),
-            beat: roster.beat(rules),
-        }
+        roster.beat(rules)
     })
 }
 
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -83,9 +83,9 @@
 pub(crate) fn offer(inner: &Inner, object: &Object, role: Role) {
     let version = object.version;
     if version < inner.current.version() {
-        // Only a store that was restored does this. What is in force stays, and operators must
-        // know why their next edits seem to have no effect.
-        log::error!("feed: the platform's rules {version} are older than those in force.");
+        // A reading that took long may be overtaken. If it happens again and again, the store was
+        // restored: what is in force stays, and operators must know why edits have no effect.
+        log::warn!("feed: the platform's rules {version} are older than those in force.");
     }
     let Ok(text) = std::str::from_utf8(&object.value) else {
         log::error!("feed: rules {version} are no text.");
--- a/crates/feed/src/pulse.rs
+++ b/crates/feed/src/pulse.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use roster::Vote;
+use roster::{Beat, Vote};
 use tokio::time::{Instant, sleep, sleep_until};
 use unit::Instance;
 
 use crate::feed::Inner;
 use crate::job::Job;
-use crate::message::{Answer, Echo, Message};
+use crate::message::{Answer, Message};
 use crate::{Error, carry};
 
 /// The time between two reviews.
@@ -63,30 +63,31 @@
 /// Beats to one daemon, and catches up with what it holds.
 pub(crate) async fn probe(inner: &Inner, to: &Instance) {
     match beat(inner, to).await {
-        Ok(echo) => heed(inner, to, echo),
+        Ok(theirs) => heed(inner, to, &theirs),
         Err(error) => log::debug!("feed: beat: {error}."),
     }
 }
 
-async fn beat(inner: &Inner, to: &Instance) -> Result<Echo, Error> {
+async fn beat(inner: &Inner, to: &Instance) -> Result<Beat, Error> {
     let rules = inner.current.version();
     let beat = inner.with(|roster| roster.beat(rules));
     match inner.ask(to, &Message::Beat(beat)).await? {
-        Answer::Beat(echo) => Ok(echo),
+        Answer::Beat(theirs) => Ok(theirs),
         _ => Err(carry::improper(to)),
     }
 }
 
-fn heed(inner: &Inner, from: &Instance, echo: Echo) {
+/// Follows up what the answer to a beat says.
+///
+/// A live instance that was removed by mistake learns of it here: the digests differ, and the
+/// comparison brings the record that says so.
+fn heed(inner: &Inner, from: &Instance, theirs: &Beat) {
     let now = Instant::now();
-    if let Some(record) = echo.about {
-        inner.merge(&record);
-    }
-    let differs = inner.with(|roster| roster.beaten(now, from, &echo.beat));
-    if inner.current.wants(echo.beat.rules) {
-        inner.later(Job::Pull(from.clone(), echo.beat.rules));
+    let differs = inner.with(|roster| roster.beaten(now, from, theirs));
+    if inner.current.wants(theirs.rules) {
+        inner.later(Job::Pull(from.clone(), theirs.rules));
     }
     if differs {
-        inner.later(Job::Sync(from.clone(), echo.beat.total));
+        inner.later(Job::Sync(from.clone(), theirs.total));
     }
 }
--- a/crates/pick/src/record.rs
+++ b/crates/pick/src/record.rs
@@ -15,6 +15,9 @@
 /// Weight of the newest own latency in its mean.
 const LATENCY_STEP: f64 = 0.1;
 
+/// How far the begin of a call may be off when it is told by its latency.
+const CLOCK_SLACK: Duration = Duration::from_millis(1);
+
 /// A report and when it came.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Heard {
@@ -38,6 +41,7 @@
     pub(crate) errors: f64,
     pub(crate) failures: u32,
     pub(crate) failed_at: Option<Instant>,
+    pub(crate) refused_at: Option<Instant>,
     /// The number of the choice, and the time, at which it was last chosen.
     pub(crate) tried: u64,
     pub(crate) tried_at: Option<Instant>,
@@ -60,6 +64,7 @@
             errors: 0.0,
             failures: 0,
             failed_at: None,
+            refused_at: None,
             tried: 0,
             tried_at: None,
             own_us: None,
@@ -72,13 +77,16 @@
     }
 
     pub(crate) fn end(&mut self, now: Instant, answer: &Answer) {
-        self.land(now, answer.latency);
+        if !self.land(now, answer.latency) {
+            return;
+        }
         match answer.kind {
             Kind::Ok => self.succeed(answer.latency),
             Kind::Error | Kind::Lost => self.fail(now),
-            // A refusal says that the gate is full or leaving, which its report says better, and
-            // a call that we gave up ourselves says nothing of the target.
-            Kind::Refused | Kind::Cancelled => {}
+            // A refusal is no failure: the gate is full or leaving.
+            Kind::Refused => self.refused_at = Some(now),
+            // A call that we gave up ourselves says nothing of the target.
+            Kind::Cancelled => {}
         }
         if let Some(report) = answer.report {
             self.hear(now, report);
@@ -110,13 +118,26 @@
         told.max(self.answered)
     }
 
-    fn land(&mut self, now: Instant, latency: Duration) {
+    /// Takes the call out of those under way; false when it is none of them.
+    ///
+    /// A call of an earlier incarnation that ends now says nothing of this one. Without this, the
+    /// lost calls of a crash would count as failures of the target that has come back.
+    fn land(&mut self, now: Instant, latency: Duration) -> bool {
         let began = now.checked_sub(latency).unwrap_or(now);
         let place = self.flying.partition_point(|at| *at < began);
-        let place = place.min(self.flying.len().saturating_sub(1));
+        let exact = self.flying.get(place);
+        let exact = exact.is_some_and(|at| *at <= began + CLOCK_SLACK);
+        let Some(place) = (if exact {
+            Some(place)
+        } else {
+            place.checked_sub(1)
+        }) else {
+            return false;
+        };
         self.flying.remove(place);
         let seen = self.heard.is_some_and(|heard| began + self.trip < heard.at);
         self.gone += u32::from(seen);
+        true
     }
 
     fn succeed(&mut self, latency: Duration) {
--- a/crates/pick/src/retry.rs
+++ b/crates/pick/src/retry.rs
@@ -17,7 +17,7 @@
 /// What a retry of a request that may have run costs.
 const FULL_COST: f64 = 1.0;
 /// What a hand-over costs: the refused request took no slot anywhere.
-const HAND_OVER_COST: f64 = 0.25;
+const HAND_OVER_COST: f64 = 0.5;
 /// The bucket holds this many retries, so that a burst after a quiet time is bounded.
 const CAP: f64 = 20.0;
 /// Units of a fresh allowance.
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -22,6 +22,9 @@
 /// A hot gate counts as this many service times more. Its queue counts besides, so this matters
 /// for one that pauses or leaves and has none; a larger cost makes others hot in turn.
 const HOT_COST: f64 = 0.25;
+/// A refusal counts as this many service times more. Refused calls are gone at once, so that a
+/// gate which refuses would look idle and draw all requests to be refused.
+const REFUSED_COST: f64 = 1.0;
 /// Service times are told apart when they differ from the mean by more than this share of it.
 const ALIKE: f64 = 0.5;
 /// Service times and failures fade this many times more slowly than counts of requests.
@@ -99,8 +102,7 @@
             Preference::Any => 0.0,
             Preference::Near | Preference::Only => micros(record.trip),
         };
-        let hot = record.heard.is_some_and(|heard| heard.report.hot);
-        let heat = if hot { fresh * HOT_COST * service } else { 0.0 };
+        let heat = self.heat(record, need.urgency, fresh) * service;
         let failing = self.errors(record) * FAILURE_COST * self.mean.service_us;
         service + wait + trip + heat + failing
     }
@@ -147,9 +149,23 @@
         told * fresh + usual * (1.0 - fresh) + mine as f64
     }
 
-    /// Whether the gate said of late that it is hot.
+    /// What a hot gate costs besides its queue, in service times.
+    fn heat(&self, record: &Record, urgency: Urgency, fresh: f64) -> f64 {
+        let hot = record.heard.is_some_and(|heard| heard.report.hot);
+        let hot = if hot { fresh * HOT_COST } else { 0.0 };
+        // What is refused is nearly always routine, and says nothing to an urgent request.
+        let refused = record.refused_at.filter(|_| urgency != Urgency::Urgent);
+        hot + refused.map_or(0.0, |at| self.faded(at, self.half_life) * REFUSED_COST)
+    }
+
+    /// Whether the gate said of late that it is hot, or refused a request of this entry.
+    ///
+    /// Refusals count besides since in an overload the budget holds most reports back.
     pub(crate) fn is_hot(&self, record: &Record) -> bool {
-        record.heard.is_some_and(|heard| heard.report.hot) && self.fresh(record) >= 0.5
+        let hot = record.heard.filter(|heard| heard.report.hot);
+        let times = [hot.map(|heard| heard.at), record.refused_at];
+        let late = |at: Instant| self.now.saturating_duration_since(at) <= self.half_life;
+        times.into_iter().flatten().any(late)
     }
 
     fn limit(&self, record: &Record) -> f64 {
--- a/crates/pick/tests/decisions/choice.rs
+++ b/crates/pick/tests/decisions/choice.rs
@@ -197,6 +197,27 @@
     assert_eq!(pick.choose(now, &only), Some(name(0)));
 }
 
+#[test]
+fn calls_lost_in_a_crash_are_not_held_against_the_next_life() {
+    // The callers' other targets are overloaded while one that has crashed and come back idles.
+    // Ten calls ran at the crash; their silent links are given up after it is there again.
+    let start = Instant::now();
+    let mut pick = pick(start, 9, 2);
+    (0..10).for_each(|_| pick.begin(start, &name(0)));
+    let mut again = target(0, "a");
+    again.incarnation = Incarnation(2);
+    let now = start + millis(100);
+    pick.set(now, &[again, target(1, "a")]);
+    pick.begin(now, &name(0));
+    for _ in 0..10 {
+        let mut lost = answer(Kind::Lost, 120, report(0, 0));
+        lost.report = None;
+        pick.end(start + millis(120), &name(0), &lost);
+    }
+    let line = pick.dump(start + millis(120)).targets.remove(0);
+    assert_eq!((line.running, line.failures), (1, 0));
+}
+
 #[test]
 fn when_all_fail_one_is_still_tried() {
     // The caller is refused although the targets are back. All of them failed for a moment, and
@@ -210,6 +231,31 @@
     assert!(pick.choose(now, &Need::default()).is_some());
 }
 
+#[test]
+fn a_gate_that_refuses_draws_no_more_and_a_full_service_gets_no_hand_overs() {
+    // Callers are refused although other targets have room. A refused call is gone at once, so
+    // the gate that refuses looks the idlest to the entry and draws the next ones too.
+    let now = Instant::now();
+    let mut pick = pick(now, 8, 5);
+    for i in 0..5 {
+        pick.hear(now, &name(i), report(5, 0));
+    }
+    let need = Need::of(Urgency::Routine);
+    for i in 0..5 {
+        assert!(pick.has_room(now, &need), "{i} have refused");
+        pick.begin(now, &name(i));
+        let mut refusal = answer(Kind::Refused, 0, report(5, 0));
+        refusal.report = None;
+        pick.end(now, &name(i), &refusal);
+        if i == 0 {
+            let share = shares(&mut pick, now, Urgency::Routine, 5, TRIES)[0];
+            assert!(share < 0.02, "{share}");
+        }
+    }
+    assert!(!pick.has_room(now, &need));
+    assert!(pick.has_room(now + millis(101), &need));
+}
+
 proptest! {
     /// No order of events brings up a target that is excluded, leaving or gone, and calls that
     /// have ended leave nothing behind.
--- a/crates/roster/src/beat.rs
+++ b/crates/roster/src/beat.rs
@@ -13,11 +13,12 @@
 
 use crate::roster::Roster;
 
-/// Bytes on the network for one beat: 12 to 28 of payload, a frame and packet of QUIC with its
-/// tag, and the headers of UDP and IP.
-pub const BEAT_BYTES: u64 = 90;
-/// Bytes on the network for the acknowledgement of a beat.
-pub const ACK_BYTES: u64 = 65;
+/// Bytes on the network for one beat: 12 to 28 of payload, a frame and packet of QUIC, the headers
+/// of UDP and IP, and the packet that acknowledges it. Measured over a link by the example `link`
+/// of the crate `feed`: 240 bytes of UDP payload for a beat with its answer, 359 with headers.
+pub const BEAT_BYTES: u64 = 180;
+/// Bytes on the network for the answer to a beat, which is as large.
+pub const ACK_BYTES: u64 = 180;
 /// By how much of the period a beat comes earlier or later, as its denominator.
 const JITTER: u32 = 5;
 
