Bound the expected wait at a gate by 300 ms instead of 2 s

Cause: a queue that only deadlines bound fills during a peak with work that is old when it is served. Change: the default of `gate::Builder::wait`. Conclusion: 300 ms is the default; an operator's rule still sets deadlines.

--- a/crates/gate/src/builder.rs
+++ b/crates/gate/src/builder.rs
@@ -38,7 +38,7 @@
             law: Law::default(),
             reserve: 0.1,
             queue: 1024,
-            wait: Duration::from_secs(2),
+            wait: Duration::from_millis(300),
             hot_wait: Duration::from_millis(5),
             tokens: 131_072,
             grace: Duration::from_secs(15),
@@ -68,8 +68,12 @@
         self
     }
 
-    /// Longest wait that a request may be expected to have, whatever its deadline; 2 s unless
+    /// Longest wait that a request may be expected to have, whatever its deadline; 300 ms unless
     /// set.
+    ///
+    /// A queue that is bounded by deadlines alone fills during a peak, and what is served behind
+    /// the peak is then old work. With 2 s, 72 % of the requests from a second after a peak of
+    /// three times the capacity were answered in time; with 300 ms, all (`bench policy`, `storm`).
     pub fn wait(mut self, wait: Duration) -> Builder {
         self.setting.wait = wait;
         self
--- a/crates/gate/tests/all/admission.rs
+++ b/crates/gate/tests/all/admission.rs
@@ -10,7 +10,10 @@
 
 /// A warm core with `slots` slots of 10 ms each, without a law that changes them.
 fn fixed(slots: u16, now: &mut Instant) -> Core {
-    let mut core = Builder::new(slots).law(Law::Fixed).core(*now);
+    let mut core = Builder::new(slots)
+        .wait(ms(2000))
+        .law(Law::Fixed)
+        .core(*now);
     warm(&mut core, now, 20, ms(10));
     core
 }
--- a/crates/gate/tests/all/suspect.rs
+++ b/crates/gate/tests/all/suspect.rs
@@ -15,7 +15,7 @@
 
 /// A warm core whose target has crashed under a killer and an innocent request.
 fn crashed(now: &mut Instant) -> Core {
-    let mut core = Builder::new(4).core(*now);
+    let mut core = Builder::new(4).wait(ms(2000)).core(*now);
     warm(&mut core, now, 20, ms(10));
     let both = [KILLER, INNOCENT].map(|kind| {
         let token = kind.0 + 0x10_0000;
