Grant no claim whose release came before it

Left: a release that comes while another try holds the key leaves no token. Conclusion: the order of release and claim no longer matters in that case.

--- a/crates/ledger/src/build.rs
+++ b/crates/ledger/src/build.rs
@@ -120,6 +120,10 @@
             batch.later.push_back(ask);
             return;
         }
+        if was_released(&ask, known) {
+            turn.released.push(ask);
+            return;
+        }
         let look = self.look(&ask, known);
         let stale = now.saturating_duration_since(known.confirmed) > self.limit.fresh;
         match (look, &ask.want) {
@@ -178,6 +182,23 @@
     stale: bool,
 }
 
+/// Whether the claim was released before it was written.
+///
+/// An entry that loses the owner of a key tells its caller "not run" and has the next owner release
+/// the claim, while that waits here for a slow store or for a paused process. Granted then, it would
+/// never be released again, and the key would be dead though nothing ran. Its token stands among
+/// the released ones, and the version check shows us these before we write.
+fn was_released(ask: &Ask, known: &Known) -> bool {
+    let Want::Claim(claim) = &ask.want else {
+        return false;
+    };
+    let mut pieces = known
+        .head
+        .generations()
+        .filter_map(|held| held.piece(claim.key));
+    pieces.any(|piece| matches!(piece, Piece::Free(freed) if freed.contains(&claim.token)))
+}
+
 fn covers(probed: &Probed, hits: &[u64]) -> bool {
     hits.iter().all(|number| probed.numbers.contains(number))
 }
--- a/crates/ledger/src/error.rs
+++ b/crates/ledger/src/error.rs
@@ -34,6 +34,10 @@
         GivenUp {
             display("the store did not confirm in time")
         }
+        /// The claim was released before it was written: whoever asked has given it up.
+        Released {
+            display("the claim was released before it was written")
+        }
         /// The shard holds as many keys within its retention as it may.
         Keys {
             display("too many keys within the retention")
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -47,6 +47,7 @@
         let now = Instant::now();
         let turn = lane.shard.lock().turn(now, lane.clock.moment(now));
         lane.deliver(turn.answers);
+        lane.fail(turn.released, &Kind::Released);
         for (ask, numbers) in turn.probes {
             tokio::spawn(probe(lane.clone(), ask, numbers));
         }
@@ -155,6 +156,10 @@
             return;
         }
         let asks = std::mem::take(&mut self.shard.lock().queue);
+        self.fail(asks, kind);
+    }
+
+    fn fail(&self, asks: impl IntoIterator<Item = Ask>, kind: &Kind) {
         let failed = |ask: Ask| {
             let error = self.error(ask.want.step(), kind.clone());
             (ask, Verdict::Failed(error))
--- a/crates/ledger/src/peek.rs
+++ b/crates/ledger/src/peek.rs
@@ -5,7 +5,7 @@
 use crate::ask::What;
 use crate::claim::Record;
 use crate::shard::Shard;
-use crate::slot::{Piece, fold};
+use crate::slot::{FREED, Piece, fold};
 
 impl Shard {
     /// What is known of a key here, pending notes counted in, without the sealed segments.
@@ -32,7 +32,7 @@
         let of_key = newest_first.filter(move |note| note.what.key() == key);
         of_key.map(|note| match &note.what {
             What::End(end) => Piece::End(end.token, end.ended()),
-            What::Free(_, token) => Piece::Free([*token; 2]),
+            What::Free(_, token) => Piece::Free([*token; FREED]),
         })
     }
 
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -84,6 +84,8 @@
     pub(crate) next: Next,
     pub(crate) answers: Vec<Answer>,
     pub(crate) probes: Vec<(Ask, Vec<u64>)>,
+    /// Claims that were released elsewhere before they were written.
+    pub(crate) released: Vec<Ask>,
 }
 
 /// Work that is not urgent.
@@ -175,6 +177,7 @@
             next: Next::Wait(None),
             answers: Vec::new(),
             probes: Vec::new(),
+            released: Vec::new(),
         };
         turn.next = self.decide(now, moment, &mut turn);
         turn
--- a/crates/ledger/src/slot.rs
+++ b/crates/ledger/src/slot.rs
@@ -13,6 +13,10 @@
 /// The place of a name in the table of its generation.
 type Name = u32;
 
+/// Released tokens that are kept of a key. Resends of one key that an entry gives up together, for
+/// a lost link to their owner, are mostly fewer.
+pub(crate) const FREED: usize = 4;
+
 /// What one generation holds of a key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 enum Slot {
@@ -20,11 +24,13 @@
     Taken(Taken),
     /// A claim of an older generation has ended.
     Ended(Raw, Finish),
-    /// The claim of the first token was released, and before it that of the second.
+    /// The claims of these tokens were released, the last one first.
     ///
-    /// A release can be written twice when its first answer was lost. Two tokens are kept, so that
-    /// such a late repetition does not push the newest release out and leave the key dead.
-    Freed(Raw, Raw),
+    /// A release can be written twice when its first answer was lost. Several tokens are kept, so
+    /// that such a late repetition does not push the newest release out and leave the key dead.
+    /// And a release can overtake its claim, which waits at another owner: as long as its token is
+    /// kept here, that claim is refused when it comes.
+    Freed([Raw; FREED]),
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,7 +66,7 @@
 pub(crate) enum Piece {
     Claim(Record),
     End(Token, Ended),
-    Free([Token; 2]),
+    Free([Token; FREED]),
 }
 
 /// Bytes that a slot takes at most, without its names.
@@ -156,9 +162,14 @@
         let slot = match self.slots.get(&key.0.to_be_bytes()) {
             Some(Slot::Taken(taken)) if taken.token != raw || taken.end.is_some() => return,
             Some(Slot::Ended(..)) => return,
-            Some(Slot::Freed(last, _)) if *last == raw => return,
-            Some(Slot::Freed(last, _)) => Slot::Freed(raw, *last),
-            Some(Slot::Taken(_)) | None => Slot::Freed(raw, raw),
+            Some(Slot::Freed(freed)) if freed.contains(&raw) => return,
+            Some(Slot::Freed(freed)) => {
+                let mut freed = *freed;
+                freed.rotate_right(1);
+                freed[0] = raw;
+                Slot::Freed(freed)
+            }
+            Some(Slot::Taken(_)) | None => Slot::Freed([raw; FREED]),
         };
         self.put(key, slot, at);
     }
@@ -168,7 +179,7 @@
         match slot {
             Slot::Taken(taken) => self.record(key, taken).map(Piece::Claim),
             Slot::Ended(raw, finish) => Some(Piece::End(token(raw), self.ended(finish))),
-            Slot::Freed(last, before) => Some(Piece::Free([token(last), token(before)])),
+            Slot::Freed(freed) => Some(Piece::Free(freed.each_ref().map(token))),
         }
     }
 
--- a/crates/ledger/tests/ledger/fault.rs
+++ b/crates/ledger/tests/ledger/fault.rs
@@ -285,3 +285,21 @@
     let error = other.claim(claim(1, 2)).await.unwrap_err();
     assert_eq!(error.kind, Kind::Layout(1));
 }
+
+// The caller is told "not run" and its resend is never answered. Its entry asks an owner that is
+// cut off from the store, loses it, and has the claim released by the next owner. Then the first
+// owner's write goes through. The claim must not be granted: nobody waits for it any more, and
+// nobody would release it again.
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_was_released_elsewhere_is_not_granted_later() {
+    let platform = platform();
+    let (first, next) = (open(&platform, "a"), open(&platform, "b"));
+    first.claim(claim(1, 1)).await.unwrap();
+    platform.fault_of("a").hold(true);
+    let late = spawn(&first, 2, 2);
+    pass(100).await;
+    next.release(key(2), Token(2)).await.unwrap();
+    platform.fault_of("a").hold(false);
+    assert_eq!(late.await.unwrap().unwrap_err().kind, Kind::Released);
+    assert_eq!(next.claim(claim(2, 3)).await.unwrap(), Claimed::Granted);
+}
