--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,3 +1,32 @@
 //! Benchmarks.
 
-fn main() {}
+use bench::{capacity, history, path, policy};
+use clap::{Parser, Subcommand};
+
+/// Benchmarks of appleshore.
+#[derive(Debug, Parser)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Slopes of memory, bytes and processor time, and what they make of the design size.
+    Capacity(capacity::Options),
+    /// The decisions against fake targets on a simulated clock.
+    Policy(policy::Options),
+    /// Concurrent runs under faults, and what must hold of each.
+    History(history::Options),
+    /// What two daemons add to a call on real sockets.
+    Path(path::Options),
+}
+
+fn main() -> Result<(), Box<dyn std::error::Error>> {
+    match Line::parse().command {
+        Command::Capacity(options) => capacity::main(&options),
+        Command::Policy(options) => policy::main(&options),
+        Command::History(options) => history::main(&options),
+        Command::Path(options) => path::main(&options),
+    }
+}
