--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use tokio::time::Instant;
-use unit::{Token, Urgency};
+use unit::{Cause, Token, Urgency};
 
 use crate::builder::Setting;
 use crate::lane::Lane;
 use crate::latency::Latency;
 use crate::limit::{Limit, Turn};
-use crate::refusal::{Cause, Refusal};
+use crate::refusal::Refusal;
 use crate::request::{Id, Request};
 use crate::solo::Solo;
 use crate::suspect::{self, Standing, Suspicion};
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use unit::{Report, Urgency};
+use unit::{Cause, Report, Urgency};
 
 use crate::core::Core;
-use crate::refusal::{Cause, Refusal};
+use crate::refusal::Refusal;
 use crate::request::Request;
 use crate::suspect::Standing;
 
@@ -226,7 +226,9 @@
 
     fn retry_after(&self, now: Instant, request: &Request, cause: Cause) -> Duration {
         match cause {
-            Cause::Leaving | Cause::Fenced | Cause::Duplicate => Duration::ZERO,
+            Cause::Misdirected | Cause::Leaving | Cause::Fenced | Cause::Duplicate => {
+                Duration::ZERO
+            }
             Cause::Down => self.setting.down_retry,
             Cause::Full if !self.tokens.has_room() => self.setting.down_retry,
             Cause::Suspect => match self.suspects.standing(now, request.kind) {
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -2,50 +2,7 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-use unit::{Outcome, Report, Token};
-
-/// Why a gate did not start a request.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-)]
-#[serde(rename_all = "kebab-case")]
-pub enum Cause {
-    /// The queue, the caller's share of it, or the token table has no room.
-    #[display("full")]
-    Full,
-    /// The deadline can't be met here.
-    #[display("deadline")]
-    Deadline,
-    /// The target is leaving.
-    #[display("leaving")]
-    Leaving,
-    /// The token was fenced, cancelled or refused before; it never runs here.
-    #[display("fenced")]
-    Fenced,
-    /// The token was seen before, and that try may have run.
-    #[display("duplicate")]
-    Duplicate,
-    /// The request is suspected to crash targets.
-    #[display("suspect")]
-    Suspect,
-    /// The target has asked for a pause.
-    #[display("shed")]
-    Shed,
-    /// The target can't be reached.
-    #[display("down")]
-    Down,
-}
+use unit::{Cause, Outcome, Report, Token};
 
 /// A request that the gate refused before it was dispatched.
 ///
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -3,8 +3,8 @@
 use tokio::time::Instant;
 use unit::{Digest, Urgency};
 
+use crate::Cause;
 use crate::core::{Core, Held};
-use crate::refusal::Cause;
 use crate::request::{Id, Request};
 use crate::solo::Step;
 use crate::suspect::Standing;
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -8,12 +8,12 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
-use unit::{Report, Token};
+use unit::{Cause, Report, Token};
 
 use crate::builder::Builder;
 use crate::core::Core;
 use crate::dump::Dump;
-use crate::refusal::{Cause, Refusal};
+use crate::refusal::Refusal;
 use crate::request::{End, Id, Request};
 use crate::suspect::Suspicion;
 use crate::token::{Fence, Status};
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -306,7 +306,7 @@
     }
 
     async fn refused(&self, sender: Sender, refusal: &gate::Refusal) -> Result<(), Error> {
-        self.refuse(sender, cause(refusal.cause()), refusal.retry_after())
+        self.refuse(sender, refusal.cause(), refusal.retry_after())
             .await
     }
 
@@ -343,16 +343,3 @@
     sender.push(&Frame::Abort(cause))?;
     sender.finish().await
 }
-
-fn cause(cause: gate::Cause) -> Cause {
-    match cause {
-        gate::Cause::Full => Cause::Full,
-        gate::Cause::Deadline => Cause::Deadline,
-        gate::Cause::Leaving => Cause::Leaving,
-        gate::Cause::Fenced => Cause::Fenced,
-        gate::Cause::Duplicate => Cause::Duplicate,
-        gate::Cause::Suspect => Cause::Suspect,
-        gate::Cause::Shed => Cause::Shed,
-        gate::Cause::Down => Cause::Down,
-    }
-}
--- /dev/null
+++ b/crates/unit/src/cause.rs
@@ -0,0 +1,48 @@
+//! Why a gate did not start a request.
+
+use serde::{Deserialize, Serialize};
+
+/// Why a gate did not start a request.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    derive_more::Display,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Cause {
+    /// The queue, the caller's share of it, or the token table has no room.
+    #[display("full")]
+    Full,
+    /// The deadline can't be met here.
+    #[display("deadline")]
+    Deadline,
+    /// The target is leaving.
+    #[display("leaving")]
+    Leaving,
+    /// The token was fenced, cancelled or refused before; it never runs here.
+    #[display("fenced")]
+    Fenced,
+    /// The token was seen before, and that try may have run.
+    #[display("duplicate")]
+    Duplicate,
+    /// The request is suspected to crash targets.
+    #[display("suspect")]
+    Suspect,
+    /// The target has asked for a pause.
+    #[display("shed")]
+    Shed,
+    /// The target can't be reached.
+    #[display("down")]
+    Down,
+    /// The request is for another service, nested too deep, or malformed.
+    #[display("misdirected")]
+    Misdirected,
+}
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -14,6 +14,7 @@
 //! # Ok::<(), unit::Error>(())
 //! ```
 
+mod cause;
 mod error;
 mod name;
 mod number;
@@ -23,6 +24,7 @@
 mod span;
 mod urgency;
 
+pub use cause::Cause;
 pub use error::Error;
 pub use name::{Caller, Instance, Member, Service, Zone};
 pub use number::{Depth, Digest, Fingerprint, Incarnation, Token, Version};
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use unit::{Caller, Depth, Digest, Report, Service, Token, Urgency};
+use unit::{Caller, Cause, Depth, Digest, Report, Service, Token, Urgency};
 
 use crate::Header;
 
@@ -74,39 +74,6 @@
     pub report: Option<Report>,
 }
 
-/// Why a gate did not run a call.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, derive_more::Display)]
-#[serde(rename_all = "kebab-case")]
-pub enum Cause {
-    /// The queue is full.
-    #[display("full")]
-    Full,
-    /// The deadline can't be met.
-    #[display("deadline")]
-    Deadline,
-    /// The instance is leaving.
-    #[display("leaving")]
-    Leaving,
-    /// The entry has fenced this token.
-    #[display("fenced")]
-    Fenced,
-    /// This token came before. It says nothing of whether the first one ran.
-    #[display("duplicate")]
-    Duplicate,
-    /// A request of this kind has crashed targets.
-    #[display("suspect")]
-    Suspect,
-    /// The target sheds load.
-    #[display("shed")]
-    Shed,
-    /// The target is down.
-    #[display("down")]
-    Down,
-    /// The call is for another service, nested too deep, or malformed.
-    #[display("misdirected")]
-    Misdirected,
-}
-
 /// The gate did not run the call and never will.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,7 +28,7 @@
 mod trust;
 mod watchdog;
 
-pub use call::{Accepted, Ask, Call, Cause, Known, Payload, Refusal, Reply};
+pub use call::{Accepted, Ask, Call, Known, Payload, Refusal, Reply};
 pub use dialer::{Dialer, Peer};
 pub use error::Error;
 pub use frame::{Frame, Note, Topic};
@@ -38,3 +38,4 @@
 pub use listener::{Handshake, Inbound, Listener};
 pub use stream::{Receiver, Sender, Stream};
 pub use trust::Trust;
+pub use unit::Cause;
