--- a/bench/src/capacity/design.rs
+++ b/bench/src/capacity/design.rs
@@ -43,7 +43,7 @@
 /// Seconds between two beats to one observer.
 pub(crate) const BEAT: f64 = 5.0;
 /// Seconds after which an idle link closes.
-pub(crate) const IDLE: f64 = 10.0;
+pub(crate) const IDLE: f64 = 30.0;
 /// Targets of other zones that an entry uses of each service.
 pub(crate) const FAR: f64 = 12.0;
 /// Calls begun on the store each second by one watcher: a watch on the rules each 3 s, and one on
