--- a/crates/appleshore/src/book.rs
+++ b/crates/appleshore/src/book.rs
@@ -1,6 +1,6 @@
 //! Who listens where, as the call path reads it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use entry::Entry;
@@ -19,7 +19,7 @@
 struct Pages {
     peers: HashMap<Instance, Peer>,
     names: HashMap<Fingerprint, Instance>,
-    services: Vec<Service>,
+    services: BTreeSet<Service>,
     /// Those that may be asked for keys, by name: live, and heard lately.
     live: Arc<Vec<Instance>>,
 }
@@ -70,7 +70,7 @@
         pages.live = Arc::new(live(&self.roster, &pages.services));
         let pages = Arc::new(pages);
         let before = std::mem::replace(&mut *self.pages.write(), pages.clone());
-        for service in before.services.iter().chain(&pages.services) {
+        for service in before.services.union(&pages.services) {
             entry.set_targets(service, &targets(&self.roster, service));
         }
     }
@@ -89,15 +89,13 @@
                 .names
                 .insert(record.fingerprint, record.instance.clone());
             pages.peers.insert(record.instance.clone(), peer);
-            if !pages.services.contains(&record.service) {
-                pages.services.push(record.service.clone());
-            }
+            pages.services.insert(record.service.clone());
         }
         pages
     }
 }
 
-fn live(roster: &Shared, services: &[Service]) -> Vec<Instance> {
+fn live(roster: &Shared, services: &BTreeSet<Service>) -> Vec<Instance> {
     let mut live = Vec::new();
     for service in services {
         let heard = roster.live(service);
--- a/crates/appleshore/src/claims.rs
+++ b/crates/appleshore/src/claims.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::TaskTracker;
 use unit::{Digest, Instance, Outcome, Token};
-use wire::{Dialer, Error, Frame, Note, Topic, codec};
+use wire::{Dialer, Error, Note, Topic, codec};
 
 use crate::book::Book;
 
@@ -195,13 +195,7 @@
         let unknown = || Error::Dial(owner.to_string(), "not announced".to_string());
         let peer = self.book.peer(owner).ok_or_else(unknown)?;
         let link = self.dialer.link(&peer).await?;
-        let note = Note {
-            topic: Topic::Ledger,
-            payload: codec::pack(&ask)?,
-        };
-        match link.ask(&Frame::Note(note)).await? {
-            Frame::Note(note) => codec::unpack(&note.payload),
-            _ => Err(Error::Garbled(owner.to_string(), "no note".to_string())),
-        }
+        let answer = link.note(Topic::Ledger, codec::pack(&ask)?).await?;
+        codec::unpack(&answer)
     }
 }
--- a/crates/appleshore/src/suspicion.rs
+++ b/crates/appleshore/src/suspicion.rs
@@ -8,11 +8,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use gate::{Gate, Suspicion};
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 use unit::{Instance, Service};
-use wire::{Dialer, Error, Frame, Note, Topic, codec};
+use wire::{Dialer, Error, Note, Topic, codec};
 
 use crate::book::Book;
 
@@ -67,11 +68,7 @@
             }
             let (all, payload) = (self.clone(), payload.clone());
             telling.spawn(async move {
-                let note = Frame::Note(Note {
-                    topic: Topic::Load,
-                    payload,
-                });
-                let told = timeout(TELL_TIMEOUT, all.send(&instance, &note)).await;
+                let told = timeout(TELL_TIMEOUT, all.send(&instance, payload)).await;
                 if !matches!(told, Ok(Ok(()))) {
                     log::info!("gate: {instance} was not told of suspects.");
                 }
@@ -80,10 +77,11 @@
         telling.join_all().await;
     }
 
-    async fn send(&self, instance: &Instance, note: &Frame) -> Result<(), Error> {
+    async fn send(&self, instance: &Instance, payload: Bytes) -> Result<(), Error> {
         let unknown = || Error::Dial(instance.to_string(), "not announced".to_string());
         let peer = self.book.peer(instance).ok_or_else(unknown)?;
-        self.dialer.link(&peer).await?.ask(note).await.map(drop)
+        let link = self.dialer.link(&peer).await?;
+        link.note(Topic::Load, payload).await.map(drop)
     }
 
     /// Takes what another gate suspects.
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -145,16 +145,7 @@
         let Some(key) = &route.once else {
             return Ok(None);
         };
-        let nested = matches!(origin, Origin::Nested(_));
-        let request = rule::Request {
-            service: nested.then_some(&self.setting.service),
-            method: &parts.method,
-            path: parts.uri.path(),
-            query: parts.uri.query(),
-            headers: &parts.headers,
-            caller: &matched.caller,
-            zone: &self.setting.zone,
-        };
+        let request = self.as_ruled(origin, parts, parts.uri.path(), &matched.caller);
         let found = key.find(&request);
         let found = found.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))?;
         let missing = || {
@@ -184,20 +175,30 @@
         let path = rule::path::clean(parts.uri.path());
         let path = path.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))?;
         let caller = self.caller(document, origin, parts)?;
+        let rule = document.decide(&self.as_ruled(origin, parts, &path, &caller));
+        let rule =
+            rule.ok_or_else(|| Refusal::not_run(Reason::NoRule).detail("no rule matches"))?;
+        Ok(Matched { rule, caller })
+    }
+
+    /// The request as the rules see it.
+    fn as_ruled<'a>(
+        &'a self,
+        origin: &Origin,
+        parts: &'a Parts,
+        path: &'a str,
+        caller: &'a Caller,
+    ) -> rule::Request<'a> {
         let nested = matches!(origin, Origin::Nested(_));
-        let request = rule::Request {
+        rule::Request {
             service: nested.then_some(&self.setting.service),
             method: &parts.method,
-            path: &path,
+            path,
             query: parts.uri.query(),
             headers: &parts.headers,
-            caller: &caller,
+            caller,
             zone: &self.setting.zone,
-        };
-        let rule = document.decide(&request);
-        let rule =
-            rule.ok_or_else(|| Refusal::not_run(Reason::NoRule).detail("no rule matches"))?;
-        Ok(Matched { rule, caller })
+        }
     }
 
     /// Who asks. A nested call is made for the caller at the top; one that its target makes of its
--- a/crates/feed/src/carry.rs
+++ b/crates/feed/src/carry.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use roster::Record;
 use unit::Instance;
-use wire::{Dialer, Frame, Note, Peer, Topic};
+use wire::{Dialer, Peer, Topic};
 
 use crate::Error;
 
@@ -25,13 +25,8 @@
 }
 
 async fn carry(dialer: &Dialer, peer: &Peer, payload: Bytes) -> Result<Bytes, Error> {
-    let topic = Topic::Feed;
     let link = dialer.link(peer).await?;
-    let answer = link.ask(&Frame::Note(Note { topic, payload })).await?;
-    match answer {
-        Frame::Note(note) if note.topic == topic => Ok(note.payload),
-        _ => Err(improper(&peer.instance)),
-    }
+    Ok(link.note(Topic::Feed, payload).await?)
 }
 
 pub(crate) fn improper(peer: &Instance) -> Error {
--- a/crates/wire/src/dialer.rs
+++ b/crates/wire/src/dialer.rs
@@ -124,14 +124,6 @@
         links.filter(Link::alive).collect()
     }
 
-    /// Ends and forgets the link of an instance that has been removed.
-    pub fn forget(&self, instance: &Instance) {
-        let slot = self.shard(instance).lock().remove(instance);
-        if let Some(link) = slot.and_then(|slot| slot.link.lock().take()) {
-            link.close();
-        }
-    }
-
     fn shard(&self, instance: &Instance) -> &Mutex<HashMap<Instance, Slot>> {
         let hash = Digest::of(instance.as_str().as_bytes()).0;
         &self.shards[(hash % SHARDS as u128) as usize]
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
+use bytes::Bytes;
 use tokio::sync::Notify;
 use unit::Instance;
 
 use crate::stream::{Side, not_admitted};
 use crate::watchdog;
-use crate::{Error, Frame, Peer, Stream};
+use crate::{Error, Frame, Note, Peer, Stream, Topic};
 
 /// A connection to a peer that this daemon has dialled.
 #[derive(Clone)]
@@ -115,6 +116,18 @@
         answer.ok_or_else(|| Error::broken("ask", self.name(), "the peer ended without an answer"))
     }
 
+    /// Sends one message of a control role and reads the payload of the one that answers it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Link::ask`], and [`Error::Garbled`] if the answer is no note of the same role.
+    pub async fn note(&self, topic: Topic, payload: Bytes) -> Result<Bytes, Error> {
+        match self.ask(&Frame::Note(Note { topic, payload })).await? {
+            Frame::Note(note) if note.topic == topic => Ok(note.payload),
+            _ => Err(Error::garbled(self.name(), "an answer of another kind")),
+        }
+    }
+
     /// Ends the link; its open streams fail.
     pub fn close(&self) {
         self.inner
