Record the end of an order when no other instance is left

Cause: the loop that offers an end to its owner went round without a pause when no instance was live, as in the stop of the last one: it held a thread for 60 s, and the end was not recorded, so that a resend after the restart was told "unknown" of an order that had run. Change: where nobody is left to ask, the own ledger writes the end; the loop always pauses between two offers. Figures: the new test `the_last_instance_records_the_end_of_its_order` fails without the change (`unknown`, `lost`) and passes with it. Conclusion: an owner is only a hint, so the own ledger may always stand in.

--- a/crates/appleshore/src/claims.rs
+++ b/crates/appleshore/src/claims.rs
@@ -149,10 +149,12 @@
         let mut pause = END_AGAIN;
         let mut passed = Vec::new();
         while Instant::now() < until {
-            let Some(owner) = self.owner(end.key, &passed) else {
+            let owner = self.owner(end.key, &passed).unwrap_or_else(|| {
+                // Nobody else is left to ask, as in the stop of the last instance. The own ledger
+                // can write it, since no owner is more than a hint.
                 passed.clear();
-                continue;
-            };
+                self.me.clone()
+            });
             match self.ask(&owner, Ask::End(end.clone())).await {
                 Ok(Answer::Ended) => return,
                 Ok(answer) => log::warn!("ledger: {owner} did not take an end: {answer:?}."),
--- a/crates/appleshore/tests/stop.rs
+++ b/crates/appleshore/tests/stop.rs
@@ -282,3 +282,26 @@
     }
     drained.await.unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_instance_records_the_end_of_its_order() {
+    // The only instance stops while it runs an order. Nobody is live any more who could own the
+    // key, and the end must be on record all the same: the next life tells the caller that it ran.
+    let rules = mesh::RULES.replace("/order/**", "/sleep/**");
+    let mut mesh = Mesh::builder().instances(1).rules(&rules).start().await;
+    let (client, to) = (mesh.client.clone(), mesh.callers(0));
+    let sent = tokio::spawn(async move {
+        let headers = [("idempotency-key", "k"), ("x-caller", "desk@clinic-7")];
+        client
+            .send(to, Method::POST, "/sleep/300/slip", &headers, "box 7")
+            .await
+    });
+    until("the order runs", || mesh.runs_of("/sleep/300/slip") == 1).await;
+    mesh.take_daemon(0).drain().await;
+    assert_eq!(sent.await.unwrap().outcome, "ran");
+    mesh.start_daemon(0).await;
+    mesh.ready().await;
+    let again = mesh.order(0, "/sleep/300/slip", "k", "box 7").await;
+    assert_eq!(again.outcome, "already-run", "{again:?}");
+    assert_eq!(mesh.runs_of("/sleep/300/slip"), 1);
+}
