--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -1,7 +1,7 @@
 //! How the parts of a daemon are set up from its settings.
 
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use entry::{Entry, Limits};
 use feed::{Current, Feed};
@@ -11,15 +11,16 @@
 use roster::{Record, Shared};
 use setting::Setting;
 use store::Store;
-use target::Server;
+use target::{Announced, Server};
 use tokio_util::task::TaskTracker;
-use unit::{Depth, Incarnation};
-use wire::{Dialer, Identity};
+use unit::{Depth, Fingerprint, Incarnation};
+use wire::Dialer;
 
 use crate::book::Book;
 use crate::claims::Desk;
+use crate::profile::Profile;
 
-pub(crate) fn record(setting: &Setting, identity: &Identity) -> Record {
+pub(crate) fn record(setting: &Setting, fingerprint: Fingerprint) -> Record {
     // The wall clock orders the lives of one instance; nothing else depends on it.
     let life = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
@@ -32,20 +33,49 @@
         region: setting.region.clone(),
         service: setting.service.clone(),
         link: setting.link,
-        fingerprint: identity.fingerprint(),
+        fingerprint,
     }
 }
 
-pub(crate) fn server(setting: &Setting, nests: &Table, held: &held::Table) -> Server {
+pub(crate) fn server(
+    setting: &Setting,
+    profile: &Profile,
+    parts: (&Table, &held::Table),
+    current: &Arc<Current>,
+) -> Server {
+    let (nests, held) = parts;
     let slots = u16::try_from(setting.slots).unwrap_or(u16::MAX);
     let queue = setting.slots as usize * setting.limits.queue as usize;
-    let gate = Gate::builder(slots).queue(queue).build();
-    Server::builder(setting.service.clone(), setting.target, gate)
+    let mut gate = Gate::builder(slots).queue(queue);
+    if profile.heartbeat.is_some() {
+        // The target tells its slots and its pace, so the limit need not be guessed from how long
+        // its answers take; these vary five times by spells that are no one's fault.
+        gate = gate.law(gate::Law::Fixed).alone(false);
+    }
+    let server = Server::builder(setting.service.clone(), setting.target, gate.build())
         .nests(nests.clone())
         .max_depth(Depth(setting.limits.depth))
         .body_idle(setting.limits.idle.0)
         .held(held.clone())
-        .build()
+        .dialect(profile.dialect.clone());
+    match profile.heartbeat {
+        Some(period) => server
+            .announced(announced(setting, period, current))
+            .build(),
+        None => server.build(),
+    }
+}
+
+fn announced(setting: &Setting, period: Duration, current: &Arc<Current>) -> Announced {
+    let (service, current) = (setting.service.clone(), current.clone());
+    let health = move || {
+        let rules = current.get()?;
+        rules.document.target(&service)?.health.clone()
+    };
+    Announced {
+        period,
+        health: Arc::new(health),
+    }
 }
 
 /// What ties an entry to the other parts.
@@ -54,6 +84,7 @@
     pub(crate) current: &'a Arc<Current>,
     pub(crate) book: &'a Arc<Book>,
     pub(crate) desk: &'a Arc<Desk>,
+    pub(crate) profile: &'a Profile,
 }
 
 pub(crate) fn desk(
@@ -90,7 +121,8 @@
         service,
         ..
     } = setting;
-    Entry::builder(
+    let profile = ways.profile;
+    let mut entry = Entry::builder(
         instance.clone(),
         zone.clone(),
         service.clone(),
@@ -101,7 +133,12 @@
     .limits(limits)
     .held(held)
     .claims(ways.desk.claims())
-    .build()
+    .dialect(profile.dialect.clone())
+    .retry(profile.retry);
+    if let Some(most) = profile.hand_overs {
+        entry = entry.hand_overs(most);
+    }
+    entry.build()
 }
 
 /// What a feed reads and changes.
@@ -110,6 +147,7 @@
     pub(crate) roster: &'a Arc<Shared>,
     pub(crate) current: &'a Arc<Current>,
     pub(crate) dialer: &'a Arc<Dialer>,
+    pub(crate) profile: &'a Profile,
 }
 
 /// The feed; `changed` is called when readers of the roster may see a change.
@@ -123,6 +161,7 @@
         roster,
         current,
         dialer,
+        profile,
     } = *sources;
     let linked = dialer.clone();
     let linked = move || {
@@ -139,5 +178,7 @@
         .changed(changed)
         .linked(linked)
         .seed(rand::random())
+        .pace(profile.pace)
+        .standing(profile.standing)
         .build()
 }
--- a/crates/appleshore/src/book.rs
+++ b/crates/appleshore/src/book.rs
@@ -62,6 +62,7 @@
 
     /// Reads the roster anew, and tells `entry` of the targets.
     pub(crate) fn refresh(&self, entry: &Entry) {
+        entry.set_members(self.roster.with(|roster| roster.peers().count() + 1));
         let records = self.roster.with(|roster| {
             let own = roster.own_record().clone();
             roster.peers().cloned().chain([own]).collect::<Vec<_>>()
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -4,25 +4,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use entry::Bounds;
 use entry::server::{self, Bound};
 use feed::Current;
 use gotham::router::Router;
 use nest::Table;
-use roster::{Policy, Roster};
+use roster::Roster;
 use setting::Setting;
 use store::Store;
 use tokio::net::TcpListener;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use unit::Size;
-use wire::{Dialer, Identity, Listener, Trust};
+use wire::Listener;
 
 use crate::assembly::{self, Sources, Ways};
 use crate::book::Book;
 use crate::dump::{Dump, Part};
 use crate::error::Error;
 use crate::inbound::Inbound;
+use crate::keeper::Keeper;
+use crate::links::{Hands, Life};
+use crate::notice::{self, Hearers};
+use crate::profile::{Links, Profile};
 use crate::state::State;
 use crate::suspicion::Suspicions;
 use crate::{measuring, operator, port};
@@ -45,7 +51,8 @@
 
 /// The HTTP addresses, bound.
 struct Ports {
-    callers: TcpListener,
+    /// None where callers and the target share the outbound port.
+    callers: Option<TcpListener>,
     outbound: TcpListener,
     operator: TcpListener,
 }
@@ -71,26 +78,45 @@
     ///
     /// As [`Daemon::start`].
     pub async fn start_with(setting: Setting, store: Store) -> Result<Daemon, Error> {
-        let ports = Ports::bind(&setting).await?;
-        let identity = Identity::fresh(setting.instance.clone())?;
-        let record = assembly::record(&setting, &identity);
-        let roster = Roster::new(Instant::now(), record, Policy::default(), rand::random());
+        Daemon::start_as(setting, store, Profile::default()).await
+    }
+
+    /// Starts a daemon on a platform that `profile` describes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Daemon::start`].
+    pub async fn start_as(
+        setting: Setting,
+        store: Store,
+        profile: Profile,
+    ) -> Result<Daemon, Error> {
+        let ports = Ports::bind(&setting, &profile).await?;
+        let life = Life::draw(&setting, &profile)?;
+        let record = assembly::record(&setting, life.fingerprint());
+        let policy = profile.policy.clone();
+        let roster = Roster::new(Instant::now(), record, policy, rand::random());
         let roster = Arc::new(roster::Shared::new(roster));
         let book = Arc::new(Book::new(roster.clone()));
-        let known = book.clone();
-        let trust = Trust::new(move |fingerprint| known.name(fingerprint));
-        let listener = Arc::new(Listener::bind(setting.link, &identity, trust)?);
-        let dialer = Arc::new(Dialer::bind(identity, setting.link.ip())?);
+        let hands = Arc::new(Hands::default());
+        let (listener, dialer) = life.links(&setting, &roster, &book, &hands).await?;
+        let (listener, dialer) = (Arc::new(listener), Arc::new(dialer));
         let current = Arc::new(Current::default());
         let nests = Table::default();
         let held = held::Table::new(HELD, HELD_FOR);
-        let server = Arc::new(assembly::server(&setting, &nests, &held));
+        let server = Arc::new(assembly::server(
+            &setting,
+            &profile,
+            (&nests, &held),
+            &current,
+        ));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &book));
         let ways = Ways {
             dialer: &dialer,
             current: &current,
             book: &book,
             desk: &desk,
+            profile: &profile,
         };
         let entry = Arc::new(assembly::entry(&setting, &ways, held));
         let sources = Sources {
@@ -98,9 +124,16 @@
             roster: &roster,
             current: &current,
             dialer: &dialer,
+            profile: &profile,
         };
         let (page, reader) = (book.clone(), entry.clone());
-        let feed = assembly::feed(&setting, &sources, move || page.refresh(&reader));
+        let changed = Arc::new(Notify::new());
+        let news = changed.clone();
+        let feed = assembly::feed(&setting, &sources, move || {
+            page.refresh(&reader);
+            news.notify_one();
+        });
+        hands.give(&feed, &entry);
         book.refresh(&entry);
         let drain = CancellationToken::new();
         let state = State {
@@ -112,6 +145,7 @@
             current,
             dialer,
             feed,
+            profile,
             drain,
         };
         let close = CancellationToken::new();
@@ -123,7 +157,7 @@
             close,
         };
         daemon.serve(ports, nests);
-        daemon.coordinate(book);
+        daemon.coordinate(book, changed);
         Ok(daemon)
     }
 
@@ -136,23 +170,50 @@
             head_timeout: limits.head_timeout.0,
             connections: limits.connections,
         };
-        let callers = port::callers(state.entry.clone());
-        let outbound = port::outbound(state.entry.clone(), nests);
         let operator = operator::router(state.clone());
-        self.port(ports.callers, callers, bound);
-        self.port(ports.outbound, outbound, bound);
+        let entry = state.entry.clone();
+        match ports.callers {
+            Some(listener) => {
+                let outbound = port::outbound(entry.clone(), nests);
+                self.port(listener, port::callers(entry), bound);
+                self.port(ports.outbound, outbound, bound);
+            }
+            None => {
+                let target = state.setting.target.ip();
+                let port = port::shared(entry, target, self.bounds(), self.close.clone());
+                self.ports.spawn(port.serve(ports.outbound));
+            }
+        }
         self.port(ports.operator, operator, Bound::default());
     }
 
+    /// The bounds on callers: those of the rules in force, or else of the settings.
+    fn bounds(&self) -> impl Fn() -> Bounds + Send + Sync + 'static {
+        let limits = self.state.setting.limits.clone();
+        let current = self.state.current.clone();
+        move || {
+            let rules = current.get();
+            let said = rules.map(|rules| *rules.document.bounds());
+            let said = said.unwrap_or_default();
+            Bounds {
+                head: said.head.unwrap_or(limits.head),
+                head_timeout: said.head_timeout.unwrap_or(limits.head_timeout.0),
+                idle: said.idle.unwrap_or(limits.idle.0),
+                connections: limits.connections,
+            }
+        }
+    }
+
     fn port(&mut self, listener: TcpListener, router: Router, bound: Bound) {
         self.ports
             .spawn(server::serve(listener, router, bound, self.close.clone()));
     }
 
     /// Serves the other daemons, and begins what goes on by itself.
-    fn coordinate(&mut self, book: Arc<Book>) {
+    fn coordinate(&mut self, book: Arc<Book>, changed: Arc<Notify>) {
         let state = self.state.clone();
         let gate = state.server.gate().clone();
+        let hearers = Arc::new(Hearers::default());
         let suspicions = Arc::new(Suspicions {
             me: state.setting.instance.clone(),
             service: state.setting.service.clone(),
@@ -165,12 +226,24 @@
             desk: state.desk.clone(),
             feed: state.feed.clone(),
             suspicions: suspicions.clone(),
-            book,
+            book: book.clone(),
             roster: state.roster.clone(),
+            hearers: hearers.clone(),
         });
         self.tasks.spawn(inbound.run(self.listener.clone()));
-        self.tasks.spawn(target::probe(state.setting.target, gate));
+        self.tasks.spawn(target::watch(state.server.clone()));
         self.tasks.spawn(suspicions.run());
+        if state.profile.links == Links::Tcp {
+            let keeper = Keeper {
+                entry: state.entry.clone(),
+                book,
+                dialer: state.dialer.clone(),
+                roster: state.roster.clone(),
+                changed,
+            };
+            self.tasks.spawn(keeper.run());
+            self.tasks.spawn(notice::run(gate, hearers));
+        }
         let service = state.setting.service.clone();
         let measuring = measuring::run(state.current.clone(), state.server.clone(), service);
         self.tasks.spawn(measuring);
@@ -192,6 +265,53 @@
         self.state.dump(part)
     }
 
+    /// The role beside the target, which takes the target's heartbeats.
+    pub fn target(&self) -> &Arc<target::Server> {
+        &self.state.server
+    }
+
+    /// Tells whether requests can be served: rules are in force, and no stop is under way.
+    pub fn readiness(&self) -> impl Fn() -> bool + Send + Sync + 'static {
+        let state = self.state.clone();
+        move || !state.entry.is_closing() && state.current.get().is_some()
+    }
+
+    /// Stops as planned on a platform that sends callers elsewhere once the readiness says no.
+    ///
+    /// For `serve` all is served as before, with answers that ask callers to close. Then the gate
+    /// closes, its entries are told, and what runs may end, until `within` has passed since the
+    /// call. It is reported if that cuts anything off.
+    pub async fn retire(mut self, serve: Duration, within: Duration) {
+        let state = self.state.clone();
+        let until = Instant::now() + within;
+        log::info!("daemon: stop begins, serve_ms={}.", serve.as_millis());
+        state.entry.close_connections();
+        sleep(serve).await;
+        state.server.gate().leave();
+        state.feed.leave().await;
+        let idle = async {
+            state.server.gate().idle().await;
+            state.entry.idle().await;
+        };
+        if timeout_at(until, idle).await.is_err() {
+            let open = state.entry.count().open;
+            let running = state.server.gate().report().running;
+            log::error!("daemon: stop cuts off open={open} running={running}.");
+        }
+        self.close.cancel();
+        let ports = async { while self.ports.join_next().await.is_some() {} };
+        if timeout_at(until, ports).await.is_err() {
+            log::error!("daemon: the stop cuts off callers that had not read all.");
+        }
+        match state.server.presence().is_leaving() {
+            true => state.feed.depart().await,
+            false => state.feed.restart().await,
+        }
+        self.listener.close().await;
+        self.tasks.shutdown().await;
+        log::info!("daemon: stop is done.");
+    }
+
     /// Stops as planned: tells the others, refuses new work as not run, finishes what runs, and
     /// ends. It waits no longer than the settings' bound, and says so in the log when that is hit.
     pub async fn drain(mut self) {
@@ -229,9 +349,13 @@
 }
 
 impl Ports {
-    async fn bind(setting: &Setting) -> Result<Ports, Error> {
+    async fn bind(setting: &Setting, profile: &Profile) -> Result<Ports, Error> {
+        let callers = match profile.one_port {
+            true => None,
+            false => Some(bind("callers", setting.callers).await?),
+        };
         Ok(Ports {
-            callers: bind("callers", setting.callers).await?,
+            callers,
             outbound: bind("outbound", setting.outbound).await?,
             operator: bind("operator", setting.operator).await?,
         })
--- a/crates/appleshore/src/inbound.rs
+++ b/crates/appleshore/src/inbound.rs
@@ -11,6 +11,7 @@
 
 use crate::book::Book;
 use crate::claims::Desk;
+use crate::notice::Hearers;
 use crate::suspicion::Suspicions;
 
 /// What answers the frames of other daemons.
@@ -21,6 +22,7 @@
     pub(crate) suspicions: Arc<Suspicions>,
     pub(crate) book: Arc<Book>,
     pub(crate) roster: Arc<Shared>,
+    pub(crate) hearers: Arc<Hearers>,
 }
 
 impl Inbound {
@@ -38,6 +40,9 @@
 
     async fn link(self: Arc<Inbound>, handshake: Handshake) -> Result<(), Error> {
         let link = handshake.finish().await?;
+        if let Some(teller) = link.teller() {
+            self.hearers.add(link.peer().clone(), teller);
+        }
         loop {
             let stream = link.stream().await?;
             let inbound = self.clone();
@@ -57,7 +62,10 @@
             Some(Frame::Note(note)) => self.note(&peer, stream.sender, note).await,
             // An instance that is held for gone may speak of itself, and have nothing run.
             Some(_) if self.book.peer(&peer).is_none() => Err(stranger(&peer)),
-            Some(Frame::Call(call)) => self.server.call(stream, call).await,
+            Some(Frame::Call(call)) => {
+                self.hearers.called(&peer);
+                self.server.call(stream, call).await
+            }
             Some(Frame::Ask(ask)) => self.server.ask(stream.sender, ask).await,
             Some(frame) => {
                 log::warn!("wire: {peer} opens a stream with {frame:?}.");
--- /dev/null
+++ b/crates/appleshore/src/keeper.rs
@@ -0,0 +1,94 @@
+//! Keeps links to the instances that requests may go to.
+//!
+//! A request that has to wait for a link, or for the news that there is none, has lost its best
+//! time. So links are dialled before they are needed, and dialled again when they end; a target
+//! without a link is passed over in the choice.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use entry::Entry;
+use roster::Shared;
+use tokio::sync::Notify;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, sleep, timeout};
+use unit::Instance;
+use wire::Dialer;
+
+use crate::book::Book;
+
+/// How often the wanted links are looked over, beside each change of the roster.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// Pauses between two tries to dial one peer, doubled up to the second. A process that is started
+/// again is back within a second or two; one that is gone for good costs a connection a second
+/// until it is removed from the roster.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// What the keeping of links reads and changes.
+#[derive(Clone)]
+pub(crate) struct Keeper {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) book: Arc<Book>,
+    pub(crate) dialer: Arc<Dialer>,
+    pub(crate) roster: Arc<Shared>,
+    /// Told when the roster has changed.
+    pub(crate) changed: Arc<Notify>,
+}
+
+impl Keeper {
+    /// Keeps links, for ever.
+    pub(crate) async fn run(self) {
+        let mut kept: BTreeMap<Instance, AbortHandle> = BTreeMap::new();
+        let mut tasks = JoinSet::new();
+        loop {
+            let wanted = self.entry.instances();
+            kept.retain(|instance, task| {
+                let stays = wanted.contains(instance);
+                if !stays {
+                    task.abort();
+                }
+                stays
+            });
+            for instance in wanted {
+                if !kept.contains_key(&instance) {
+                    let task = tasks.spawn(self.clone().keep(instance.clone()));
+                    kept.insert(instance, task);
+                }
+            }
+            while tasks.try_join_next().is_some() {}
+            // Either way the links are looked over.
+            drop(timeout(LOOK, self.changed.notified()).await);
+        }
+    }
+
+    /// Keeps the link to one instance.
+    async fn keep(self, instance: Instance) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let Some(peer) = self.book.peer(&instance) else {
+                sleep(LOOK).await;
+                continue;
+            };
+            match self.dialer.link(&peer).await {
+                Ok(link) => {
+                    pause = FIRST_PAUSE;
+                    log::info!("links: peer={instance} address={} up.", peer.address);
+                    self.roster.heard(Instant::now(), &instance);
+                    self.entry.set_cut(&instance, false);
+                    link.closed().await;
+                    log::warn!("links: peer={instance} address={} lost.", peer.address);
+                    self.entry.set_cut(&instance, true);
+                }
+                Err(error) => {
+                    log::debug!("links: {error}.");
+                    self.entry.set_cut(&instance, true);
+                    sleep(pause).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
+            }
+        }
+    }
+}
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -26,18 +26,24 @@
 mod dump;
 mod error;
 mod inbound;
+mod keeper;
+mod links;
 pub mod logging;
 mod measuring;
 mod metric;
+mod notice;
 mod operator;
 mod port;
+mod profile;
 mod state;
 mod suspicion;
 
 pub use daemon::Daemon;
 pub use dump::{Dump, Part};
 pub use error::Error;
+pub use profile::{Links, Profile};
 
 pub use {
-    entry, feed, gate, held, ledger, nest, pick, roster, rule, setting, store, target, unit, wire,
+    dialect, entry, feed, gate, held, ledger, nest, pick, roster, rule, setting, store, target,
+    unit, wire,
 };
--- a/crates/appleshore/src/port.rs
+++ b/crates/appleshore/src/port.rs
@@ -1,16 +1,42 @@
 //! The two HTTP ports of an entry, as gotham routers.
 
+use std::net::{IpAddr, SocketAddr};
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 
-use entry::{Body, Entry, Origin};
+use entry::{Body, Bounds, Entry, Origin, Port};
+use futures_util::FutureExt;
 use gotham::handler::HandlerFuture;
 use gotham::router::Router;
 use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
 use gotham::state::{FromState, State, client_addr};
 use http::{HeaderMap, Method, Request, Uri};
 use nest::{Nest, Table};
+use tokio_util::sync::CancellationToken;
+
+/// Serves callers and the own target on one port. The target is known by its address: a call from
+/// there serves some running request.
+pub(crate) fn shared(
+    entry: Arc<Entry>,
+    target: IpAddr,
+    bounds: impl Fn() -> Bounds + Send + Sync + 'static,
+    stop: CancellationToken,
+) -> Port {
+    let handler = move |peer: SocketAddr, request: Request<Body>| {
+        let entry = entry.clone();
+        let origin = match peer.ip() == target {
+            true => Origin::Inner,
+            false => Origin::Outside(peer.ip()),
+        };
+        async move { entry.handle(origin, request).await }.boxed()
+    };
+    Port {
+        handler: Arc::new(handler),
+        bounds: Arc::new(bounds),
+        stop,
+    }
+}
 
 /// Tells where a request comes from.
 type Whence = Arc<dyn Fn(&State) -> Origin + Send + Sync>;
--- /dev/null
+++ b/crates/appleshore/src/profile.rs
@@ -0,0 +1,86 @@
+//! What the platform that a daemon runs on makes different.
+
+use std::time::Duration;
+
+use dialect::Dialect;
+use pick::retry;
+use setting::Setting;
+
+pub use setting::Links;
+
+/// What the platform that a daemon runs on makes different; [`Profile::default`] is the product's own
+/// interface.
+#[derive(Clone, Default)]
+pub struct Profile {
+    /// What headers of requests and answers are called.
+    pub dialect: Dialect,
+    /// How daemons reach each other.
+    pub links: Links,
+    /// How the roster observes the instances.
+    pub policy: roster::Policy,
+    /// How long the feed waits at the platform.
+    pub pace: feed::Pace,
+    /// Whether announcements outlive a restart; see [`feed::Builder::standing`].
+    pub standing: bool,
+    /// The time between two heartbeats of a target that announces itself to its daemon; `None`
+    /// where the settings say all about it.
+    pub heartbeat: Option<Duration>,
+    /// The budget for tries behind the first, for each service. Its cap is shared by all entries.
+    pub retry: retry::Setting,
+    /// How many gates may refuse one request; see [`entry::Builder::hand_overs`].
+    pub hand_overs: Option<u32>,
+    /// Callers and the own target use one port, where the target is known by its address.
+    pub one_port: bool,
+}
+
+/// How long a watch waits at a store whose connections are probed.
+const LONG_WATCH: Duration = Duration::from_secs(25);
+
+/// The longest pause between two calls to a store that fails. What an operator has changed during
+/// an outage is then in force soon after it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// The part of the retry budget that entries use. Repeats that they can't tell from first tries,
+/// such as the calls of a run that is itself a repeat, have the rest.
+const RETRY_PART: f64 = 0.5;
+
+/// Gates that are asked for one request; a refusal costs a round trip and no work.
+const HAND_OVERS: u32 = 3;
+
+impl Profile {
+    /// What the settings say of the platform.
+    pub fn of(setting: &Setting) -> Profile {
+        let mut profile = Profile {
+            links: setting.links,
+            heartbeat: setting.heartbeat,
+            one_port: setting.one_port,
+            ..Profile::default()
+        };
+        profile.retry.share = setting.retry.share * RETRY_PART;
+        if let Some(saved) = setting.retry.saved {
+            profile.retry.cap = f64::from(saved) * RETRY_PART;
+        }
+        if setting.links == Links::Tcp {
+            profile.standing = true;
+            profile.hand_overs = Some(HAND_OVERS);
+            profile.pace = feed::Pace {
+                instances: LONG_WATCH,
+                rules: LONG_WATCH,
+                pause: LONGEST_PAUSE,
+            };
+            profile.policy = policy();
+        }
+        profile
+    }
+}
+
+/// Links tell at once when a peer has gone, and heartbeats make up for what they don't.
+fn policy() -> roster::Policy {
+    roster::Policy::builder()
+        .beat(Duration::from_secs(1))
+        .suspect(Duration::from_secs(4))
+        .remove(Duration::from_secs(30))
+        .quiet(Duration::from_secs(2))
+        .watchers(2)
+        .build()
+}
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -13,6 +13,7 @@
 
 use crate::claims::Desk;
 use crate::dump::{Dump, EntryState, LinkState, Part, RulesState, ServiceState};
+use crate::profile::Profile;
 
 /// The parts of one daemon.
 pub(crate) struct State {
@@ -24,6 +25,7 @@
     pub(crate) current: Arc<Current>,
     pub(crate) dialer: Arc<Dialer>,
     pub(crate) feed: Feed,
+    pub(crate) profile: Profile,
     /// Set when a planned stop is asked for.
     pub(crate) drain: CancellationToken,
 }
--- /dev/null
+++ b/crates/dialect/src/lib.rs
@@ -0,0 +1,119 @@
+//! The header names by which callers, targets and daemons understand each other.
+//!
+//! What a header means is the product's; what it is called is up to the platform that the product
+//! runs on. A [`Dialect`] without names asks for nothing and adds nothing.
+//!
+//! ```
+//! use dialect::Dialect;
+//! use http::HeaderMap;
+//!
+//! let dialect = Dialect {
+//!     deadline: Some(http::HeaderName::from_static("x-time-left-ms")),
+//!     ..Dialect::default()
+//! };
+//! let mut headers = HeaderMap::new();
+//! headers.insert("x-time-left-ms", 250.into());
+//! let left = dialect.time_left(&headers);
+//! assert_eq!(left, Ok(Some(std::time::Duration::from_millis(250))));
+//! ```
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue};
+
+/// Longest time that a caller may say it waits; more is most likely a unit mistaken for another.
+const MAX_LEFT: Duration = Duration::from_secs(86_400);
+
+/// The names in use; a meaning without a name is not spoken of.
+#[derive(Debug, Clone, Default)]
+pub struct Dialect {
+    /// Names one try of a caller; a target repeats it in its answer.
+    pub attempt: Option<HeaderName>,
+    /// Whole milliseconds that the caller, and then the target, has left.
+    pub deadline: Option<HeaderName>,
+    /// The service of the instance where a request began; the entry sets it.
+    pub origin: Option<HeaderName>,
+    /// A target's mark on its answers; a success without it is none.
+    pub signature: Option<HeaderName>,
+    /// Names the life of the target that is meant; another one doesn't run the request.
+    pub expected: Option<HeaderName>,
+    /// Names the life of the target that answers.
+    pub life: Option<HeaderName>,
+    /// Marks an answer by which the target says that it did not run the request.
+    pub not_run: Option<HeaderName>,
+    /// The load that a target tells of itself.
+    pub load: Option<Load>,
+    /// Whether callers understand parts of a second in `Retry-After`.
+    pub exact_retry: bool,
+}
+
+/// How a target tells its load.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The header's name.
+    pub name: HeaderName,
+    /// Reads the header's value.
+    pub read: fn(&str) -> Option<Figures>,
+}
+
+/// What a target tells of its load.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Requests that it runs.
+    pub running: u16,
+    /// Requests that wait in it.
+    pub waiting: u16,
+    /// Requests that it runs at once at most.
+    pub slots: u16,
+    /// How long work takes at this moment, in hundredths of what it usually takes.
+    pub pace: u16,
+}
+
+/// The header holds no whole number of milliseconds, or more than a day.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadTime;
+
+impl Dialect {
+    /// The time that the sender of `headers` has left, if it says so.
+    ///
+    /// # Errors
+    ///
+    /// [`BadTime`] if the header is there and can't be read.
+    pub fn time_left(&self, headers: &HeaderMap) -> Result<Option<Duration>, BadTime> {
+        let Some(value) = self.deadline.as_ref().and_then(|name| headers.get(name)) else {
+            return Ok(None);
+        };
+        let text = value.to_str().map_err(|_| BadTime)?;
+        let millis: u64 = text.trim().parse().map_err(|_| BadTime)?;
+        let left = Duration::from_millis(millis);
+        (left <= MAX_LEFT).then_some(Some(left)).ok_or(BadTime)
+    }
+
+    /// The name of the try that `headers` belong to.
+    pub fn attempt<'h>(&self, headers: &'h HeaderMap) -> Option<&'h HeaderValue> {
+        headers.get(self.attempt.as_ref()?)
+    }
+
+    /// The load that an answer tells of.
+    pub fn figures(&self, headers: &HeaderMap) -> Option<Figures> {
+        let load = self.load.as_ref()?;
+        (load.read)(headers.get(&load.name)?.to_str().ok()?)
+    }
+
+    /// The life of the target that an answer comes from.
+    pub fn life<'h>(&self, headers: &'h HeaderMap) -> Option<&'h str> {
+        headers.get(self.life.as_ref()?)?.to_str().ok()
+    }
+
+    /// Whether an answer says that the request was not run.
+    pub fn says_not_run(&self, headers: &HeaderMap) -> bool {
+        let name = self.not_run.as_ref();
+        name.is_some_and(|name| headers.contains_key(name))
+    }
+
+    /// Whether an answer bears the mark that a success needs.
+    pub fn is_signed(&self, headers: &HeaderMap) -> bool {
+        let name = self.signature.as_ref();
+        name.is_none_or(|name| headers.contains_key(name))
+    }
+}
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,13 +1,15 @@
 //! A target's answer on its way to the caller.
 
 use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{FutureExt, stream};
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full, StreamBody};
-use hyper::body::Frame as Piece;
+use hyper::body::{Frame as Piece, SizeHint};
 use tokio::time::timeout;
 use unit::{Instance, Outcome};
 use wire::{Frame, Header, Receiver, Reply};
@@ -22,6 +24,9 @@
 /// The header that names the instance whose target answered.
 const TARGET: &str = "x-appleshore-target";
 
+/// Bytes of a body that are taken together.
+const GATHERED: usize = 256 << 10;
+
 /// The head of a target's answer, with the stream that its body comes on.
 pub(crate) struct Answer {
     pub(crate) reply: Reply,
@@ -39,6 +44,32 @@
     pub(crate) pause: Duration,
 }
 
+/// A body that is at hand, and what is held until the caller has it.
+struct Whole {
+    data: Option<Bytes>,
+    _hold: Hold,
+}
+
+impl hyper::body::Body for Whole {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Piece<Bytes>>>> {
+        Poll::Ready(self.data.take().map(|data| Ok(Piece::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.as_ref().map_or(0, |data| data.len() as u64))
+    }
+}
+
 struct Source {
     /// What has been read of the body already.
     start: Bytes,
@@ -48,9 +79,20 @@
 
 impl Answer {
     /// The HTTP answer; its body is `start` and what streams from the link behind it.
-    pub(crate) fn response(self, start: Bytes, hold: Hold) -> Response<Body> {
+    ///
+    /// A short answer comes in one piece, and is then given with its length.
+    pub(crate) fn response(mut self, start: Bytes, hold: Hold) -> Response<Body> {
         let mut response = head(&self.reply, Outcome::Ran);
         put(response.headers_mut(), TARGET, self.gate.as_str());
+        let (start, end) = gather(start, &mut self.receiver);
+        if end {
+            let body = Whole {
+                data: Some(start).filter(|data| !data.is_empty()),
+                _hold: hold,
+            };
+            *response.body_mut() = body.boxed_unsync();
+            return response;
+        }
         let source = Source {
             start,
             receiver: self.receiver,
@@ -97,6 +139,20 @@
     response
 }
 
+/// Takes what has come of a body already; true if that is all of it.
+fn gather(start: Bytes, receiver: &mut Receiver) -> (Bytes, bool) {
+    let mut pieces = start;
+    while pieces.len() <= GATHERED {
+        match receiver.recv().now_or_never() {
+            Some(Ok(Some(Frame::Data(data)))) if pieces.is_empty() => pieces = data,
+            Some(Ok(Some(Frame::Data(data)))) => pieces = [pieces, data].concat().into(),
+            Some(Ok(Some(Frame::End))) => return (pieces, true),
+            _ => break,
+        }
+    }
+    (pieces, false)
+}
+
 type Next = Option<(io::Result<Piece<Bytes>>, Option<Source>)>;
 
 async fn next(mut source: Source) -> Next {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -222,7 +222,7 @@
                 self.upstream.observe(began.elapsed());
                 guard.end(kind(answer.reply.status), answer.reply.report);
             }
-            Tried::Refused(refusal) => guard.end(Kind::Refused, refusal.report),
+            Tried::Refused(refusal) => guard.end(kind_of(refusal.cause), refusal.report),
             Tried::NotSent(_) | Tried::Lost(_) | Tried::Broken(_) | Tried::Late => {
                 guard.end(Kind::Lost, None)
             }
@@ -230,6 +230,16 @@
     }
 }
 
+/// What a refusal says of the target.
+fn kind_of(cause: wire::Cause) -> Kind {
+    match cause {
+        wire::Cause::Down | wire::Cause::Leaving | wire::Cause::Misdirected => Kind::Closed,
+        // A target that turns away what its gate has let through is in trouble.
+        wire::Cause::Declined => Kind::Error,
+        _ => Kind::Refused,
+    }
+}
+
 async fn send_whole(mut sender: Sender, body: Bytes) -> Result<(), Error> {
     sender.write(body).await?;
     sender.push(&Frame::End)?;
--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dialect::Dialect;
+use pick::retry;
 use rule::Document;
 use unit::{Depth, Instance, Service, Size, Zone};
 use wire::{Dialer, Peer};
@@ -52,6 +54,9 @@
     pub(crate) limits: Limits,
     pub(crate) held: held::Table,
     pub(crate) claims: Claims,
+    pub(crate) dialect: Dialect,
+    pub(crate) retry: retry::Setting,
+    pub(crate) hand_overs: Option<u32>,
 }
 
 impl Entry {
@@ -73,6 +78,9 @@
             limits: Limits::default(),
             held: held::Table::new(Size::of(8_000_000), Duration::from_secs(120)),
             claims: Claims::none(),
+            dialect: Dialect::default(),
+            retry: retry::Setting::default(),
+            hand_overs: None,
         }
     }
 }
@@ -114,6 +122,25 @@
         self
     }
 
+    /// What headers of requests and answers are called.
+    pub fn dialect(mut self, dialect: Dialect) -> Builder {
+        self.dialect = dialect;
+        self
+    }
+
+    /// The budget for tries behind the first, for each service.
+    pub fn retry(mut self, retry: retry::Setting) -> Builder {
+        self.retry = retry;
+        self
+    }
+
+    /// How many gates may refuse one request before its caller is told; unless this is set, each
+    /// hand-over is paid for out of the retry budget.
+    pub fn hand_overs(mut self, most: u32) -> Builder {
+        self.hand_overs = Some(most);
+        self
+    }
+
     /// The entry.
     pub fn build(self) -> Entry {
         Entry::new(self)
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -1,6 +1,8 @@
 //! From an HTTP request to its HTTP answer.
 
+use std::borrow::Cow;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::request::Parts;
@@ -8,7 +10,7 @@
 use pick::retry::Allowance;
 use rule::{Document, Route, Rule, Then};
 use tokio::time::Instant;
-use unit::{Caller, Depth, Digest, Urgency};
+use unit::{Caller, Depth, Digest, Service, Urgency};
 
 use crate::answer::{self, Hold};
 use crate::intake::{Bound, Intake, REPLAYABLE};
@@ -23,7 +25,15 @@
     parts: &'a Parts,
     route: &'a Route,
     depth: Depth,
+    clock: Clock,
+}
+
+/// By when a request has to be answered.
+struct Clock {
+    /// Its caller gets a final answer by then.
     deadline: Instant,
+    /// The answer is worth little after this.
+    goal: Option<Instant>,
 }
 
 /// A request with what the rules say of it.
@@ -42,9 +52,9 @@
         let relay = self.relay();
         let (parts, body) = request.into_parts();
         let answered = self.serve(&origin, &parts, body, relay).await;
-        let mut response = answered.unwrap_or_else(|refusal| refusal.response());
+        let mut response = answered.unwrap_or_else(|refusal| self.refused(&parts, refusal));
         self.count_outcome(answer::outcome(&response));
-        if self.is_leaving() {
+        if self.is_closing() {
             // A request on a kept connection would else cross with its close, and its caller could
             // not tell whether it ran.
             let close = HeaderValue::from_static("close");
@@ -53,6 +63,16 @@
         response
     }
 
+    fn refused(&self, parts: &Parts, refusal: Refusal) -> Response<Body> {
+        let dialect = &self.setting.dialect;
+        if !dialect.exact_retry {
+            return refusal.response();
+        }
+        // A time that can't be read was refused for that.
+        let left = dialect.time_left(&parts.headers).ok().flatten();
+        refusal.fit(left.unwrap_or(Route::TIMEOUT)).response()
+    }
+
     async fn serve(
         self: &Arc<Self>,
         origin: &Origin,
@@ -61,7 +81,7 @@
         relay: crate::Relay,
     ) -> Result<Response<Body>, Refusal> {
         // What runs here may still need its nested calls: a planned stop must not cut them off.
-        let nested = matches!(origin, Origin::Nested(Some(_)));
+        let nested = matches!(origin, Origin::Nested(Some(_)) | Origin::Inner);
         if self.is_leaving() && !nested {
             return Err(Refusal::not_run(Reason::Leaving).detail("this instance is leaving"));
         }
@@ -77,7 +97,7 @@
             parts,
             route,
             depth: self.depth(origin)?,
-            deadline: deadline(origin, route),
+            clock: self.clock(&matched.rule.name, origin, parts, route)?,
         };
         let pause = self.setting.limits.pause;
         let hold = Hold {
@@ -93,11 +113,13 @@
         let bound = Bound {
             size,
             pause,
-            until: routed.deadline,
+            until: routed.clock.deadline,
         };
         let mut intake = Intake::read(body, whole, bound).await?;
         let rule = matched.rule.name.clone();
-        let mut job = self.job(&routed, matched.caller, &intake);
+        let service = self.deal(&rule, route);
+        let mut job = self.job(&routed, service, matched.caller, &intake);
+        job.class = Digest::of(rule.as_bytes()).0 as u32;
         if let Some(key) = key {
             let once = Once {
                 job,
@@ -112,22 +134,34 @@
         Ok(answer.response(Bytes::new(), hold))
     }
 
-    fn job(self: &Arc<Self>, routed: &Routed<'_>, caller: Caller, intake: &Intake) -> Job {
+    fn job(
+        self: &Arc<Self>,
+        routed: &Routed<'_>,
+        service: Service,
+        caller: Caller,
+        intake: &Intake,
+    ) -> Job {
         let Routed {
             origin,
             parts,
             route,
             ..
         } = *routed;
-        let head = Head::new(parts.method.clone(), &parts.uri, &parts.headers);
+        let mut head = Head::new(parts.method.clone(), &parts.uri, &parts.headers);
+        if let Some(name) = &self.setting.dialect.origin {
+            head.set(name, self.setting.service.as_str());
+        }
         Job {
             entry: self.clone(),
-            upstream: self.upstream(&route.service),
+            upstream: self.upstream(&service),
+            service,
             route: route.clone(),
             caller,
             urgency: urgency(origin, route),
             depth: routed.depth,
-            deadline: routed.deadline,
+            deadline: routed.clock.deadline,
+            goal: routed.clock.goal,
+            class: 0,
             purse: purse(origin),
             kind: head.kind(intake.start()),
             head,
@@ -172,8 +206,14 @@
         origin: &Origin,
         parts: &Parts,
     ) -> Result<Matched<'a>, Refusal> {
-        let path = rule::path::clean(parts.uri.path());
-        let path = path.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))?;
+        let path = match document.reads_raw_paths() {
+            true => Cow::Borrowed(parts.uri.path()),
+            false => {
+                let path = rule::path::clean(parts.uri.path());
+                let path = path.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))?;
+                Cow::Owned(path)
+            }
+        };
         let caller = self.caller(document, origin, parts)?;
         let rule = document.decide(&self.as_ruled(origin, parts, &path, &caller));
         let rule =
@@ -189,7 +229,7 @@
         path: &'a str,
         caller: &'a Caller,
     ) -> rule::Request<'a> {
-        let nested = matches!(origin, Origin::Nested(_));
+        let nested = matches!(origin, Origin::Nested(_) | Origin::Inner);
         rule::Request {
             service: nested.then_some(&self.setting.service),
             method: &parts.method,
@@ -212,7 +252,7 @@
         match origin {
             Origin::Outside(peer) => Ok(document.caller(&parts.headers, *peer)),
             Origin::Nested(Some(nest)) => Ok(nest.context().caller.clone()),
-            Origin::Nested(None) => {
+            Origin::Nested(None) | Origin::Inner => {
                 let caller = self.setting.service.as_str().parse();
                 caller.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))
             }
@@ -237,9 +277,39 @@
         entered.map(Some).map_err(refused)
     }
 
+    /// By when the request has to be answered: within the rule's timeout, what the caller says it
+    /// has left, and the deadline of the call above.
+    ///
+    /// The goal counts from the caller's first try. A nested call has none: the run that waits for
+    /// it is wasted if the call is given up.
+    fn clock(
+        &self,
+        rule: &str,
+        origin: &Origin,
+        parts: &Parts,
+        route: &Route,
+    ) -> Result<Clock, Refusal> {
+        let left = self.setting.dialect.time_left(&parts.headers);
+        let left = left.map_err(|_| {
+            Refusal::not_run(Reason::Malformed).detail("the time left is no number of milliseconds")
+        })?;
+        let now = Instant::now();
+        let mut deadline = now + left.unwrap_or(route.timeout).min(route.timeout);
+        if let Origin::Nested(Some(nest)) = origin {
+            deadline = deadline.min(nest.context().deadline);
+        }
+        let waited = left.map_or(Duration::ZERO, |left| self.waited(rule, left));
+        let outside = matches!(origin, Origin::Outside(_));
+        let objective = route.objective.filter(|_| outside);
+        let goal = objective.map(|objective| now + objective.saturating_sub(waited));
+        Ok(Clock { deadline, goal })
+    }
+
     fn depth(&self, origin: &Origin) -> Result<Depth, Refusal> {
-        let Origin::Nested(Some(nest)) = origin else {
-            return Ok(Depth(0));
+        let nest = match origin {
+            Origin::Nested(Some(nest)) => nest,
+            Origin::Inner => return Ok(Depth(1)),
+            Origin::Nested(None) | Origin::Outside(_) => return Ok(Depth(0)),
         };
         let depth = Depth(nest.context().depth.0.saturating_add(1));
         if depth > self.setting.limits.depth {
@@ -265,15 +335,6 @@
     }
 }
 
-/// The rule's timeout, or the deadline of the call above if that is sooner.
-fn deadline(origin: &Origin, route: &Route) -> Instant {
-    let own = Instant::now() + route.timeout;
-    match origin {
-        Origin::Nested(Some(nest)) => own.min(nest.context().deadline),
-        _ => own,
-    }
-}
-
 fn purse(origin: &Origin) -> Purse {
     match origin {
         Origin::Nested(Some(nest)) => Purse::Shared(nest.clone()),
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use http::{HeaderMap, Method};
+use http::{HeaderMap, HeaderName, Method};
 use nest::Nest;
 use pick::retry::{Allowance, Cause};
 use rule::{Preference, Route};
 use tokio::time::Instant;
-use unit::{Caller, Depth, Digest, Token, Urgency};
+use unit::{Caller, Depth, Digest, Service, Token, Urgency};
 use wire::{Call, Header, Payload};
 
 use crate::{Entry, Upstream};
@@ -20,10 +20,16 @@
     pub(crate) entry: Arc<Entry>,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) route: Route,
+    /// The part of the route that the request goes to.
+    pub(crate) service: Service,
     pub(crate) caller: Caller,
     pub(crate) urgency: Urgency,
     pub(crate) depth: Depth,
     pub(crate) deadline: Instant,
+    /// When the answer is worth little to the caller.
+    pub(crate) goal: Option<Instant>,
+    /// The kind of work; see [`wire::Call::class`].
+    pub(crate) class: u32,
     pub(crate) purse: Purse,
     pub(crate) kind: Digest,
     pub(crate) head: Head,
@@ -85,6 +91,15 @@
         }
     }
 
+    /// Sets a header that is the entry's to say, whatever the caller has said.
+    pub(crate) fn set(&mut self, name: &HeaderName, value: &str) {
+        self.headers.retain(|header| header.name != name.as_str());
+        self.headers.push(Header {
+            name: name.as_str().to_string(),
+            value: value.as_bytes().to_vec(),
+        });
+    }
+
     /// The fingerprint by which a request that crashes targets is known again.
     pub(crate) fn kind(&self, body: &[u8]) -> Digest {
         let start = &body[..body.len().min(KIND_BYTES)];
@@ -97,14 +112,18 @@
     pub(crate) fn call(&mut self, token: Token, body: Payload) -> Call {
         Call {
             token,
-            service: self.route.service.clone(),
+            service: self.service.clone(),
             urgency: self.urgency,
             caller: self.caller.clone(),
             weight: self.route.weight,
             remaining: self.deadline.saturating_duration_since(Instant::now()),
+            goal: self
+                .goal
+                .map(|goal| goal.saturating_duration_since(Instant::now())),
+            class: self.class,
             depth: self.depth,
             allowance: self.purse.units(),
-            once: self.route.once.is_some(),
+            once: !self.repeatable(),
             kind: self.kind,
             method: self.head.method.to_string(),
             uri: self.head.uri.clone(),
@@ -115,7 +134,7 @@
 
     /// The request may run more than once.
     pub(crate) fn repeatable(&self) -> bool {
-        self.route.once.is_none()
+        self.route.repeatable()
     }
 
     /// Where the rule lets the request go.
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -78,8 +78,13 @@
     status: StatusCode,
     detail: String,
     retry_after: Option<Duration>,
+    /// The caller understands parts of a second.
+    exact: bool,
 }
 
+/// When a caller may come back that no gate has told a time: a few service times.
+const RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// The JSON body.
 #[derive(Serialize)]
 struct Content<'a> {
@@ -121,6 +126,7 @@
             status,
             detail: String::new(),
             retry_after: None,
+            exact: false,
         }
     }
 
@@ -152,6 +158,19 @@
         self.reason
     }
 
+    /// Makes a refusal that promises that nothing ran tell when to come back, in time for the
+    /// caller: within a third of the time that it has left.
+    pub(crate) fn fit(mut self, left: Duration) -> Refusal {
+        let comes_back = self.outcome == Outcome::NotRun && self.status.is_server_error()
+            || self.status == StatusCode::TOO_MANY_REQUESTS;
+        if comes_back {
+            let after = self.retry_after.unwrap_or(RETRY_AFTER);
+            self.retry_after = Some(after.min(left / 3));
+            self.exact = true;
+        }
+        self
+    }
+
     /// The answer to the caller.
     pub fn response(&self) -> Response<Body> {
         let content = Content {
@@ -175,11 +194,11 @@
         put(headers, OUTCOME, &self.outcome.to_string());
         put(headers, REASON, &self.reason.to_string());
         if let Some(after) = self.retry_after {
-            put(
-                headers,
-                header::RETRY_AFTER.as_str(),
-                &whole_seconds(after).to_string(),
-            );
+            let text = match self.exact {
+                true => format!("{:.3}", after.as_secs_f64()),
+                false => whole_seconds(after).to_string(),
+            };
+            put(headers, header::RETRY_AFTER.as_str(), &text);
         }
         response
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,23 +1,36 @@
 //! One entry: what it holds, and what it counts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use parking_lot::Mutex;
-use pick::limit;
+use pick::{Wheel, limit};
+use rule::Route;
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use unit::{Outcome, Service};
+use unit::{Instance, Outcome, Report, Service};
 
 use crate::{Builder, Upstream};
 
+/// Routes of which something is remembered. When there are more, as after many changes of the
+/// rules, all is learnt anew.
+const MOST_ROUTES: usize = 4_096;
+
 /// Serves the requests that come to one instance.
 pub struct Entry {
     pub(crate) setting: Builder,
     upstreams: Mutex<BTreeMap<Service, Arc<Upstream>>>,
     places: Mutex<BTreeMap<String, Place>>,
+    /// Deals the requests of each weighted route.
+    wheels: Mutex<HashMap<String, Wheel>>,
+    /// The longest time that callers of each route said they wait.
+    waits: Mutex<HashMap<String, Duration>>,
+    /// Entries that share the retry budget.
+    members: AtomicUsize,
+    closing: AtomicBool,
     leaving: AtomicBool,
     open: watch::Sender<usize>,
     outcomes: [AtomicU64; 4],
@@ -55,6 +68,10 @@
             setting,
             upstreams: Mutex::default(),
             places: Mutex::default(),
+            wheels: Mutex::default(),
+            waits: Mutex::default(),
+            members: AtomicUsize::new(1),
+            closing: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             open: watch::Sender::new(0),
             outcomes: Default::default(),
@@ -72,22 +89,90 @@
         if let Some(upstream) = upstreams.get(service) {
             return upstream.clone();
         }
-        let Builder {
-            zone,
-            way,
-            instance,
-            ..
-        } = &self.setting;
-        let upstream = Arc::new(Upstream::new(zone, *way, instance, service));
+        let upstream = Arc::new(Upstream::new(&self.setting, service));
+        upstream.set_retry_cap(self.retry_cap());
         upstreams.insert(service.clone(), upstream.clone());
         upstream
     }
 
+    /// Tells how many entries there are: each takes its part of the retries saved up.
+    pub fn set_members(&self, count: usize) {
+        self.members.store(count.max(1), Ordering::Relaxed);
+        let cap = self.retry_cap();
+        for upstream in self.upstreams.lock().values() {
+            upstream.set_retry_cap(cap);
+        }
+    }
+
+    fn retry_cap(&self) -> f64 {
+        let members = self.members.load(Ordering::Relaxed) as f64;
+        (self.setting.retry.cap / members).max(1.0)
+    }
+
+    /// The service that the next request of a route goes to.
+    pub(crate) fn deal(&self, rule: &str, route: &Route) -> Service {
+        if route.split.len() < 2 {
+            return route.service.clone();
+        }
+        let weights: Vec<u32> = route.split.iter().map(|part| part.weight).collect();
+        let mut wheels = self.wheels.lock();
+        if wheels.len() >= MOST_ROUTES {
+            wheels.clear();
+        }
+        let part = wheels.entry(rule.to_string()).or_default().turn(&weights);
+        route.split[part].service.clone()
+    }
+
+    /// How long the caller of a request has waited already, when it says that it will wait for
+    /// `left`: one that asks again has less left than those who ask for the first time.
+    pub(crate) fn waited(&self, rule: &str, left: Duration) -> Duration {
+        let mut waits = self.waits.lock();
+        if waits.len() >= MOST_ROUTES {
+            waits.clear();
+        }
+        let longest = waits.entry(rule.to_string()).or_default();
+        *longest = left.max(*longest);
+        *longest - left
+    }
+
+    /// Notes whether there is a link to `instance`.
+    pub fn set_cut(&self, instance: &Instance, cut: bool) {
+        for upstream in self.upstreams.lock().values() {
+            upstream.pick.set_cut(instance, cut);
+        }
+    }
+
+    /// Takes in a report that a gate has sent of its own accord.
+    pub fn hear(&self, instance: &Instance, report: Report) {
+        let now = Instant::now();
+        for upstream in self.upstreams.lock().values() {
+            upstream.pick.hear(now, instance, report);
+        }
+    }
+
+    /// The instances whose gates requests may go to.
+    pub fn instances(&self) -> BTreeSet<Instance> {
+        let upstreams = self.upstreams.lock();
+        let all = upstreams.values().map(|upstream| upstream.pick.instances());
+        all.flatten().collect()
+    }
+
     /// The services that were asked for so far.
     pub fn services(&self) -> Vec<Service> {
         self.upstreams.lock().keys().cloned().collect()
     }
 
+    /// Asks callers to close their connections, while requests are still taken: the caller has them
+    /// answered, and goes elsewhere with the next.
+    pub fn close_connections(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
+    /// Whether callers are asked to close their connections.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire) || self.is_leaving()
+    }
+
     /// Refuses new requests as not run from now on.
     pub fn leave(&self) {
         self.leaving.store(true, Ordering::Release);
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -13,8 +13,8 @@
 use crate::job::Job;
 use crate::{Reason, Refusal};
 
-/// Statuses by which a target says that it could not serve now; another one may.
-const UNAVAILABLE: [u16; 3] = [502, 503, 504];
+/// Statuses by which a target says that it has failed or could not serve now; another one may.
+const UNAVAILABLE: [u16; 4] = [500, 502, 503, 504];
 
 /// What to do behind a try.
 enum Next {
@@ -24,6 +24,8 @@
     Refuse(Refusal),
     /// Try another target.
     Again,
+    /// Ask another gate; the request has reached no target, and no budget pays.
+    Elsewhere,
 }
 
 /// The tries of one request.
@@ -37,6 +39,10 @@
     broken: bool,
     /// The last gate that refused, for the answer when no other is left.
     refused: Option<Refusal>,
+    /// Gates that have refused.
+    handed: u32,
+    /// Targets that were sent the request.
+    sent: u32,
 }
 
 impl<'a> Tries<'a> {
@@ -49,6 +55,8 @@
             may_have_run: false,
             broken: false,
             refused: None,
+            handed: 0,
+            sent: 0,
         }
     }
 
@@ -62,13 +70,18 @@
         self.job.upstream.first(Instant::now());
         loop {
             let Some(guard) = self.choose() else {
+                if self.settle_for_late() {
+                    continue;
+                }
                 return Err(self.no_target());
             };
             let tried = self.attempt(guard, intake).await;
+            self.sent += u32::from(tried.reached());
             match self.next(tried, intake) {
                 Next::Answer(answer) => return Ok(answer),
                 Next::Refuse(refusal) => return Err(refusal),
                 Next::Again => self.left = self.left.saturating_sub(1),
+                Next::Elsewhere => self.handed += 1,
             }
         }
     }
@@ -148,6 +161,10 @@
             Tried::Refused(refusal) => self.refused(&refusal, intake),
             Tried::NotSent(cause) => {
                 let refusal = Refusal::not_run(Reason::NoTarget).detail(cause);
+                if self.may_hand_over(wire::Cause::Down, intake) {
+                    self.refused = Some(refusal);
+                    return Next::Elsewhere;
+                }
                 self.again_or(Cause::NotRun, refusal, intake.sendable())
             }
             Tried::Lost(cause) => self.lost(cause, intake),
@@ -192,11 +209,42 @@
         if !refusal.retry_after.is_zero() {
             answer = answer.retry_after(refusal.retry_after);
         }
+        if self.may_hand_over(refusal.cause, intake) {
+            self.refused = Some(answer);
+            return Next::Elsewhere;
+        }
         // No other target may have a request that crashes targets.
         let again = intake.sendable()
             && refusal.cause != wire::Cause::Suspect
             && self.room_elsewhere(refusal.cause);
-        self.again_or(Cause::NotRun, answer, again)
+        // One that has reached a target counts there as a repeat, though it has not run.
+        let cause = match refusal.cause {
+            wire::Cause::Declined => Cause::Failed,
+            _ => Cause::NotRun,
+        };
+        self.again_or(cause, answer, again)
+    }
+
+    /// Whether another gate may be asked for nothing.
+    fn may_hand_over(&self, cause: wire::Cause, intake: &Intake) -> bool {
+        let reached = matches!(cause, wire::Cause::Declined | wire::Cause::Suspect);
+        let most = self.job.entry.setting.hand_overs.unwrap_or(0);
+        let time = Instant::now() < self.job.deadline;
+        !reached && time && self.handed < most && intake.sendable()
+    }
+
+    /// No gate can serve the request in time to be worth much. An answer that comes late is still
+    /// worth more than none, so the gates are asked once more, as for work that can wait.
+    fn settle_for_late(&mut self) -> bool {
+        let crowded = self.job.entry.setting.hand_overs.is_some() && self.sent == 0;
+        if !crowded || self.handed == 0 || self.job.goal.take().is_none() {
+            return false;
+        }
+        self.job.urgency = Urgency::Batch;
+        self.tried.clear();
+        // One more gate, the best of them, has the last word.
+        self.handed = self.job.entry.setting.hand_overs.unwrap_or(0);
+        true
     }
 
     fn again_or(&mut self, cause: Cause, refusal: Refusal, again: bool) -> Next {
@@ -209,7 +257,12 @@
 
     fn may_try_again(&mut self, cause: Cause) -> bool {
         let time = Instant::now() < self.job.deadline;
-        time && self.left > 0 && self.job.purse.ask(&self.job.upstream, cause)
+        let attempts = self.job.route.attempts;
+        let left = match attempts {
+            Some(attempts) => self.sent < attempts,
+            None => self.left > 0,
+        };
+        time && left && self.job.purse.ask(&self.job.upstream, cause)
     }
 
     /// Whether a refusal for want of room is worth a hand-over. When all others are hot it would be
@@ -224,7 +277,7 @@
     }
 
     fn no_target(&mut self) -> Refusal {
-        let service = &self.job.route.service;
+        let service = &self.job.service;
         let none = || {
             Refusal::not_run(Reason::NoTarget)
                 .detail(format!("no target of {service} may be chosen"))
@@ -244,6 +297,17 @@
     }
 }
 
+impl Tried {
+    /// Whether the request has reached a target, or may have.
+    fn reached(&self) -> bool {
+        match self {
+            Tried::Refused(refusal) => refusal.cause == wire::Cause::Declined,
+            Tried::NotSent(_) => false,
+            Tried::Answer(_) | Tried::Lost(_) | Tried::Broken(_) | Tried::Late => true,
+        }
+    }
+}
+
 fn is_answer(tried: &Tried) -> bool {
     matches!(tried, Tried::Answer(answer) if !UNAVAILABLE.contains(&answer.reply.status))
 }
@@ -253,8 +317,10 @@
         wire::Cause::Deadline => Reason::Deadline,
         wire::Cause::Suspect => Reason::Suspect,
         wire::Cause::Down | wire::Cause::Leaving | wire::Cause::Misdirected => Reason::NoTarget,
-        wire::Cause::Full | wire::Cause::Fenced | wire::Cause::Duplicate | wire::Cause::Shed => {
-            Reason::Full
-        }
+        wire::Cause::Full
+        | wire::Cause::Fenced
+        | wire::Cause::Duplicate
+        | wire::Cause::Declined
+        | wire::Cause::Shed => Reason::Full,
     }
 }
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -7,7 +7,9 @@
 use pick::retry::{Allowance, Budget, Cause};
 use pick::{Pick, Shared, hedge, retry};
 use tokio::time::Instant;
-use unit::{Instance, Service, Zone};
+use unit::Service;
+
+use crate::Builder;
 
 /// One service as seen from one entry: the choice among its targets, and its budgets.
 pub struct Upstream {
@@ -18,18 +20,30 @@
 }
 
 impl Upstream {
-    pub(crate) fn new(zone: &Zone, way: Duration, entry: &Instance, service: &Service) -> Upstream {
+    pub(crate) fn new(setting: &Builder, service: &Service) -> Upstream {
+        let Builder {
+            zone,
+            way,
+            instance: entry,
+            retry,
+            ..
+        } = setting;
         // Each entry draws its own numbers, or all entries would choose the same targets at once.
         let parts = [entry.as_str().as_bytes(), service.as_str().as_bytes()];
         let seed = unit::Digest::of_parts(&parts).0 as u64;
-        let pick = Pick::builder(zone.clone()).way(way).seed(seed).build();
+        let pick = Pick::builder(zone.clone()).way(*way).seed(seed).build();
         Upstream {
             pick: Shared::from(pick),
-            retry: Mutex::new(Budget::new(retry::Setting::default())),
+            retry: Mutex::new(Budget::new(*retry)),
             hedge: Mutex::new(Delay::new(hedge::Setting::default())),
         }
     }
 
+    /// Sets how many retries are saved up at most.
+    pub(crate) fn set_retry_cap(&self, cap: f64) {
+        self.retry.lock().set_cap(cap);
+    }
+
     /// Counts a first try.
     pub(crate) fn first(&self, now: Instant) {
         self.retry.lock().first(now);
--- a/crates/feed/src/announce.rs
+++ b/crates/feed/src/announce.rs
@@ -42,6 +42,10 @@
 }
 
 async fn keep(inner: &Inner) {
+    if inner.standing {
+        // The announcement of a former life may stand, and then there is nothing to write.
+        inner.listed.cancelled().await;
+    }
     let seed = inner.jitter(PAUSE).as_nanos() as u64;
     let mut backoff = Backoff::new(PAUSE, LONGEST_PAUSE, seed);
     loop {
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -1,6 +1,7 @@
 //! How a [`Feed`] is set up.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use rand::SeedableRng;
@@ -8,6 +9,7 @@
 use roster::Shared;
 use store::{Meter, Store};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 use unit::{Instance, Rate};
 
 use crate::carry::Carrier;
@@ -34,6 +36,34 @@
     changed: Box<dyn Fn() + Send + Sync>,
     linked: Box<dyn Fn() -> Vec<Instance> + Send + Sync>,
     seed: u64,
+    pace: Pace,
+    standing: bool,
+}
+
+/// How long a feed waits at the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// How long a watch on the announcements waits.
+    pub instances: Duration,
+    /// How long a watch on the rules waits.
+    ///
+    /// A watch may go silent without an error. It is then given up after its wait and the time-out
+    /// of a call (1 s), and the rules are read. With 3 s rules come within the five seconds that
+    /// operators are promised even if the watches of all watchers go silent together. A store
+    /// whose connections are probed can be left waiting for longer.
+    pub rules: Duration,
+    /// The longest pause between two tries while the platform can't be reached.
+    pub pause: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace {
+            instances: Duration::from_secs(10),
+            rules: Duration::from_secs(3),
+            pause: Duration::from_secs(5),
+        }
+    }
 }
 
 impl Builder {
@@ -50,6 +80,8 @@
             changed: Box::new(|| ()),
             linked: Box::new(Vec::new),
             seed: 0,
+            pace: Pace::default(),
+            standing: false,
         }
     }
 
@@ -84,6 +116,20 @@
         self
     }
 
+    /// How long the feed waits at the platform.
+    pub fn pace(mut self, pace: Pace) -> Builder {
+        self.pace = pace;
+        self
+    }
+
+    /// Whether announcements outlive a restart: what the store holds is where an instance is, and
+    /// which life it is in is told by links. A restart then costs no write, and each write costs
+    /// every watcher a call.
+    pub fn standing(mut self, standing: bool) -> Builder {
+        self.standing = standing;
+        self
+    }
+
     /// Seeds the jitter of waits.
     pub fn seed(mut self, seed: u64) -> Builder {
         self.seed = seed;
@@ -114,6 +160,9 @@
             syncing: tokio::sync::Mutex::new(()),
             repairing: tokio::sync::Mutex::new(()),
             pulling: Mutex::default(),
+            pace: self.pace,
+            standing: self.standing,
+            listed: CancellationToken::new(),
         };
         Feed::from(inner)
     }
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -14,9 +14,10 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
 use unit::{Instance, Version};
 
-use crate::builder::Builder;
+use crate::builder::{Builder, Pace};
 use crate::carry::{self, Carrier};
 use crate::count::{Count, Flow};
 use crate::job::{self, Job};
@@ -59,6 +60,10 @@
     pub(crate) repairing: tokio::sync::Mutex<()>,
     /// Versions of the rules that are being fetched.
     pub(crate) pulling: Mutex<BTreeSet<Version>>,
+    pub(crate) pace: Pace,
+    pub(crate) standing: bool,
+    /// Cancelled once the announcements have been read for the first time.
+    pub(crate) listed: CancellationToken,
 }
 
 /// The state of a [`Feed`], for operators.
@@ -125,6 +130,24 @@
         note::answer(&self.inner, from, payload)
     }
 
+    /// Takes in what a peer says of itself at the beginning of a link, and catches up with it.
+    ///
+    /// A daemon that has just started, while the store can't be reached, learns in this way who is
+    /// there and what the rules are.
+    pub fn greeted(&self, record: &Record) {
+        let now = Instant::now();
+        let me = self.inner.with(|roster| roster.me().clone());
+        if record.instance == me {
+            return;
+        }
+        let merged = self.inner.with(|roster| roster.merge(now, record.clone()));
+        self.inner.roster.heard(now, &record.instance);
+        let lacks = self.inner.current.version() == Version(0);
+        if merged != roster::Merge::Old || lacks {
+            self.inner.later(Job::Probe(record.instance.clone()));
+        }
+    }
+
     /// Announces that this instance leaves: first to the other daemons, then to the store.
     ///
     /// Its observers, the watchers of all zones and the daemons with open links are told in
@@ -135,7 +158,13 @@
 
     /// Announces in the same way that this instance has stopped, and deletes its object.
     pub async fn depart(&self) {
-        leave::depart(&self.inner).await;
+        leave::depart(&self.inner, false).await;
+    }
+
+    /// Announces that this process ends and another one is about to take its place. Its object stays
+    /// where announcements outlive a restart, else it is deleted.
+    pub async fn restart(&self) {
+        leave::depart(&self.inner, true).await;
     }
 
     /// The state of the feed.
--- a/crates/feed/src/leave.rs
+++ b/crates/feed/src/leave.rs
@@ -16,6 +16,9 @@
 pub(crate) async fn leave(inner: &Inner) {
     let record = change(inner, |roster| roster.leave(Instant::now()));
     tell(inner, &record).await;
+    if inner.standing {
+        return;
+    }
     let written = async {
         while let Err(error) = announce::write_due(inner).await {
             log::warn!("feed: the store is not told of the stop: {error}.");
@@ -26,9 +29,14 @@
     drop(timeout(GOODBYE, written).await);
 }
 
-pub(crate) async fn depart(inner: &Inner) {
+/// Tells the others that this process ends. Its announcement is deleted unless it stands for the
+/// next life of this instance, which is about to begin.
+pub(crate) async fn depart(inner: &Inner, returns: bool) {
     let record = change(inner, |roster| roster.depart(Instant::now()));
     tell(inner, &record).await;
+    if returns && inner.standing {
+        return;
+    }
     match timeout(GOODBYE, announce::delete(inner, &record)).await {
         Ok(Ok(())) => (),
         Ok(Err(error)) => log::warn!("feed: the own object stays: {error}."),
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -42,7 +42,7 @@
 mod sync;
 mod watch;
 
-pub use builder::Builder;
+pub use builder::{Builder, Pace};
 pub use carry::{Carried, Carrier, over};
 pub use count::{Flow, MESSAGE, PACKET};
 pub use current::{Current, Offer, Rules};
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -1,6 +1,6 @@
 //! What is read from the platform, put into the roster and the rules.
 
-use roster::{Listing, Record};
+use roster::{Listing, Record, State};
 use store::{Change, Object};
 use tokio::time::Instant;
 use unit::{Instance, Version};
@@ -24,6 +24,7 @@
 pub(crate) async fn list(inner: &Inner, role: Role) -> Result<Version, Error> {
     let listing = inner.store.list(&inner.prefix).await?;
     let records: Vec<Record> = listing.objects.iter().filter_map(record).collect();
+    find_own(inner, &listing.objects, &records).await;
     let now = Instant::now();
     let found = inner.with(|roster| {
         roster.fed(now);
@@ -35,6 +36,25 @@
     Ok(listing.revision)
 }
 
+/// Where announcements outlive a restart, that of a former life serves this one too.
+async fn find_own(inner: &Inner, objects: &[Object], records: &[Record]) {
+    if !inner.standing {
+        return;
+    }
+    let own = inner.with(|roster| roster.own_record().clone());
+    let key = inner.key(&own.instance);
+    let version = objects.iter().find(|object| object.key == key);
+    let found = records
+        .iter()
+        .find(|record| record.instance == own.instance);
+    if let (Some(version), Some(found)) = (version, found) {
+        inner.object.lock().await.get_or_insert(version.version);
+        if found.same_place(&own) && found.state == State::Live {
+            inner.with(|roster| roster.written(&own));
+        }
+    }
+}
+
 /// Reads the rules, and offers them.
 pub(crate) async fn rules(inner: &Inner, role: Role) -> Result<(), Error> {
     if let Some(object) = inner.store.get(&inner.rules_key).await? {
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -11,14 +11,6 @@
 use crate::feed::Inner;
 use crate::platform::{self, Role};
 
-/// How long a watch on the announcements waits at the platform.
-const INSTANCES_WAIT: Duration = Duration::from_secs(10);
-/// How long a watch on the rules waits.
-///
-/// A watch may go silent without an error. It is then given up after its wait and the time-out of
-/// a call (1 s), and the rules are read. So even if the watches of all three watchers go silent
-/// together, rules come within the five seconds that operators are promised.
-const RULES_WAIT: Duration = Duration::from_secs(3);
 /// How often a daemon looks whether it is a watcher.
 const LOOK: Duration = Duration::from_secs(1);
 /// How many looks in a row must find that it is none before it stops to watch. Rosters differ
@@ -26,7 +18,6 @@
 const LOOKS: u32 = 5;
 /// The pauses between failed readings.
 const PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 
 /// Reads the platform once, then watches it whenever this daemon is a watcher of its zone.
 pub(crate) async fn run(inner: Arc<Inner>) {
@@ -47,7 +38,7 @@
 
 fn backoff(inner: &Inner) -> Backoff {
     let seed = inner.jitter(Duration::from_secs(1)).as_nanos() as u64;
-    Backoff::new(PAUSE, LONGEST_PAUSE, seed)
+    Backoff::new(PAUSE, inner.pace.pause, seed)
 }
 
 /// Reads the announcements, until it has them, and the rules. Answers the revision at which a
@@ -60,6 +51,7 @@
     loop {
         match platform::list(inner, Role::Reader).await {
             Ok(revision) => {
+                inner.listed.cancel();
                 let rules = platform::rules(inner, Role::Reader).await;
                 backoff.reset();
                 return rules
@@ -116,7 +108,9 @@
 
 async fn instances(inner: &Inner, mut since: Version) -> Result<(), Error> {
     loop {
-        let change = inner.store.watch(&inner.prefix, since, INSTANCES_WAIT);
+        let change = inner
+            .store
+            .watch(&inner.prefix, since, inner.pace.instances);
         let change = change.await?;
         since = change.revision;
         platform::instances(inner, &change);
@@ -125,7 +119,7 @@
 
 async fn rules(inner: &Inner, mut since: Version) -> Result<(), Error> {
     loop {
-        let change = inner.store.watch(&inner.rules_key, since, RULES_WAIT);
+        let change = inner.store.watch(&inner.rules_key, since, inner.pace.rules);
         let change = change.await?;
         since = change.revision;
         let objects = change.changed.iter();
--- a/crates/gate/examples/cost.rs
+++ b/crates/gate/examples/cost.rs
@@ -21,6 +21,8 @@
         deadline: now + Duration::from_millis(1500),
         kind: Digest(0),
         nested: false,
+        goal: None,
+        class: 0,
     }
 }
 
--- a/crates/gate/examples/queue.rs
+++ b/crates/gate/examples/queue.rs
@@ -60,6 +60,8 @@
             deadline: self.now + DEADLINE,
             kind: Digest(token),
             nested: false,
+            goal: None,
+            class: 0,
         };
         let verdict = self.core.offer(self.now, request);
         let (Verdict::Start(id) | Verdict::Wait(id)) = verdict else {
--- a/crates/gate/src/builder.rs
+++ b/crates/gate/src/builder.rs
@@ -21,6 +21,7 @@
     pub(crate) suspicion: Duration,
     pub(crate) conviction: Duration,
     pub(crate) down_retry: Duration,
+    pub(crate) alone: bool,
 }
 
 /// Builds a [`Gate`], or its bare [`Core`].
@@ -45,6 +46,7 @@
             suspicion: Duration::from_secs(120),
             conviction: Duration::from_secs(600),
             down_retry: Duration::from_secs(1),
+            alone: true,
         };
         Builder { setting }
     }
@@ -121,6 +123,16 @@
         self
     }
 
+    /// Whether suspects run with nothing beside them; they do unless this is unset.
+    ///
+    /// Where the paths of requests are alone of their kind, bystanders of a crash don't come again
+    /// but as repeats, and a drain for each of them would cost more than the crash. Crashes are then
+    /// counted over all gates, and the third convicts.
+    pub fn alone(mut self, alone: bool) -> Builder {
+        self.setting.alone = alone;
+        self
+    }
+
     /// The gate for use under tokio.
     pub fn build(self) -> Gate {
         Gate::new(self.core(Instant::now()))
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use tokio::time::Instant;
-use unit::{Cause, Token, Urgency};
+use unit::{Cause, Digest, Token, Urgency};
 
 use crate::builder::Setting;
 use crate::lane::Lane;
@@ -11,11 +11,15 @@
 use crate::limit::{Limit, Turn};
 use crate::refusal::Refusal;
 use crate::request::{Id, Request};
+use crate::shell::Mark;
 use crate::solo::Solo;
 use crate::suspect::{self, Standing, Suspicion};
 use crate::token::{self, Fence, State, Status};
 use crate::verdict::{Event, Verdict};
 
+/// The pace, in hundredths of the usual time, from which the target counts as slow.
+const SLOW: u16 = 200;
+
 /// A request that holds a slot.
 #[derive(Debug)]
 pub(crate) struct Held {
@@ -57,6 +61,8 @@
 ///     deadline: start + Duration::from_secs(1),
 ///     kind: Digest::of(b"GET /box/9"),
 ///     nested: false,
+///     goal: None,
+///     class: 0,
 /// };
 /// let mut core = Builder::new(1).core(start);
 /// let Verdict::Start(first) = core.offer(start, request(1)) else { unreachable!() };
@@ -97,6 +103,8 @@
     pub(crate) down: bool,
     pub(crate) leaving: bool,
     pub(crate) hot: bool,
+    /// How long work takes at the target now, in hundredths; 0 where it doesn't tell.
+    pub(crate) pace: u16,
     pub(crate) answered: u32,
     pub(crate) next_turn: Turn,
     pub(crate) events: Vec<Event>,
@@ -121,12 +129,13 @@
             last_start: None,
             passed: [0; 3],
             tokens: token::Table::new(setting.tokens, setting.grace),
-            suspects: suspect::Table::new(setting.suspicion, setting.conviction),
+            suspects: suspect::Table::new(&setting),
             pause: None,
             stall: None,
             down: false,
             leaving: false,
             hot: false,
+            pace: 0,
             answered: 0,
             next_turn: 0,
             events: Vec::new(),
@@ -170,7 +179,7 @@
         if !self.tokens.has_room() {
             return Some(Cause::Full);
         }
-        match self.suspects.standing(now, request.kind) {
+        match self.standing(now, request.kind) {
             Standing::Convicted { .. } => Some(Cause::Suspect),
             Standing::Suspect if !self.solo.has_room() => Some(Cause::Suspect),
             Standing::Suspect => None,
@@ -188,7 +197,7 @@
 
     fn enqueue(&mut self, now: Instant, id: Id, request: Request) {
         let rank = request.urgency.rank();
-        let suspect = self.suspects.standing(now, request.kind) != Standing::Innocent;
+        let suspect = self.standing(now, request.kind) != Standing::Innocent;
         if suspect {
             self.solo.push(id);
         } else {
@@ -316,6 +325,43 @@
         }
     }
 
+    /// The target is there and takes work, with so many slots; a new life of it perhaps.
+    pub fn target_here(&mut self, now: Instant, slots: u16) {
+        self.leaving = false;
+        self.limit.resize(slots);
+        if std::mem::take(&mut self.down) {
+            self.limit.chill();
+        }
+        self.advance(now);
+    }
+
+    /// The target tells how long work takes at it now, in hundredths of what it usually takes.
+    pub fn set_pace(&mut self, now: Instant, pace: u16) {
+        self.pace = pace;
+        self.advance(now);
+    }
+
+    /// Whether work takes much longer than usual at the target at this moment.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.pace >= SLOW
+    }
+
+    pub(crate) fn mark(&self) -> Mark {
+        Mark {
+            closed: self.down || self.leaving,
+            slow: self.is_slow(),
+        }
+    }
+
+    /// How a request of this kind is treated. Where suspects don't run alone, they are treated as
+    /// all others until they are convicted.
+    pub(crate) fn standing(&self, now: Instant, kind: Digest) -> Standing {
+        match self.suspects.standing(now, kind) {
+            Standing::Suspect if !self.setting.alone => Standing::Innocent,
+            standing => standing,
+        }
+    }
+
     /// What is held against kinds of requests here.
     pub fn suspects(&self, now: Instant) -> Vec<Suspicion> {
         self.suspects.list(now)
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -63,6 +63,7 @@
                 self.limit.cut(held.turn, next);
                 self.pause_for(now, retry_after);
             }
+            End::Declined => {}
             End::Crashed => {
                 let turn = held.turn;
                 let run = suspect::Run { turn, next, alone };
@@ -74,7 +75,7 @@
 
     /// Takes a service time; returns its ratio to the usual one.
     fn sample(&mut self, now: Instant, held: &Held, latency: Duration) -> f64 {
-        let ratio = self.latency.sample(now, held.request.urgency, latency);
+        let ratio = self.latency.sample(now, &held.request, latency);
         self.limit.answer(ratio, held.turn, self.next_turn);
         ratio
     }
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -39,6 +39,11 @@
             Some(until) if until > now => Cause::Shed,
             _ => cause,
         };
+        if let Some(goal) = request.goal {
+            let run = self.latency.expected_of(now, request);
+            let met = wait.is_zero() || now + wait + run <= goal;
+            return (!met).then(|| blame(Cause::Full));
+        }
         if wait > self.setting.wait {
             return Some(blame(Cause::Full));
         }
@@ -215,6 +220,8 @@
             limit: narrow(self.limit.now()),
             service_us: u32::try_from(service).unwrap_or(u32::MAX),
             answered: self.answered,
+            pace: self.pace,
+            closed: self.down || self.leaving,
             hot: self.hot,
         }
     }
@@ -226,12 +233,14 @@
 
     fn retry_after(&self, now: Instant, request: &Request, cause: Cause) -> Duration {
         match cause {
-            Cause::Misdirected | Cause::Leaving | Cause::Fenced | Cause::Duplicate => {
-                Duration::ZERO
-            }
+            Cause::Misdirected
+            | Cause::Declined
+            | Cause::Leaving
+            | Cause::Fenced
+            | Cause::Duplicate => Duration::ZERO,
             Cause::Down => self.setting.down_retry,
             Cause::Full if !self.tokens.has_room() => self.setting.down_retry,
-            Cause::Suspect => match self.suspects.standing(now, request.kind) {
+            Cause::Suspect => match self.standing(now, request.kind) {
                 Standing::Convicted { remaining } => remaining,
                 _ => self.wait(now, request).clamp(RETRY_LEAST, RETRY_MOST),
             },
--- a/crates/gate/src/latency.rs
+++ b/crates/gate/src/latency.rs
@@ -1,11 +1,15 @@
 //! Smoothed service times: how long an answer takes now, and how long it used to take.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use tokio::time::Instant;
 use unit::Urgency;
 
+use crate::request::Request;
+
+/// Kinds of work that are told apart; those without fresh answers make room.
+const CLASSES: usize = 64;
 /// Weight of one sample in the smoothed time.
 const ALPHA: f64 = 0.1;
 /// Shortest time that one mean of the usual service time covers.
@@ -112,15 +116,30 @@
 pub(crate) struct Latency {
     all: Estimate,
     by_urgency: [Estimate; 3],
+    by_class: BTreeMap<u32, Estimate>,
 }
 
 impl Latency {
     /// Takes an answer's latency; returns its ratio to the usual one of its urgency.
-    pub(crate) fn sample(&mut self, now: Instant, urgency: Urgency, latency: Duration) -> f64 {
+    pub(crate) fn sample(&mut self, now: Instant, request: &Request, latency: Duration) -> f64 {
+        let urgency = request.urgency;
+        self.sample_class(now, request.class, latency);
         self.all.sample(now, latency);
         self.by_urgency[urgency.rank()].sample(now, latency)
     }
 
+    fn sample_class(&mut self, now: Instant, class: u32, latency: Duration) {
+        if class == 0 {
+            return;
+        }
+        if self.by_class.len() >= CLASSES && !self.by_class.contains_key(&class) {
+            self.by_class.retain(|_, estimate| estimate.is_fresh(now));
+        }
+        if self.by_class.len() < CLASSES {
+            self.by_class.entry(class).or_default().sample(now, latency);
+        }
+    }
+
     /// Smoothed service time over all.
     pub(crate) fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.all.mean)
@@ -133,6 +152,15 @@
         Some(Duration::from_secs_f64(usual.max(LEAST)))
     }
 
+    /// Time that this request will likely run; zero when nothing fresh is known.
+    pub(crate) fn expected_of(&self, now: Instant, request: &Request) -> Duration {
+        let class = self.by_class.get(&request.class);
+        match class.filter(|class| class.count >= TRUSTED && class.is_fresh(now)) {
+            Some(class) => Duration::from_secs_f64(class.mean),
+            None => self.expected(now, request.urgency),
+        }
+    }
+
     /// Time that a request of this urgency will likely run; zero when nothing fresh is known.
     pub(crate) fn expected(&self, now: Instant, urgency: Urgency) -> Duration {
         self.view(now, urgency, |estimate| estimate.mean)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -23,6 +23,8 @@
 //!     deadline: Instant::now() + Duration::from_millis(200),
 //!     kind: Digest::of_parts(&[b"GET", b"/land-file/88"]),
 //!     nested: false,
+//!     goal: None,
+//!     class: 0,
 //! };
 //! let permit = gate.admit(request).await?;
 //! let running = permit.dispatch();
@@ -58,7 +60,7 @@
 pub use limit::Law;
 pub use refusal::Refusal;
 pub use request::{End, Id, Request};
-pub use shell::{Gate, Permit, Running};
+pub use shell::{Gate, Mark, Permit, Running};
 pub use suspect::Suspicion;
 pub use token::{Fence, Status};
 pub use unit::Cause;
--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -63,6 +63,14 @@
         limit
     }
 
+    /// The target runs so many at once from now on.
+    pub(crate) fn resize(&mut self, slots: u16) {
+        let slots = f64::from(slots.max(1));
+        let all = self.value >= self.slots;
+        self.slots = slots;
+        self.set(if all { slots } else { self.value });
+    }
+
     /// Requests that may run at once now.
     pub(crate) fn now(&self) -> usize {
         (self.value + 1e-9) as usize
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -27,6 +27,10 @@
     /// room kept for urgent work. It would else wait behind the very request that waits for it,
     /// until the deadline of both: with a limit of 3, three levels were enough.
     pub nested: bool,
+    /// When the answer is worth little; the request is then not let in to wait past it.
+    pub goal: Option<Instant>,
+    /// The kind of work, for estimates of how long it runs; 0 where nothing is known of it.
+    pub class: u32,
 }
 
 /// Names an offered request inside one [`Core`](crate::Core); never used twice.
@@ -53,6 +57,8 @@
         /// When the target wants to be asked again, if it said so.
         retry_after: Option<Duration>,
     },
+    /// The target says that it did not run this one request; others may be welcome.
+    Declined,
     /// Its caller went away while it ran.
     Cancelled,
     /// The connection to the target died while it ran.
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -140,7 +140,7 @@
 
     fn is_innocent(&self, now: Instant, id: Id) -> bool {
         let request = self.waiting.get(&id);
-        request.is_none_or(|r| self.suspects.standing(now, r.kind) == Standing::Innocent)
+        request.is_none_or(|r| self.standing(now, r.kind) == Standing::Innocent)
     }
 
     /// Lets a request that became a suspect in its lane wait for a turn alone.
@@ -149,7 +149,7 @@
     /// target would otherwise start beside everybody else.
     fn divert(&mut self, now: Instant, id: Id) {
         let kind = self.waiting.get(&id).map(|request| request.kind);
-        let standing = kind.map(|kind| self.suspects.standing(now, kind));
+        let standing = kind.map(|kind| self.standing(now, kind));
         if standing == Some(Standing::Suspect) && self.solo.has_room() {
             self.solo.push(id);
             return;
@@ -159,10 +159,7 @@
 
     /// Refuses all that wait of a kind that has just been convicted.
     pub(crate) fn refuse_convicted(&mut self, now: Instant, kind: Digest) {
-        if !matches!(
-            self.suspects.standing(now, kind),
-            Standing::Convicted { .. }
-        ) {
+        if !matches!(self.standing(now, kind), Standing::Convicted { .. }) {
             return;
         }
         let same = self.waiting.iter().filter(|(_, r)| r.kind == kind);
@@ -179,7 +176,7 @@
             let Some(request) = self.waiting.get(&id) else {
                 return;
             };
-            match self.suspects.standing(now, request.kind) {
+            match self.standing(now, request.kind) {
                 Standing::Suspect => return,
                 Standing::Convicted { .. } => self.refuse_waiting(now, id, Cause::Suspect),
                 Standing::Innocent => {
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -32,11 +32,21 @@
 struct Inner {
     state: Mutex<State>,
     hot: watch::Sender<bool>,
+    mark: watch::Sender<Mark>,
     running: watch::Sender<usize>,
     /// Tells the clock task that the next timer may have changed.
     changed: Arc<Notify>,
 }
 
+/// What entries should hear of as soon as it changes, and not with the next answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Mark {
+    /// The target takes no work.
+    pub closed: bool,
+    /// Work takes much longer than usual at the target at this moment.
+    pub slow: bool,
+}
+
 #[derive(Debug)]
 struct State {
     core: Core,
@@ -115,6 +125,9 @@
         let hot = core.hot();
         self.hot
             .send_if_modified(|old| std::mem::replace(old, hot) != hot);
+        let mark = core.mark();
+        self.mark
+            .send_if_modified(|old| std::mem::replace(old, mark) != mark);
         let running = core.running();
         self.running
             .send_if_modified(|old| std::mem::replace(old, running) != running);
@@ -183,6 +196,7 @@
         let inner = Inner {
             state: Mutex::new(state),
             hot: watch::Sender::new(false),
+            mark: watch::Sender::default(),
             running: watch::Sender::new(0),
             changed: Arc::new(Notify::new()),
         };
@@ -229,6 +243,11 @@
         self.inner.hot.subscribe()
     }
 
+    /// Tells each change that entries should hear of at once.
+    pub fn mark(&self) -> watch::Receiver<Mark> {
+        self.inner.mark.subscribe()
+    }
+
     /// What the gate knows of a token.
     pub fn status(&self, token: Token) -> Status {
         self.inner.with(|core, now| core.status(now, token))
@@ -262,6 +281,22 @@
         self.inner.with(Core::target_up);
     }
 
+    /// The target is there, with so many slots; see [`Core::target_here`].
+    pub fn target_here(&self, slots: u16) {
+        self.inner.with(|core, now| core.target_here(now, slots));
+    }
+
+    /// The target tells how long work takes at it now; see [`Core::set_pace`].
+    pub fn pace(&self, pace: u16) {
+        self.inner.with(|core, now| core.set_pace(now, pace));
+    }
+
+    /// Requests that the target runs at once at most.
+    pub fn slots(&self) -> u16 {
+        let slots = self.inner.state.lock().core.limit.slots();
+        u16::try_from(slots).unwrap_or(u16::MAX)
+    }
+
     /// What is held against kinds of requests here; for other gates, send those not `learnt`.
     pub fn suspects(&self) -> Vec<Suspicion> {
         self.inner.state.lock().core.suspects(Instant::now())
--- a/crates/gate/src/suspect.rs
+++ b/crates/gate/src/suspect.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 use unit::Digest;
 
+use crate::builder::Setting;
 use crate::limit::Turn;
 
 /// Most suspicions remembered; the one that would age out first makes room.
@@ -56,14 +57,17 @@
 pub(crate) struct Table {
     suspicion: Duration,
     conviction: Duration,
+    /// Crashes that other gates have seen count as if they were seen here.
+    sums: bool,
     records: BTreeMap<Digest, Record>,
 }
 
 impl Table {
-    pub(crate) fn new(suspicion: Duration, conviction: Duration) -> Table {
+    pub(crate) fn new(setting: &Setting) -> Table {
         Table {
-            suspicion,
-            conviction,
+            suspicion: setting.suspicion,
+            conviction: setting.conviction,
+            sums: !setting.alone,
             records: BTreeMap::new(),
         }
     }
@@ -136,6 +140,9 @@
             learnt: true,
         });
         record.until = record.until.max(until);
+        if self.sums {
+            record.crashes = record.crashes.max(suspicion.crashes);
+        }
         record.convicted |= suspicion.convicted;
         self.bound();
     }
--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -129,6 +129,8 @@
             deadline: self.now + ms(offer.deadline),
             kind: Digest(offer.kind.into()),
             nested: false,
+            goal: None,
+            class: 0,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
         *known = request.deadline.max(*known);
--- a/crates/gate/tests/all/kit.rs
+++ b/crates/gate/tests/all/kit.rs
@@ -20,6 +20,8 @@
         deadline: now + ms(1000),
         kind: Digest(token),
         nested: false,
+        goal: None,
+        class: 0,
     }
 }
 
--- a/crates/pick/src/answer.rs
+++ b/crates/pick/src/answer.rs
@@ -27,6 +27,9 @@
     /// The gate refused before the start; the request did not run.
     #[display("refused")]
     Refused,
+    /// The gate refused because its target takes no work now.
+    #[display("closed")]
+    Closed,
     /// No answer: the link broke or the time ran out. It may have run.
     #[display("lost")]
     Lost,
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -104,7 +104,7 @@
 
     /// Chooses a target for a request, or none when no target may serve it.
     pub fn choose(&mut self, now: Instant, need: &Need<'_>) -> Option<Instance> {
-        let able = self.able(need);
+        let able = self.able(now, need);
         let place = match self.trial(now, need, &able) {
             Some(place) => place,
             None => self.best(now, need, able)?,
@@ -122,7 +122,7 @@
     /// hand-over is one more refusal, and more load just where there is too much.
     pub fn has_room(&self, now: Instant, need: &Need<'_>) -> bool {
         let scale = self.scale(now);
-        let able = self.able(need);
+        let able = self.able(now, need);
         able.into_iter()
             .any(|place| !scale.is_hot(&self.records[place]))
     }
@@ -152,6 +152,21 @@
         }
     }
 
+    /// Notes whether there is a link to `instance`.
+    pub fn set_cut(&mut self, instance: &Instance, cut: bool) {
+        if let Some(record) = self.find(instance) {
+            record.cut = cut;
+        }
+    }
+
+    /// The instances that are chosen among.
+    pub fn instances(&self) -> Vec<Instance> {
+        let records = self.records.iter();
+        records
+            .map(|record| record.target.instance.clone())
+            .collect()
+    }
+
     /// The target that was not heard from for the longest time: the one worth a probe.
     pub fn oldest(&self, now: Instant) -> Option<Instance> {
         let staying = self.records.iter().filter(|record| !record.target.leaving);
@@ -204,6 +219,12 @@
                 kept.target = target;
                 return kept;
             }
+            // A new life is as reachable as the last one was.
+            let near = target.zone == self.zone;
+            let trip = self.way_to(&target.zone) * 2;
+            let mut record = Record::new(target, trip, near, settled);
+            record.cut = old.cut;
+            return record;
         }
         let near = target.zone == self.zone;
         let trip = self.way_to(&target.zone) * 2;
@@ -236,18 +257,22 @@
         }
     }
 
-    /// Places of the targets that may serve the request at all.
-    fn able(&self, need: &Need<'_>) -> Vec<usize> {
+    /// Places of the targets that may serve the request: those to which there is a way and which
+    /// take work; where there is none of them, all others.
+    fn able(&self, now: Instant, need: &Need<'_>) -> Vec<usize> {
         let may = |record: &Record| {
             !record.target.leaving
                 && (need.zone != Preference::Only || record.near)
                 && !need.exclude.contains(&record.target.instance)
         };
         let places = self.records.iter().enumerate();
-        places
+        let able: Vec<usize> = places
             .filter(|(_, record)| may(record))
             .map(|(place, _)| place)
-            .collect()
+            .collect();
+        let is_open = |place: &usize| self.records[*place].is_open(now);
+        let open: Vec<usize> = able.iter().copied().filter(is_open).collect();
+        if open.is_empty() { able } else { open }
     }
 
     /// The failing target whose turn it is to show that it is well again.
--- a/crates/pick/src/record.rs
+++ b/crates/pick/src/record.rs
@@ -15,6 +15,9 @@
 /// Weight of the newest own latency in its mean.
 const LATENCY_STEP: f64 = 0.1;
 
+/// A target that takes no work is asked again after this long, if it has not told of itself before.
+const CLOSED_FOR: Duration = Duration::from_millis(500);
+
 /// How far the begin of a call may be off when it is told by its latency.
 const CLOCK_SLACK: Duration = Duration::from_millis(1);
 
@@ -47,6 +50,10 @@
     pub(crate) tried_at: Option<Instant>,
     /// Mean of own latencies without the ways, in microseconds.
     pub(crate) own_us: Option<f64>,
+    /// It refused because its target takes no work; it is asked again from then on.
+    pub(crate) closed: Option<Instant>,
+    /// There is no link to it.
+    pub(crate) cut: bool,
     /// Whether it was there when the entry started, so that nothing says that it is cold.
     pub(crate) settled: bool,
 }
@@ -68,10 +75,17 @@
             tried: 0,
             tried_at: None,
             own_us: None,
+            closed: None,
+            cut: false,
             settled,
         }
     }
 
+    /// Whether there is a way to it, and it takes work as far as is known.
+    pub(crate) fn is_open(&self, now: Instant) -> bool {
+        !self.cut && self.closed.is_none_or(|until| until <= now)
+    }
+
     pub(crate) fn begin(&mut self, now: Instant) {
         self.flying.push_back(now);
     }
@@ -85,6 +99,7 @@
             Kind::Error | Kind::Lost => self.fail(now),
             // A refusal is no failure: the gate is full or leaving.
             Kind::Refused => self.refused_at = Some(now),
+            Kind::Closed => self.closed = Some(now + CLOSED_FOR),
             // A call that we gave up ourselves says nothing of the target.
             Kind::Cancelled => {}
         }
@@ -98,6 +113,7 @@
             return;
         }
         self.gone = 0;
+        self.closed = report.closed.then(|| now + CLOSED_FOR);
         self.heard = Some(Heard { at: now, report });
     }
 
--- a/crates/pick/src/retry.rs
+++ b/crates/pick/src/retry.rs
@@ -18,7 +18,7 @@
 const FULL_COST: f64 = 1.0;
 /// What a hand-over costs: the refused request took no slot anywhere.
 const HAND_OVER_COST: f64 = 0.5;
-/// The bucket holds this many retries, so that a burst after a quiet time is bounded.
+/// Retries that are saved up unless it is set otherwise.
 const CAP: f64 = 20.0;
 /// Units of a fresh allowance.
 const FRESH: u8 = 2;
@@ -30,6 +30,8 @@
     pub share: f64,
     /// Retries per second that are granted whatever the number of first tries.
     pub floor: Rate,
+    /// Retries that are saved up at most, so that a burst after a quiet time is bounded.
+    pub cap: f64,
 }
 
 impl Default for Setting {
@@ -37,6 +39,7 @@
         Setting {
             share: 0.1,
             floor: Rate::of(1.0),
+            cap: CAP,
         }
     }
 }
@@ -129,7 +132,7 @@
         let floor = setting.floor.per_second();
         Budget {
             share: setting.share,
-            tokens: Tokens::new(floor, CAP).at_level(floor),
+            tokens: Tokens::new(floor, setting.cap).at_level(floor),
             count: Count::default(),
         }
     }
@@ -161,6 +164,11 @@
         granted
     }
 
+    /// Sets how many retries are saved up at most, as the fleet that shares them grows or shrinks.
+    pub fn set_cap(&mut self, cap: f64) {
+        self.tokens.set_cap(cap);
+    }
+
     /// Counts since the start.
     pub fn count(&self) -> Count {
         self.count
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use unit::Urgency;
 
-use crate::record::{Record, micros};
+use crate::record::{Heard, Record, micros};
 use crate::{Need, Preference};
 
 /// Weight of the newest report in the means over all targets.
@@ -33,6 +33,8 @@
 const LATE: f64 = 3.0;
 /// Late time is spread over this many answers.
 const LATE_SPREAD: f64 = 4.0;
+/// What a target says of its pace counts for so long.
+const PACE_FOR: Duration = Duration::from_millis(200);
 /// The wait at a gate that is just full, in service times.
 const FULL_WAIT: f64 = 0.5;
 
@@ -43,6 +45,8 @@
     /// Requests ahead over the limit, by urgency.
     ahead: [f64; 3],
     limit: f64,
+    /// Mean of the paces told, in hundredths.
+    pace: f64,
     heard: bool,
 }
 
@@ -52,6 +56,7 @@
             service_us: FIRST_SERVICE_US,
             ahead: [0.0; 3],
             limit: 1.0,
+            pace: 0.0,
             heard: false,
         }
     }
@@ -69,6 +74,11 @@
             self.service_us += (service - self.service_us) * step;
         }
         self.limit += (limit - self.limit) * step;
+        if report.pace > 0 {
+            let pace = f64::from(report.pace);
+            let step = if self.pace > 0.0 { MEAN_STEP } else { 1.0 };
+            self.pace += (pace - self.pace) * step;
+        }
         for urgency in Urgency::ALL {
             let ratio = f64::from(ahead(report, urgency)) / limit;
             let mean = &mut self.ahead[urgency.rank()];
@@ -187,7 +197,22 @@
         let fresh = self.faded(heard.at, self.half_life * SLOW_FADE);
         let off = (f64::from(heard.report.service_us) - mean) * fresh;
         let alike = mean * ALIKE;
-        mean + off - off.clamp(-alike, alike)
+        (mean + off - off.clamp(-alike, alike)) * self.pace(&heard)
+    }
+
+    /// How much longer than usual work takes at the target at this moment, as it told last.
+    ///
+    /// Spells in which work takes several times as long last some 150 ms, so the figure is worth
+    /// nothing once it is older than that.
+    fn pace(&self, heard: &Heard) -> f64 {
+        if heard.report.pace == 0 || self.mean.pace <= 0.0 {
+            return 1.0;
+        }
+        let age = self.now.saturating_duration_since(heard.at);
+        if age > PACE_FOR {
+            return 1.0;
+        }
+        f64::from(heard.report.pace) / self.mean.pace
     }
 
     /// The service time, raised while own calls are overdue.
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -69,6 +69,16 @@
         self.guard(now, instance.clone())
     }
 
+    /// See [`Pick::set_cut`].
+    pub fn set_cut(&self, instance: &Instance, cut: bool) {
+        self.pick.lock().set_cut(instance, cut);
+    }
+
+    /// See [`Pick::instances`].
+    pub fn instances(&self) -> Vec<Instance> {
+        self.pick.lock().instances()
+    }
+
     /// See [`Pick::oldest`].
     pub fn oldest(&self, now: Instant) -> Option<Instance> {
         self.pick.lock().oldest(now)
--- a/crates/pick/src/tokens.rs
+++ b/crates/pick/src/tokens.rs
@@ -28,6 +28,12 @@
         self
     }
 
+    /// Sets another cap; what is above it is lost.
+    pub(crate) fn set_cap(&mut self, cap: f64) {
+        self.cap = cap;
+        self.level = self.level.min(cap);
+    }
+
     /// Tokens now in the bucket.
     pub(crate) fn level(&mut self, now: Instant) -> f64 {
         let at = self.at.unwrap_or(now);
--- a/crates/pick/tests/decisions/world.rs
+++ b/crates/pick/tests/decisions/world.rs
@@ -39,6 +39,7 @@
         service_us: 10_000,
         answered: 100_000,
         hot: false,
+        ..Report::default()
     }
 }
 
--- a/crates/roster/src/record.rs
+++ b/crates/roster/src/record.rs
@@ -83,6 +83,12 @@
         if other.supersedes(&self) { other } else { self }
     }
 
+    /// Whether both say the same of where the instance is, whichever lives of it they are about.
+    pub fn same_place(&self, other: &Record) -> bool {
+        let place = |record: &Record| (record.link, record.zone.clone(), record.service.clone());
+        self.instance == other.instance && place(self) == place(other)
+    }
+
     /// The same record with the instance gone.
     pub(crate) fn gone(&self) -> Record {
         Record {
--- /dev/null
+++ b/crates/rule/src/bounds.rs
@@ -0,0 +1,18 @@
+//! What callers may send, as the rules bound it.
+
+use std::time::Duration;
+
+use unit::Size;
+
+/// Bounds on callers; one that is not set keeps the default of the process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Bounds {
+    /// Most bytes of a request's head.
+    pub head: Option<Size>,
+    /// Most bytes of a request's body.
+    pub body: Option<Size>,
+    /// Longest time that a head may take to come, from its first byte.
+    pub head_timeout: Option<Duration>,
+    /// Longest time that a connection may lie idle between two requests.
+    pub idle: Option<Duration>,
+}
--- a/crates/rule/src/document.rs
+++ b/crates/rule/src/document.rs
@@ -1,6 +1,6 @@
 //! The whole of the rules.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::IpAddr;
 
 use http::{HeaderMap, HeaderName};
@@ -10,7 +10,7 @@
 use crate::explain::{self, Explanation};
 use crate::index::Index;
 use crate::shadow::{self, Warning};
-use crate::{Error, Request, Then, When, read};
+use crate::{Bounds, Error, Request, Target, Then, When, read};
 
 /// One rule: when this, then that.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -28,6 +28,8 @@
 pub struct Document {
     text: String,
     caller_header: Option<HeaderName>,
+    bounds: Bounds,
+    targets: BTreeMap<Service, Target>,
     rules: Vec<Rule>,
     /// Where each rule begins in the text.
     offsets: Vec<usize>,
@@ -37,6 +39,8 @@
 /// What the reader makes of a document's text.
 pub(crate) struct Content {
     pub(crate) caller_header: Option<HeaderName>,
+    pub(crate) bounds: Bounds,
+    pub(crate) targets: BTreeMap<Service, Target>,
     pub(crate) rules: Vec<Rule>,
     /// Where each rule begins in the text.
     pub(crate) offsets: Vec<usize>,
@@ -59,6 +63,8 @@
         Ok(Document {
             text: text.to_string(),
             caller_header: content.caller_header,
+            bounds: content.bounds,
+            targets: content.targets,
             index: Index::of(&content.rules),
             rules: content.rules,
             offsets: content.offsets,
@@ -70,6 +76,25 @@
         &self.text
     }
 
+    /// What callers may send, and how long they may take; what is not said keeps its default.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// How the targets of `service` are to be asked after their health, if the document says so.
+    pub fn target(&self, service: &Service) -> Option<&Target> {
+        self.targets.get(service)
+    }
+
+    /// Whether the rules match on paths as they were sent, and not in their clean form.
+    ///
+    /// A prefix is compared byte for byte. Where no rule has a pattern, a path that the clean form
+    /// refuses is none of the rules' business.
+    pub fn reads_raw_paths(&self) -> bool {
+        let has_prefix = self.rules.iter().any(|rule| rule.when.prefix.is_some());
+        has_prefix && self.rules.iter().all(|rule| rule.when.path.is_none())
+    }
+
     /// The rules in order.
     pub fn rules(&self) -> &[Rule] {
         &self.rules
@@ -78,10 +103,10 @@
     /// The services that any rule sends requests to.
     pub fn services(&self) -> BTreeSet<&Service> {
         let routes = self.rules.iter().filter_map(|rule| match &rule.then {
-            Then::Route(route) => Some(&route.service),
+            Then::Route(route) => Some(route.services()),
             Then::Refuse(_) => None,
         });
-        routes.collect()
+        routes.flatten().collect()
     }
 
     /// Rules that can never match, each with an earlier rule that matches all it could.
--- a/crates/rule/src/explain.rs
+++ b/crates/rule/src/explain.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use crate::when::Field;
+use crate::when::{self, Field};
 use crate::{Request, Rule, When};
 
 /// The rules that a request passed by, and the one that it met.
@@ -62,7 +62,8 @@
     match field {
         Field::Service => request.service.map_or(ABSENT.to_string(), quoted),
         Field::Method => request.method.to_string(),
-        Field::Path => quoted(request.path),
+        Field::Host => when::host(request).map_or(ABSENT.to_string(), quoted),
+        Field::Prefix | Field::Path => quoted(request.path),
         Field::Header(name) => {
             let values = request.headers.get_all(name).iter();
             let values = values.map(|value| quoted(String::from_utf8_lossy(value.as_bytes())));
@@ -82,6 +83,8 @@
             .map(ToString::to_string)
             .collect::<Vec<_>>()
             .join(" or "),
+        Field::Host => when.host.as_ref().map(quoted).unwrap_or_default(),
+        Field::Prefix => when.prefix.as_ref().map(quoted).unwrap_or_default(),
         Field::Path => when.path.as_ref().map(quoted).unwrap_or_default(),
         Field::Header(name) => {
             let header = when.headers.iter().find(|header| header.name == *name);
--- a/crates/rule/src/index.rs
+++ b/crates/rule/src/index.rs
@@ -19,7 +19,7 @@
     pub(crate) fn of(rules: &[Rule]) -> Index {
         let mut index = Index::default();
         for (i, rule) in rules.iter().enumerate() {
-            let first = rule.when.path.as_ref().and_then(|path| path.first());
+            let first = rule.when.first_segment();
             match first {
                 Some(first) => index.by_first.entry(first.to_string()).or_default().push(i),
                 None => index.others.push(i),
--- a/crates/rule/src/lib.rs
+++ b/crates/rule/src/lib.rs
@@ -41,6 +41,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod bounds;
 mod document;
 mod explain;
 mod index;
@@ -51,14 +52,17 @@
 mod read;
 mod request;
 mod shadow;
+mod target;
 mod then;
 mod when;
 
+pub use bounds::Bounds;
 pub use document::{Document, Rule};
 pub use explain::{Explanation, Miss};
 pub use jsonc::{Error, Fault, Position};
 pub use key::{Key, KeyError};
 pub use request::Request;
 pub use shadow::Warning;
-pub use then::{Preference, Refuse, Route, Then};
+pub use target::Target;
+pub use then::{Part, Preference, Refuse, Route, Then};
 pub use when::{Field, Header, When};
--- a/crates/rule/src/read.rs
+++ b/crates/rule/src/read.rs
@@ -1,15 +1,18 @@
 //! Turns the text of a document into rules.
 
+mod bounds;
+mod target;
 mod then;
 mod when;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use http::HeaderName;
 use jsonc::{Error, Reader, Value};
+use unit::Urgency;
 
 use crate::document::Content;
-use crate::{Document, Rule};
+use crate::{Document, Route, Rule, Then};
 
 /// Longest name of a rule in bytes.
 const MAX_NAME: usize = 128;
@@ -19,12 +22,20 @@
 }
 
 fn document<'t>(reader: &mut Reader<'t>, root: &Value<'t>) -> Option<Content> {
-    let fields = reader.object(root, &["caller", "rules"])?;
+    let fields = reader.object(root, &["caller", "limits", "targets", "rules"])?;
     let caller_header = fields.get("caller").and_then(|value| caller(reader, value));
+    let bounds = fields
+        .get("limits")
+        .and_then(|value| bounds::bounds(reader, value));
+    let targets = fields
+        .get("targets")
+        .map(|value| target::targets(reader, value));
     let list = reader.required(&fields, "rules")?;
     let list = reader.list(list, Document::MAX_RULES)?;
     let mut content = Content {
         caller_header,
+        bounds: bounds.unwrap_or_default(),
+        targets: targets.unwrap_or_default(),
         rules: Vec::with_capacity(list.len()),
         offsets: Vec::with_capacity(list.len()),
     };
@@ -35,9 +46,31 @@
             content.offsets.push(jsonc::offset(value));
         }
     }
+    rank(&mut content.rules);
     Some(content)
 }
 
+/// Works out the urgency of routes with a priority: the first that occurs is urgent, the next
+/// routine, and all others are batch work.
+fn rank(rules: &mut [Rule]) {
+    let mut routes: Vec<&mut Route> = rules
+        .iter_mut()
+        .filter_map(|rule| match &mut rule.then {
+            Then::Route(route) => Some(route),
+            Then::Refuse(_) => None,
+        })
+        .collect();
+    let priorities: BTreeSet<u32> = routes.iter().filter_map(|route| route.priority).collect();
+    for route in &mut routes {
+        let Some(priority) = route.priority else {
+            continue;
+        };
+        let place = priorities.range(..priority).count();
+        let last = Urgency::ALL.len() - 1;
+        route.urgency = Urgency::ALL[place.min(last)];
+    }
+}
+
 fn caller<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<HeaderName> {
     let fields = reader.object(value, &["header"])?;
     let name = reader.required(&fields, "header")?;
--- /dev/null
+++ b/crates/rule/src/read/target.rs
@@ -0,0 +1,53 @@
+//! Reads what the targets of services have in common.
+
+use std::collections::BTreeMap;
+
+use jsonc::{Reader, Value};
+use unit::Service;
+
+use crate::Target;
+use crate::path::MAX_PATH;
+
+const FIELDS: [&str; 2] = ["health", "connections"];
+const MAX_CONNECTIONS: u32 = 1_000_000;
+
+pub(super) fn targets<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> BTreeMap<Service, Target> {
+    let mut targets = BTreeMap::new();
+    let Some(fields) = reader.entries(value, "an object of services") else {
+        return targets;
+    };
+    for field in fields.iter() {
+        let service = field.name.parse::<Service>();
+        if let Err(cause) = &service {
+            reader.fault(field.at, cause.to_string());
+        }
+        let target = target(reader, field.value);
+        if let (Ok(service), Some(target)) = (service, target) {
+            targets.insert(service, target);
+        }
+    }
+    targets
+}
+
+fn target<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Target> {
+    let fields = reader.object(value, &FIELDS)?;
+    let health = fields.get("health").and_then(|value| path(reader, value));
+    let connections = fields
+        .get("connections")
+        .and_then(|value| reader.count(value, 1..=MAX_CONNECTIONS));
+    Some(Target {
+        health,
+        connections,
+    })
+}
+
+fn path<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<String> {
+    let text = reader.text(value)?;
+    let graphic = text.bytes().all(|byte| byte.is_ascii_graphic());
+    if !text.starts_with('/') || text.len() > MAX_PATH || !graphic {
+        let cause = format!("{text:?} is no path: expected one that begins with a slash");
+        reader.fault_at(value, cause);
+        return None;
+    }
+    Some(text.to_string())
+}
--- a/crates/rule/src/read/then.rs
+++ b/crates/rule/src/read/then.rs
@@ -6,9 +6,9 @@
 use unit::{Size, Span, Urgency};
 
 use super::header_name;
-use crate::{Key, Preference, Refuse, Route, Then};
+use crate::{Key, Part, Preference, Refuse, Route, Then};
 
-const FIELDS: [&str; 11] = [
+const FIELDS: [&str; 16] = [
     "service",
     "urgency",
     "once",
@@ -20,11 +20,20 @@
     "zone",
     "measuring",
     "refuse",
+    "split",
+    "priority",
+    "objective",
+    "repeat",
+    "attempts",
 ];
 
 /// Longest timeout; a caller that waits longer has long gone.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
 const MAX_RETRIES: u32 = 10;
+const MAX_ATTEMPTS: u32 = 100;
+const MAX_PRIORITY: u32 = 1_000;
+const MAX_PARTS: usize = 64;
+const MAX_SHARE: u32 = 1_000_000;
 const MAX_PER_CALLER: u32 = 100_000;
 const MAX_WEIGHT: u32 = 1_000;
 const MAX_MEASURING: Size = Size::of(1_000_000);
@@ -77,7 +86,17 @@
 }
 
 fn route<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> Option<Route> {
-    let service = service(reader, fields);
+    let split = fields.get("split").and_then(|value| split(reader, value));
+    let service = match &split {
+        Some(parts) => parts.first().map(|part| part.service.clone()),
+        None => service(reader, fields),
+    };
+    let priority = count(reader, fields, "priority", 0, MAX_PRIORITY);
+    let objective = fields
+        .get("objective")
+        .and_then(|value| timeout(reader, value));
+    let repeat = fields.get("repeat").and_then(|value| reader.flag(value));
+    let attempts = count(reader, fields, "attempts", 1, MAX_ATTEMPTS);
     let urgency = fields
         .get("urgency")
         .and_then(|value| urgency(reader, value));
@@ -96,8 +115,14 @@
         .get("measuring")
         .and_then(|value| measuring(reader, value));
     check_hedge(reader, fields, hedge);
+    check_pairs(reader, fields);
     let default = Route::to(service?);
     Some(Route {
+        split: split.unwrap_or_default(),
+        priority,
+        objective,
+        repeat: repeat.unwrap_or(default.repeat),
+        attempts,
         urgency: urgency.unwrap_or(default.urgency),
         once,
         timeout: timeout.unwrap_or(default.timeout),
@@ -122,6 +147,47 @@
     reader.parsed(value)
 }
 
+/// Reads the parts of a route; those of no weight get no requests and are left out.
+fn split<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Vec<Part>> {
+    let list = reader.list(value, MAX_PARTS)?;
+    let mut parts = Vec::with_capacity(list.len());
+    for value in list {
+        let Some(fields) = reader.object(value, &["service", "weight"]) else {
+            continue;
+        };
+        let service = reader.required(&fields, "service");
+        let service = service.and_then(|value| reader.parsed(value));
+        let weight = reader.required(&fields, "weight");
+        let weight = weight.and_then(|value| reader.count(value, 0..=MAX_SHARE));
+        if let (Some(service), Some(weight)) = (service, weight) {
+            parts.push(Part { service, weight });
+        }
+    }
+    if parts.iter().all(|part| part.weight == 0) {
+        reader.fault_at(value, "no part has a weight: expected one above 0");
+        return None;
+    }
+    parts.retain(|part| part.weight > 0);
+    Some(parts)
+}
+
+/// Fields of which a rule gives one and not both.
+const PAIRS: [(&str, &str); 3] = [
+    ("service", "split"),
+    ("urgency", "priority"),
+    ("once", "repeat"),
+];
+
+fn check_pairs<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) {
+    for (one, other) in PAIRS {
+        let given = |name: &str| fields.iter().find(|field| field.name == name);
+        if let (Some(_), Some(field)) = (given(one), given(other)) {
+            let cause = format!("\"{other}\" beside \"{one}\": expected one of the two");
+            reader.fault(field.at, cause);
+        }
+    }
+}
+
 /// A hedge sends the request a second time while the first may run, which `once` rules out.
 fn check_hedge<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>, hedge: Option<bool>) {
     if hedge != Some(true) || fields.get("once").is_none() {
--- a/crates/rule/src/read/when.rs
+++ b/crates/rule/src/read/when.rs
@@ -8,9 +8,12 @@
 
 use super::bad_header;
 use crate::When;
+use crate::path::MAX_PATH;
 use crate::when::Header;
 
-const FIELDS: [&str; 6] = ["service", "method", "path", "header", "caller", "zone"];
+const FIELDS: [&str; 8] = [
+    "service", "method", "path", "header", "caller", "zone", "host", "prefix",
+];
 
 /// Most elements of a list of methods, services or zones.
 const MAX_LIST: usize = 64;
@@ -18,6 +21,9 @@
 /// Most header fields that one rule may ask for.
 const MAX_HEADERS: usize = 16;
 
+/// Longest name of a host in bytes, as DNS has it.
+const MAX_HOST: usize = 253;
+
 /// Longest wanted value of a header field in bytes.
 const MAX_VALUE: usize = 1_024;
 
@@ -30,6 +36,8 @@
     if let Some(value) = fields.get("method") {
         when.methods = methods(reader, value);
     }
+    when.host = fields.get("host").and_then(|value| host(reader, value));
+    when.prefix = fields.get("prefix").and_then(|value| prefix(reader, value));
     when.path = fields.get("path").and_then(|value| reader.parsed(value));
     if let Some(value) = fields.get("header") {
         when.headers = headers(reader, value);
@@ -41,6 +49,29 @@
     Some(when)
 }
 
+fn host<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<String> {
+    let text = reader.text(value)?;
+    let named = !text.is_empty() && text.len() <= MAX_HOST;
+    if !named || text.bytes().any(|byte| !byte.is_ascii_graphic()) {
+        let cause = format!("{text:?} is no host: expected a name such as desk.example");
+        reader.fault_at(value, cause);
+        return None;
+    }
+    Some(text.to_string())
+}
+
+fn prefix<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<String> {
+    let text = reader.text(value)?;
+    if !text.starts_with('/') || !text.ends_with('/') || text.len() > MAX_PATH {
+        let cause = format!(
+            "{text:?} is no prefix: expected at most {MAX_PATH} bytes with a slash at both ends"
+        );
+        reader.fault_at(value, cause);
+        return None;
+    }
+    Some(text.to_string())
+}
+
 /// Reads one name or a list of them; what can't be read is noted as a fault and left out.
 fn names<'t, T>(reader: &mut Reader<'t>, value: &Value<'t>) -> Vec<T>
 where
--- a/crates/rule/src/shadow.rs
+++ b/crates/rule/src/shadow.rs
@@ -28,7 +28,7 @@
 pub(crate) fn find(rules: &[Rule], index: &Index) -> Vec<Shadow> {
     let mut shadows = Vec::new();
     for (i, rule) in rules.iter().enumerate() {
-        let first = rule.when.path.as_ref().and_then(|path| path.first());
+        let first = rule.when.first_segment();
         let earlier = index.candidates(first.unwrap_or_default());
         let mut earlier = earlier.take_while(|by| *by < i);
         if let Some(by) = earlier.find(|by| rules[*by].when.covers(&rule.when)) {
--- a/crates/rule/src/then.rs
+++ b/crates/rule/src/then.rs
@@ -20,8 +20,22 @@
 pub struct Route {
     /// The service whose targets answer.
     pub service: Service,
+    /// Services that share the requests by weight; empty where [`Route::service`] gets them all.
+    pub split: Vec<Part>,
     /// How soon the request must be served; `routine` where the rule says nothing.
     pub urgency: Urgency,
+    /// The rank by which the reader of the document has worked out the urgency; 0 is the highest.
+    pub priority: Option<u32>,
+    /// The time after which an answer is worth little to its caller; none by default.
+    pub objective: Option<Duration>,
+    /// Whether the request may run more than once; `true` by default.
+    ///
+    /// A request without a key that may not be repeated is sent again only where it certainly has
+    /// not run. Nothing is claimed for it: a caller that sends it anew has it run anew.
+    pub repeat: bool,
+    /// Most targets that one request may be sent to; a gate that refuses is not counted. No bound
+    /// but [`Route::retries`] by default.
+    pub attempts: Option<u32>,
     /// Where the key of a request that may run at most once stands; `None` where it may repeat.
     pub once: Option<Key>,
     /// How long the caller waits, queueing and retries included; 10 s by default.
@@ -43,6 +57,15 @@
     pub measuring: Size,
 }
 
+/// One service's part of a route.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Part {
+    /// The service.
+    pub service: Service,
+    /// Its share of the requests, against the weights of the others.
+    pub weight: u32,
+}
+
 /// A refusal at the entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Refuse {
@@ -77,11 +100,28 @@
     /// The measuring budget of a rule that names none.
     pub const MEASURING: Size = Size::of(1_000);
 
+    /// The services that requests of this route go to.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        let parts = self.split.iter().map(|part| &part.service);
+        let whole = self.split.is_empty().then_some(&self.service);
+        parts.chain(whole)
+    }
+
+    /// Whether the request may run more than once, so that one that may have run can be sent again.
+    pub fn repeatable(&self) -> bool {
+        self.repeat && self.once.is_none()
+    }
+
     /// A route to `service` with every default.
     pub fn to(service: Service) -> Route {
         Route {
             service,
+            split: Vec::new(),
             urgency: Urgency::default(),
+            priority: None,
+            objective: None,
+            repeat: true,
+            attempts: None,
             once: None,
             timeout: Route::TIMEOUT,
             retries: Route::RETRIES,
--- a/crates/rule/src/when.rs
+++ b/crates/rule/src/when.rs
@@ -1,7 +1,7 @@
 //! Which requests a rule matches.
 
 use derive_more::Display;
-use http::{HeaderName, Method};
+use http::{HeaderName, Method, header};
 use unit::{Service, Zone};
 
 use crate::{Request, pattern};
@@ -15,6 +15,10 @@
     pub services: Vec<Service>,
     /// The method is one of these, in any letter case.
     pub methods: Vec<Method>,
+    /// The host that the request names, in any letter case and with or without a port.
+    pub host: Option<String>,
+    /// What the path begins with, byte for byte; it ends with a slash.
+    pub prefix: Option<String>,
     /// The path.
     pub path: Option<pattern::Path>,
     /// Header fields that must all be there.
@@ -43,6 +47,12 @@
     /// [`When::methods`].
     #[display("method")]
     Method,
+    /// [`When::host`].
+    #[display("host")]
+    Host,
+    /// [`When::prefix`].
+    #[display("prefix")]
+    Prefix,
     /// [`When::path`].
     #[display("path")]
     Path,
@@ -73,6 +83,16 @@
         if !self.takes_method(request.method) {
             return Some(Field::Method);
         }
+        if !self.takes_host(request) {
+            return Some(Field::Host);
+        }
+        if !self
+            .prefix
+            .as_ref()
+            .is_none_or(|prefix| begins_with(request.path, prefix))
+        {
+            return Some(Field::Prefix);
+        }
         if !self
             .path
             .as_ref()
@@ -107,18 +127,48 @@
         self.methods.is_empty() || self.methods.iter().any(same)
     }
 
+    fn takes_host(&self, request: &Request<'_>) -> bool {
+        let Some(wanted) = &self.host else {
+            return true;
+        };
+        host(request).is_some_and(|host| host.eq_ignore_ascii_case(wanted))
+    }
+
+    /// The first segment that the path of a matching request has, if there can be only one.
+    pub(crate) fn first_segment(&self) -> Option<&str> {
+        if let Some(prefix) = &self.prefix {
+            let mut segments = prefix.split('/').filter(|segment| !segment.is_empty());
+            return segments.next();
+        }
+        self.path.as_ref().and_then(pattern::Path::first)
+    }
+
     /// Whether every request that `other` matches is matched by this too.
     ///
     /// It may say no where the answer is yes, and never the other way about.
     pub(crate) fn covers(&self, other: &When) -> bool {
         subset(&other.services, &self.services)
             && subset(&other.methods, &self.methods)
+            && self.covers_host(other)
+            && self.covers_prefix(other)
             && self.covers_path(other)
             && self.headers.iter().all(|header| header.follows_from(other))
             && self.covers_caller(other)
             && subset(&other.zones, &self.zones)
     }
 
+    fn covers_host(&self, other: &When) -> bool {
+        self.host.is_none() || self.host == other.host
+    }
+
+    fn covers_prefix(&self, other: &When) -> bool {
+        match (&self.prefix, &other.prefix) {
+            (None, _) => true,
+            (Some(mine), Some(theirs)) => theirs.starts_with(mine.as_str()),
+            (Some(mine), None) => mine == "/",
+        }
+    }
+
     fn covers_path(&self, other: &When) -> bool {
         match (&self.path, &other.path) {
             (None, _) => true,
@@ -136,6 +186,19 @@
     }
 }
 
+/// The host that a request names, without its port.
+pub(crate) fn host<'a>(request: &Request<'a>) -> Option<&'a str> {
+    let host = request.headers.get(header::HOST)?.to_str().ok()?;
+    let port = host.rsplit_once(':');
+    let named = port.filter(|(_, port)| port.bytes().all(|byte| byte.is_ascii_digit()));
+    Some(named.map_or(host, |(name, _)| name))
+}
+
+/// A path in its clean form has no slash at its end, which the prefix may ask for.
+fn begins_with(path: &str, prefix: &str) -> bool {
+    path.starts_with(prefix) || prefix.strip_suffix('/') == Some(path)
+}
+
 impl Header {
     fn holds(&self, request: &Request<'_>) -> bool {
         let mut values = request.headers.get_all(&self.name).iter();
--- a/crates/setting/src/address.rs
+++ b/crates/setting/src/address.rs
@@ -23,6 +23,16 @@
     read(reader, value, name)
 }
 
+/// Reads the address in the field `name`, if it is given.
+pub(crate) fn optional<'t>(
+    reader: &mut Reader<'t>,
+    fields: &Fields<'_, 't>,
+    name: &'static str,
+) -> Option<SocketAddr> {
+    let value = fields.get(name)?;
+    read(reader, value, name).map(|place| place.address)
+}
+
 pub(crate) fn read<'t>(
     reader: &mut Reader<'t>,
     value: &Value<'t>,
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -20,17 +20,30 @@
 mod check;
 mod limits;
 mod read;
+mod retry;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use log::LevelFilter;
 use unit::{Instance, Service, Zone};
 
 pub use jsonc::{Error, Fault};
 pub use limits::Limits;
+pub use retry::Retry;
+
+/// How daemons reach each other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Links {
+    /// By QUIC, with certificates that are pinned to announcements.
+    #[default]
+    Quic,
+    /// By TCP, for networks on which only daemons reach each other.
+    Tcp,
+}
 
 /// The settings of one daemon.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Setting {
     /// The name of this instance, alone of its kind in the fleet.
     pub instance: Instance,
@@ -40,11 +53,25 @@
     pub region: String,
     /// The service that the target of this daemon belongs to.
     pub service: Service,
-    /// Where outside callers send their requests, HTTP over TCP.
+    /// Where outside callers send their requests, HTTP over TCP; `outbound` with `one_port`.
     pub callers: SocketAddr,
+    /// Whether callers use `outbound` too, where the target is known by its address; `false` by
+    /// default.
+    pub one_port: bool,
+    /// Where the platform asks whether this daemon takes requests; not at all by default.
+    pub readiness: Option<SocketAddr>,
+    /// Where the target announces itself; not at all by default.
+    pub control: Option<SocketAddr>,
+    /// The time between two announcements of the target; with it `slots` counts only until the
+    /// first of them.
+    pub heartbeat: Option<Duration>,
+    /// How links are carried; QUIC by default.
+    pub links: Links,
+    /// What the entries of the fleet may send again.
+    pub retry: Retry,
     /// Where the target sends its nested calls, HTTP over TCP; the target's machine only.
     pub outbound: SocketAddr,
-    /// Where other daemons reach this one, QUIC over UDP; announced to them as it stands here.
+    /// Where other daemons reach this one, over UDP for QUIC; announced to them as it stands here.
     pub link: SocketAddr,
     /// Where operators read metrics and dumps, HTTP over TCP.
     pub operator: SocketAddr,
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -1,14 +1,16 @@
 //! Turns the text of the settings into a [`Setting`].
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use jsonc::{Error, Fields, Reader, Value};
 use log::LevelFilter;
+use unit::Span;
 
 use crate::address::{self, Place};
-use crate::{Limits, Setting, check, limits};
+use crate::{Limits, Links, Setting, check, limits, retry};
 
-const FIELDS: [&str; 18] = [
+const FIELDS: [&str; 24] = [
     "instance",
     "zone",
     "region",
@@ -27,6 +29,12 @@
     "limits",
     "log",
     "threads",
+    "one_port",
+    "readiness",
+    "control",
+    "heartbeat",
+    "links",
+    "retry",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -44,6 +52,9 @@
 const MAX_STORE: usize = 8;
 const MAX_THREADS: u32 = 1_024;
 const MAX_KEY: usize = 128;
+const MAX_HEARTBEAT: Duration = Duration::from_secs(600);
+
+const LINKS: [(&str, Links); 2] = [("quic", Links::Quic), ("tcp", Links::Tcp)];
 
 /// The addresses of a daemon, each missing where it could not be read.
 struct Addresses {
@@ -75,7 +86,17 @@
     let operator_public = fields.get("operator_public");
     let operator_public = operator_public.and_then(|value| reader.flag(value));
     let operator_public = operator_public.unwrap_or(false);
-    let addresses = addresses(reader, &fields, operator_public);
+    let one_port = fields.get("one_port").and_then(|value| reader.flag(value));
+    let one_port = one_port.unwrap_or(false);
+    let addresses = addresses(reader, &fields, operator_public, one_port);
+    let readiness = address::optional(reader, &fields, "readiness");
+    let control = address::optional(reader, &fields, "control");
+    let heartbeat = fields.get("heartbeat");
+    let heartbeat = heartbeat.and_then(|value| heartbeat_period(reader, value));
+    let links = fields.get("links");
+    let links = links.and_then(|value| reader.choice(value, &LINKS));
+    let retry = fields.get("retry");
+    let retry = retry.and_then(|value| retry::read(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -92,8 +113,17 @@
         zone: zone?,
         region,
         service: service?,
-        callers: addresses.callers?.address,
+        callers: match one_port {
+            true => addresses.outbound.as_ref()?.address,
+            false => addresses.callers?.address,
+        },
         outbound: addresses.outbound?.address,
+        one_port,
+        readiness,
+        control,
+        heartbeat,
+        links: links.unwrap_or_default(),
+        retry: retry.unwrap_or_default(),
         link: addresses.link?.address,
         operator: addresses.operator?.address,
         operator_public,
@@ -117,6 +147,20 @@
     reader.parsed(value)
 }
 
+fn heartbeat_period<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Duration> {
+    let Span(period) = reader.parsed(value)?;
+    if period.is_zero() || period > MAX_HEARTBEAT {
+        let cause = format!(
+            "a heartbeat each {}: expected more than 0s and at most {}",
+            Span(period),
+            Span(MAX_HEARTBEAT)
+        );
+        reader.fault_at(value, cause);
+        return None;
+    }
+    Some(period)
+}
+
 /// A region is spelled as a zone is.
 fn region<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> String {
     let default = || "local".to_string();
@@ -135,9 +179,14 @@
     reader: &mut Reader<'t>,
     fields: &Fields<'_, 't>,
     operator_public: bool,
+    one_port: bool,
 ) -> Addresses {
+    let callers = match one_port {
+        true => None,
+        false => address::required(reader, fields, "callers"),
+    };
     let addresses = Addresses {
-        callers: address::required(reader, fields, "callers"),
+        callers,
         outbound: address::required(reader, fields, "outbound"),
         link: address::required(reader, fields, "link"),
         operator: address::required(reader, fields, "operator"),
--- a/crates/store/src/http/mod.rs
+++ b/crates/store/src/http/mod.rs
@@ -16,3 +16,4 @@
 pub mod text;
 
 pub use client::{Builder, Client};
+pub use peer::{Failure, Peer};
--- a/crates/store/src/http/peer.rs
+++ b/crates/store/src/http/peer.rs
@@ -14,12 +14,18 @@
 /// Bytes of an answer that we are ready to read: a list of many objects.
 const MAX_ANSWER: usize = 64_000_000;
 
+/// Silence after which a connection is probed, the time between two probes, and how many may stay
+/// unanswered.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 2;
+
 /// Idle connections that we keep for one peer.
 const MAX_IDLE: usize = 4;
 
 type Pool = Client<HttpConnector, Full<Bytes>>;
 
-pub(crate) struct Peer {
+/// One instance of the platform, with the connections to it that are kept.
+pub struct Peer {
     pub(crate) address: SocketAddr,
     connect: Duration,
     idle: Duration,
@@ -27,7 +33,8 @@
 }
 
 /// Why there is no answer.
-pub(crate) enum Failure {
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Failure {
     /// No connection came about, so nothing was sent.
     Unsent(String),
     /// Something may have been sent.
@@ -35,7 +42,9 @@
 }
 
 impl Peer {
-    pub(crate) fn new(address: SocketAddr, connect: Duration, idle: Duration) -> Peer {
+    /// A peer at `address`; `connect` is how long a connection may take to come about, `idle` how long
+    /// an unused one is kept.
+    pub fn new(address: SocketAddr, connect: Duration, idle: Duration) -> Peer {
         let pool = Mutex::new(pool(connect, idle));
         Peer {
             address,
@@ -51,7 +60,11 @@
     /// it times out. We then drop the whole pool of this peer, since its idle connections may have
     /// gone silent with it: the next call opens a new connection. Calls that are on their way keep
     /// theirs until their own time is up.
-    pub(crate) async fn send(
+    ///
+    /// # Errors
+    ///
+    /// The [`Failure`] tells whether anything may have been sent.
+    pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
@@ -72,6 +85,11 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(connect));
+    // A watch waits for long in silence. The system's own probes tell a connection that has gone
+    // silent for good within some seconds, and cost no call.
+    connector.set_keepalive(Some(KEEPALIVE));
+    connector.set_keepalive_interval(Some(KEEPALIVE));
+    connector.set_keepalive_retries(Some(KEEPALIVE_RETRIES));
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(idle)
--- a/crates/target/src/answer.rs
+++ b/crates/target/src/answer.rs
@@ -5,11 +5,18 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::FutureExt;
 use held::MAX_BODY;
-use http::response::Parts;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use tokio::time::timeout;
-use wire::{Error, Frame, Sender};
+use http::{HeaderMap, StatusCode};
+use tokio::time::{Instant, timeout, timeout_at};
+use wire::{Error, Frame, Reply, Sender};
+
+use crate::connection::{self, Connection};
+
+/// A body up to this size is read to its end before anything of the answer leaves. An answer that
+/// the target cuts can then be replaced by another target's, where the request may be repeated.
+const READ_FIRST: usize = 128 << 10;
+
+/// A body that takes longer than this is passed on as it comes.
+const READ_FIRST_FOR: Duration = Duration::from_millis(100);
 
 /// How an answer's way to the entry ended.
 pub(crate) enum Ended {
@@ -43,60 +50,97 @@
 }
 
 impl Relay<'_> {
-    /// Streams `body` to its end. What the sender's buffer holds, such as the answer's head, leaves
-    /// with the first piece, or as soon as the target has none ready.
-    pub(crate) async fn run(mut self, mut body: Incoming) -> Result<Ended, Error> {
-        let mut copy = self.keep.then(BytesMut::new);
-        let mut taken = true;
-        loop {
-            let data = match self.read(&mut body, &mut taken).await? {
-                Read::Data(data) => data,
-                Read::End => break,
-                Read::Stop(ended) => return Ok(ended),
-            };
-            copy = copy.and_then(|copy| grow(copy, &data));
-            if taken && let Some(ended) = self.write(data, &mut taken).await? {
-                return Ok(ended);
+    /// Sends `reply` and the body that follows on `connection`.
+    pub(crate) async fn run(
+        mut self,
+        reply: &Reply,
+        connection: &mut Connection,
+    ) -> Result<Ended, Error> {
+        let mut start = BytesMut::new();
+        let until = Instant::now() + READ_FIRST_FOR;
+        let whole = loop {
+            if start.len() > READ_FIRST {
+                break false;
             }
+            match timeout_at(until, self.read(connection)).await {
+                Ok(Read::Data(data)) => start.extend_from_slice(&data),
+                Ok(Read::End) => break true,
+                Ok(Read::Stop(ended)) => return Ok(ended),
+                Err(_) => break false,
+            }
+        };
+        let start = start.freeze();
+        self.sender.push(&Frame::Reply(reply.clone()))?;
+        let mut taken = true;
+        if !start.is_empty()
+            && let Some(ended) = self.write(start.clone(), &mut taken).await?
+        {
+            return Ok(ended);
         }
+        let copy = match whole {
+            true => self.keep.then_some(start),
+            false => {
+                let mut copy = self.keep.then(|| BytesMut::from(&start[..]));
+                if let Some(ended) = self.stream(connection, &mut copy, &mut taken).await? {
+                    return Ok(ended);
+                }
+                copy.map(BytesMut::freeze)
+            }
+        };
         if taken {
             // It leaves when the sender is finished.
             self.sender.push(&Frame::End)?;
         }
-        let copy = copy.map(BytesMut::freeze);
         Ok(Ended::Whole { copy, taken })
     }
 
-    async fn read(&mut self, body: &mut Incoming, taken: &mut bool) -> Result<Read, Error> {
-        let frame = match body.frame().now_or_never() {
-            Some(frame) => frame,
-            None => {
-                if *taken && let Some(ended) = self.write(Bytes::new(), taken).await? {
-                    return Ok(Read::Stop(ended));
-                }
-                let waited = tokio::select! {
-                    biased;
-                    frame = timeout(self.idle, body.frame()) => frame,
-                    // A target that pauses would else keep its slot until `idle`, though nobody
-                    // waits.
-                    () = self.sender.stopped(), if !self.keep => {
-                        return Ok(Read::Stop(Ended::Unwanted));
+    /// Streams the rest of a body that was too large or too slow to be read first. What the sender's
+    /// buffer holds leaves as soon as the target has nothing ready.
+    async fn stream(
+        &mut self,
+        connection: &mut Connection,
+        copy: &mut Option<BytesMut>,
+        taken: &mut bool,
+    ) -> Result<Option<Ended>, Error> {
+        loop {
+            let ready = connection.piece().now_or_never();
+            let read = match ready {
+                Some(piece) => read_of(piece),
+                None => {
+                    if *taken && let Some(ended) = self.write(Bytes::new(), taken).await? {
+                        return Ok(Some(ended));
                     }
-                };
-                match waited {
-                    Ok(frame) => frame,
-                    Err(_) => return Ok(cut(format!("no byte for {:?}", self.idle))),
+                    self.read(connection).await
                 }
+            };
+            let data = match read {
+                Read::Data(data) => data,
+                Read::End => return Ok(None),
+                Read::Stop(ended) => return Ok(Some(ended)),
+            };
+            *copy = copy.take().and_then(|copy| grow(copy, &data));
+            if *taken && let Some(ended) = self.write(data, taken).await? {
+                return Ok(Some(ended));
+            }
+        }
+    }
+
+    async fn read(&mut self, connection: &mut Connection) -> Read {
+        let piece = tokio::select! {
+            biased;
+            piece = timeout(self.idle, connection.piece()) => piece,
+            // A target that pauses would else keep its slot until `idle`, though nobody waits.
+            () = self.sender.stopped(), if !self.keep => {
+                return Read::Stop(Ended::Unwanted);
             }
         };
-        Ok(match frame {
-            Some(Ok(frame)) => Read::Data(frame.into_data().unwrap_or_default()),
-            Some(Err(error)) => cut(error.to_string()),
-            None => Read::End,
-        })
+        match piece {
+            Ok(piece) => read_of(piece),
+            Err(_) => Read::Stop(Ended::Cut(format!("no byte for {:?}", self.idle))),
+        }
     }
 
-    /// Writes `data`; without any, what the buffer holds.
+    /// Puts `data` into the buffer, which is written out when it is full; without any, at once.
     async fn write(&mut self, data: Bytes, taken: &mut bool) -> Result<Option<Ended>, Error> {
         let written = match data.is_empty() {
             true => timeout(self.idle, self.sender.flush()).await,
@@ -115,8 +159,12 @@
     }
 }
 
-fn cut(cause: String) -> Read {
-    Read::Stop(Ended::Cut(cause))
+fn read_of(piece: Result<Option<Bytes>, connection::Error>) -> Read {
+    match piece {
+        Ok(Some(data)) => Read::Data(data),
+        Ok(None) => Read::End,
+        Err(error) => Read::Stop(Ended::Cut(error.to_string())),
+    }
 }
 
 fn grow(mut copy: BytesMut, data: &Bytes) -> Option<BytesMut> {
@@ -128,11 +176,24 @@
 }
 
 /// When the target asks to be left alone: a 503 that says when to come back.
-pub(crate) fn shed(parts: &Parts) -> Option<Duration> {
-    if parts.status != http::StatusCode::SERVICE_UNAVAILABLE {
+pub(crate) fn shed(status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+    if status != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
-    let after = parts.headers.get(http::header::RETRY_AFTER)?;
+    let after = headers.get(http::header::RETRY_AFTER)?;
     let seconds: u64 = after.to_str().ok()?.trim().parse().ok()?;
     Some(Duration::from_secs(seconds))
 }
+
+/// Statuses by which a caller is promised that its request has not run.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Whether an answer of this status promises that the request has not run.
+pub(crate) fn promises(status: StatusCode) -> bool {
+    PROMISES.contains(&status)
+}
--- a/crates/target/src/builder.rs
+++ b/crates/target/src/builder.rs
@@ -1,8 +1,10 @@
 //! The settings of the role beside a target.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use dialect::Dialect;
 use gate::Gate;
 use nest::Table;
 use unit::{Depth, Service, Size};
@@ -23,8 +25,22 @@
     pub(crate) max_depth: Depth,
     pub(crate) body_idle: Duration,
     pub(crate) held: held::Table,
+    pub(crate) dialect: Dialect,
+    pub(crate) announced: Option<Announced>,
 }
 
+/// How a target is known that announces itself.
+#[derive(Clone)]
+pub struct Announced {
+    /// The time between two of its heartbeats.
+    pub period: Duration,
+    /// The path that answers how it is, if one is known.
+    pub health: Health,
+}
+
+/// Tells the health path of the targets of the own service.
+pub type Health = Arc<dyn Fn() -> Option<String> + Send + Sync>;
+
 impl Builder {
     pub(crate) fn new(service: Service, target: SocketAddr, gate: Gate) -> Builder {
         Builder {
@@ -35,6 +51,8 @@
             max_depth: Depth(9),
             body_idle: Duration::from_secs(60),
             held: held::Table::new(HELD, HOLD_FOR),
+            dialect: Dialect::default(),
+            announced: None,
         }
     }
 
@@ -62,6 +80,18 @@
         self
     }
 
+    /// What headers of requests and answers are called.
+    pub fn dialect(mut self, dialect: Dialect) -> Builder {
+        self.dialect = dialect;
+        self
+    }
+
+    /// The target announces itself: it gets nothing before it has, or has answered for itself.
+    pub fn announced(mut self, announced: Announced) -> Builder {
+        self.announced = Some(announced);
+        self
+    }
+
     /// The server.
     pub fn build(self) -> Server {
         Server::new(self)
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use bytes::{Bytes, BytesMut};
 use gate::{End, Permit, Running};
 use held::Answer;
-use http::{HeaderName, HeaderValue, Request, Response, header};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
+use http::{HeaderName, HeaderValue, Method, StatusCode, header};
+use http1::response;
 use nest::Context;
 use tokio::time::{Instant, timeout_at};
 use unit::{Depth, Instance, Urgency};
@@ -15,8 +15,7 @@
 };
 
 use crate::answer::{self, Ended, Relay};
-use crate::body;
-use crate::pool::Body;
+use crate::connection::{self, Connection, Content, Outgoing};
 use crate::server::Server;
 
 /// A deadline beyond this is cut, so that an entry with a wrong clock or setting can't make the
@@ -35,22 +34,31 @@
 /// All that a request needs to start.
 struct Dispatch {
     permit: Permit,
-    head: Request<()>,
-    connection: SendRequest<Body>,
+    connection: Connection,
 }
 
 /// What came of the request at the target.
 enum Sent {
     /// The target answers.
-    Answer(Response<Incoming>, SendRequest<Body>),
-    /// The connection died while the request may have run.
-    Crashed(String),
-    /// The deadline came first.
-    Late,
+    Answer(response::Head, Connection),
+    /// The connection died, or brought no answer, while the request may have run.
+    Failed(connection::Error),
+    /// The deadline came first; the connection had carried so many requests.
+    Late(u32),
     /// The entry went away.
     Cancelled,
 }
 
+/// What an answer's head means for the caller.
+enum Verdict {
+    /// It is the answer.
+    Pass,
+    /// The target says that it did not run the request.
+    Declined,
+    /// It can't be given to a caller: it would promise or confirm what the target did not.
+    Unfit(&'static str),
+}
+
 impl<'a> Work<'a> {
     pub(crate) fn new(server: &'a Server, call: Call, entry: Instance) -> Work<'a> {
         let deadline = Instant::now() + call.remaining.min(MAX_REMAINING);
@@ -73,25 +81,25 @@
             receiver,
         } = stream;
         sender.urgency(self.call.urgency);
-        let head = match self.http() {
-            Ok(head) if !self.misdirected() => head,
-            _ => {
-                return self
-                    .refuse(sender, Cause::Misdirected, Duration::ZERO)
-                    .await;
-            }
-        };
+        if self.method().is_none() || self.misdirected() {
+            let cause = Cause::Misdirected;
+            return self.refuse(sender, cause, Duration::ZERO).await;
+        }
         let permit = tokio::select! {
             permit = self.server.gate.admit(self.request()) => permit,
             // Nobody waits for the answer any more: the request leaves the queue unsent.
             () = sender.stopped() => return Ok(()),
         };
         match permit {
-            Ok(permit) => self.connect(permit, head, sender, receiver).await,
+            Ok(permit) => self.connect(permit, sender, receiver).await,
             Err(refusal) => self.refused(sender, &refusal).await,
         }
     }
 
+    fn method(&self) -> Option<Method> {
+        Method::from_bytes(self.call.method.as_bytes()).ok()
+    }
+
     fn misdirected(&self) -> bool {
         self.call.service != self.server.service || self.call.depth > self.server.max_depth
     }
@@ -105,6 +113,8 @@
             deadline: self.deadline,
             kind: self.call.kind,
             nested: self.call.depth > Depth(0),
+            goal: self.call.goal.map(|left| Instant::now() + left),
+            class: self.call.class,
         }
     }
 
@@ -113,24 +123,17 @@
     async fn connect(
         self,
         permit: Permit,
-        head: Request<()>,
         sender: Sender,
         receiver: Receiver,
     ) -> Result<(), Error> {
-        // A request that may not be repeated gets a connection of its own: on a kept one the
-        // target's close may cross with the request, and nobody could tell whether it ran.
         match self.server.pool.take(self.call.once).await {
             Ok(connection) => {
-                let head = Dispatch {
-                    permit,
-                    head,
-                    connection,
-                };
-                self.dispatch(head, sender, receiver).await
+                let dispatch = Dispatch { permit, connection };
+                self.dispatch(dispatch, sender, receiver).await
             }
             Err(error) => {
                 log::warn!("target: {error}.");
-                self.server.gate.target_down();
+                self.server.lost();
                 let refusal = permit.refuse(gate::Cause::Down);
                 self.refused(sender, &refusal).await
             }
@@ -141,19 +144,24 @@
         self,
         dispatch: Dispatch,
         mut sender: Sender,
-        receiver: Receiver,
+        mut receiver: Receiver,
     ) -> Result<(), Error> {
-        if self.call.body == Payload::Streamed {
-            let accepted = Accepted {
-                token: self.call.token,
-            };
-            sender.send(&Frame::Accepted(accepted)).await?;
-        }
-        let Dispatch {
-            permit,
-            head,
-            connection,
-        } = dispatch;
+        let Dispatch { permit, connection } = dispatch;
+        let content = match self.call.body {
+            Payload::Empty => Content::Empty,
+            Payload::Whole => match collect(&mut receiver).await {
+                Ok(body) => Content::Whole(body),
+                Err(error) => {
+                    drop(permit);
+                    return Err(error);
+                }
+            },
+            Payload::Streamed => {
+                let token = self.call.token;
+                sender.send(&Frame::Accepted(Accepted { token })).await?;
+                Content::Streamed(receiver)
+            }
+        };
         let running = permit.dispatch();
         let nest = self.server.nests.enter(self.call.token, self.context());
         let hold = self
@@ -161,24 +169,35 @@
             .once
             .then(|| self.server.held.begin(self.call.token));
         let began = Instant::now();
-        let sent = self.send(head, connection, &mut sender, receiver).await;
-        let (response, connection) = match sent {
-            Sent::Answer(response, connection) => (response, connection),
+        let sent = self.send(connection, content, &mut sender).await;
+        let (head, mut connection) = match sent {
+            Sent::Answer(head, connection) => (head, connection),
             failed => return self.fail(failed, running, sender, began).await,
         };
-        let (parts, incoming) = response.into_parts();
-        let shed = answer::shed(&parts);
-        let reply = self.reply(&parts, nest.left());
         let latency = began.elapsed();
+        self.server.learn(&head);
+        match self.judge(&head) {
+            Verdict::Pass => {}
+            Verdict::Declined => {
+                running.finish(End::Declined);
+                self.declined(&head, connection);
+                return self.refuse(sender, Cause::Declined, Duration::ZERO).await;
+            }
+            Verdict::Unfit(cause) => {
+                running.finish(End::Failed { latency });
+                return abort(sender, cause.to_string()).await;
+            }
+        }
+        let shed = answer::shed(head.status, &head.headers);
+        let reply = self.reply(&head, nest.left());
         // For a request that may not be repeated we go on although the entry is gone: its answer
         // is kept for whoever asks after the token.
-        sender.push(&Frame::Reply(reply.clone()))?;
         let relay = Relay {
             sender: &mut sender,
             idle: self.server.body_idle,
             keep: self.call.once,
         };
-        let ended = match relay.run(incoming).await {
+        let ended = match relay.run(&reply, &mut connection).await {
             Ok(ended) => ended,
             Err(error) => {
                 running.finish(End::Cancelled);
@@ -190,8 +209,8 @@
                 if let (Some(hold), Some(body)) = (hold, copy) {
                     hold.done(Answer { reply, body });
                 }
-                self.server.pool.give(connection);
-                running.finish(end(shed, parts.status, latency));
+                self.free(connection);
+                running.finish(end(shed, head.status, latency));
                 if taken { sender.finish().await } else { Ok(()) }
             }
             Ended::Unwanted => {
@@ -199,6 +218,7 @@
                 Ok(())
             }
             Ended::Cut(cause) => {
+                self.server.pool.be_wary();
                 running.finish(End::Failed {
                     latency: began.elapsed(),
                 });
@@ -209,50 +229,92 @@
 
     async fn send(
         &self,
-        head: Request<()>,
-        mut connection: SendRequest<Body>,
+        mut connection: Connection,
+        content: Content,
         sender: &mut Sender,
-        receiver: Receiver,
     ) -> Sent {
-        let body = match self.call.body {
-            Payload::Empty => body::empty(),
-            Payload::Whole | Payload::Streamed => body::read(receiver),
+        let outgoing = self.outgoing();
+        let carried = connection.carried;
+        let answer = connection.send(&outgoing, content, &self.server.dialect);
+        let answered = tokio::select! {
+            answered = timeout_at(self.deadline, answer) => answered,
+            () = sender.stopped(), if !self.call.once => return Sent::Cancelled,
         };
-        let request = head.map(|()| body);
-        let response = timeout_at(self.deadline, connection.send_request(request));
-        tokio::select! {
-            response = response => match response {
-                Ok(Ok(response)) => Sent::Answer(response, connection),
-                Ok(Err(error)) => Sent::Crashed(error.to_string()),
-                Err(_) => Sent::Late,
-            },
-            () = sender.stopped(), if !self.call.once => Sent::Cancelled,
+        match answered {
+            Ok(Ok(head)) => Sent::Answer(head, connection),
+            Ok(Err(error)) => Sent::Failed(error),
+            Err(_) => Sent::Late(carried),
+        }
+    }
+
+    /// What an answer's head means, where the target has names for it.
+    fn judge(&self, head: &response::Head) -> Verdict {
+        let dialect = &self.server.dialect;
+        if dialect.not_run.is_some() && answer::promises(head.status) {
+            // Only the target's own mark makes its word a promise: it may have run what it
+            // answers with a bare 503.
+            let declined = dialect.says_not_run(&head.headers)
+                || head.status == StatusCode::MISDIRECTED_REQUEST;
+            return match declined {
+                true => Verdict::Declined,
+                false => Verdict::Unfit("the target refuses without saying that it did not run it"),
+            };
+        }
+        match head.status.is_success() && !dialect.is_signed(&head.headers) {
+            true => Verdict::Unfit("the target's answer is not signed"),
+            false => Verdict::Pass,
         }
     }
 
-    fn http(&self) -> Result<Request<()>, http::Error> {
-        let method = self.call.method.as_str();
-        let mut request = Request::builder()
-            .method(method)
-            .uri(&self.call.uri)
-            .body(())?;
-        let headers = request.headers_mut();
-        *headers = Header::map(&self.call.headers);
-        let token = HeaderValue::from_str(&self.call.token.to_string())?;
-        headers.insert(HeaderName::from_static(nest::HEADER), token);
-        if self.call.body != Payload::Empty && !headers.contains_key(header::CONTENT_LENGTH) {
-            // Without it hyper would drop the body of a GET, and the target would see another
-            // request than the caller sent.
-            headers.insert(
-                header::TRANSFER_ENCODING,
-                HeaderValue::from_static("chunked"),
-            );
+    /// The target did not run the request. If another life than the one meant has answered, the
+    /// gate must know before it sends more.
+    fn declined(&self, head: &response::Head, mut connection: Connection) {
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            self.server.mistaken(&head.headers);
         }
-        if !headers.contains_key(header::HOST) {
-            let host = HeaderValue::from_str(&self.server.pool.target().to_string())?;
+        let pool = self.server.pool.clone();
+        tokio::spawn(async move {
+            while let Ok(Some(_)) = connection.piece().await {}
+            pool.give(connection);
+        });
+    }
+
+    fn free(&self, connection: Connection) {
+        if !connection.is_free() && connection.has_excess() {
+            log::warn!("target: sent more than its answer.");
+            self.server.pool.be_wary();
+        }
+        self.server.pool.give(connection);
+    }
+
+    fn outgoing(&self) -> Outgoing {
+        let dialect = &self.server.dialect;
+        let mut headers = Header::map(&self.call.headers);
+        if dialect.attempt.is_none() {
+            let token = HeaderValue::from_str(&self.call.token.to_string());
+            // A token is digits and letters.
+            let token = token.unwrap_or_else(|_| HeaderValue::from_static(""));
+            headers.insert(HeaderName::from_static(nest::HEADER), token);
+        }
+        if let Some(name) = &dialect.deadline {
+            let left = self.deadline.saturating_duration_since(Instant::now());
+            headers.insert(name, HeaderValue::from(left.as_millis() as u64));
+        }
+        if let (Some(name), Some(life)) = (&dialect.expected, self.server.life())
+            && let Ok(value) = HeaderValue::from_str(&life)
+        {
+            headers.insert(name, value);
+        }
+        if !headers.contains_key(header::HOST)
+            && let Ok(host) = HeaderValue::from_str(&self.server.pool.target().to_string())
+        {
             headers.insert(header::HOST, host);
         }
-        Ok(request)
+        Outgoing {
+            method: self.method().unwrap_or_default(),
+            uri: self.call.uri.clone(),
+            headers,
+        }
     }
 
     fn context(&self) -> Context {
@@ -265,11 +327,14 @@
         }
     }
 
-    fn reply(&self, parts: &http::response::Parts, allowance: u8) -> Reply {
+    fn reply(&self, head: &response::Head, allowance: u8) -> Reply {
+        let mut headers = Header::forward(&head.headers);
+        // The entry frames the body anew.
+        headers.retain(|header| header.name != header::CONTENT_LENGTH.as_str());
         Reply {
             token: self.call.token,
-            status: parts.status.as_u16(),
-            headers: Header::forward(&parts.headers),
+            status: head.status.as_u16(),
+            headers,
             allowance,
             report: self.server.report(&self.entry, self.call.urgency),
         }
@@ -283,26 +348,32 @@
         sender: Sender,
         began: Instant,
     ) -> Result<(), Error> {
-        match sent {
+        let latency = began.elapsed();
+        let cause = match sent {
             Sent::Answer(..) | Sent::Cancelled => {
                 running.finish(End::Cancelled);
-                Ok(())
+                return Ok(());
             }
-            Sent::Late => {
-                running.finish(End::Failed {
-                    latency: began.elapsed(),
-                });
-                abort(sender, "the target did not answer in time".to_string()).await
+            Sent::Late(carried) => {
+                if carried > 0 {
+                    self.server.pool.distrust();
+                }
+                running.finish(End::Failed { latency });
+                "the target did not answer in time".to_string()
             }
-            Sent::Crashed(cause) => {
-                log::warn!(
-                    "target: {} died under a call: {cause}.",
-                    self.server.pool.target()
-                );
-                running.finish(End::Crashed);
-                abort(sender, cause).await
+            Sent::Failed(error @ connection::Error::Lost(_)) => {
+                let end = self.server.crashed().await;
+                running.finish(end.unwrap_or(End::Failed { latency }));
+                error.to_string()
             }
-        }
+            Sent::Failed(error) => {
+                self.server.pool.be_wary();
+                running.finish(End::Failed { latency });
+                error.to_string()
+            }
+        };
+        log::warn!("target: {cause}.");
+        abort(sender, cause).await
     }
 
     async fn refused(&self, sender: Sender, refusal: &gate::Refusal) -> Result<(), Error> {
@@ -339,6 +410,18 @@
     }
 }
 
+/// Reads a body that follows its call at once.
+async fn collect(receiver: &mut Receiver) -> Result<Bytes, Error> {
+    let mut body = BytesMut::new();
+    loop {
+        match receiver.recv().await? {
+            Some(Frame::Data(data)) => body.extend_from_slice(&data),
+            Some(Frame::End) => return Ok(body.freeze()),
+            _ => return Err(Error::Reset("read a body", receiver.peer().to_string())),
+        }
+    }
+}
+
 async fn abort(mut sender: Sender, cause: String) -> Result<(), Error> {
     sender.push(&Frame::Abort(cause))?;
     sender.finish().await
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -18,14 +18,17 @@
 //! ```
 
 mod answer;
-mod body;
 mod builder;
 mod call;
+mod connection;
+mod life;
 mod pool;
-mod prober;
+mod presence;
 mod server;
+mod watch;
 
-pub use builder::Builder;
-pub use pool::Error;
-pub use prober::probe;
+pub use builder::{Announced, Builder, Health};
+pub use connection::Error;
+pub use life::{Beat, Heard, Life, Stage};
 pub use server::Server;
+pub use watch::watch;
--- a/crates/target/src/pool.rs
+++ b/crates/target/src/pool.rs
@@ -1,62 +1,47 @@
 //! Connections to the target.
 //!
-//! We keep a small pool of our own on hyper's connections in place of hyper-util's client,
-//! because that client connects and sends in one step: when it fails, one can't tell whether the
-//! target may have seen the request. Here a connection is taken first, while the gate's permit is
-//! still unused, and sending is a step of its own.
+//! A connection is taken first, while the gate's permit is still unused, and sending is a step of
+//! its own: so a target that can't be reached makes a refusal and not a doubt.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::combinators::UnsyncBoxBody;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use quick_error::quick_error;
-use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
-/// The body of a request on its way to the target.
-pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
-
-/// How long a connection to the target may take. It is on the same instance.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+use crate::connection::{Connection, Error};
 
 /// A connection that was unused for longer is not used again: something between may have lost
 /// track of it, and a request on it would hang until its deadline.
-const MAX_IDLE: Duration = Duration::from_secs(5);
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// The same for a request that may not be repeated. The target's close may cross with the request,
+/// and nobody could tell whether it ran; a connection that was just in use is not closed for its
+/// idleness. A connection of its own for each such request cost a third of all connections.
+const MAX_IDLE_ONCE: Duration = Duration::from_secs(1);
+
+/// A connection is given up so long before the target says that it closes it.
+const CLOSE_MARGIN: Duration = Duration::from_secs(1);
+
+/// For so long after an answer that nobody asked for, requests that may not be repeated get
+/// connections of their own: one more such answer, on a kept connection, would leave them in doubt.
+const WARY_FOR: Duration = Duration::from_secs(10);
 
 /// Unused connections kept.
 const MAX_KEPT: usize = 256;
 
-quick_error! {
-    /// No connection to the target came about; nothing was sent.
-    #[derive(Debug)]
-    pub enum Error {
-        /// The connection failed.
-        Connect(target: SocketAddr, cause: io::Error) {
-            display("connect to target {target}: {cause}")
-            source(cause)
-        }
-        /// The HTTP handshake failed.
-        Handshake(target: SocketAddr, cause: hyper::Error) {
-            display("handshake with target {target}: {cause}")
-            source(cause)
-        }
-    }
-}
-
 /// Connections to one target.
 pub(crate) struct Pool {
     target: SocketAddr,
-    idle: Mutex<Vec<Idle>>,
+    idle: Mutex<Idle>,
 }
 
+#[derive(Default)]
 struct Idle {
-    sender: SendRequest<Body>,
-    since: Instant,
+    /// The one used last is used next, so that those in excess age.
+    connections: Vec<Connection>,
+    wary: Option<Instant>,
+    opened: u64,
 }
 
 impl Pool {
@@ -72,51 +57,62 @@
         self.target
     }
 
-    /// A connection that is ready for a request: a kept one if `fresh` is false and one is good.
-    pub(crate) async fn take(&self, fresh: bool) -> Result<SendRequest<Body>, Error> {
-        while let Some(mut sender) = self.kept(fresh) {
-            if sender.ready().await.is_ok() {
-                return Ok(sender);
-            }
+    /// Connections opened so far.
+    pub(crate) fn opened(&self) -> u64 {
+        self.idle.lock().opened
+    }
+
+    /// A connection that is ready for a request; `once` if the request may not be repeated.
+    pub(crate) async fn take(&self, once: bool) -> Result<Connection, Error> {
+        if let Some(kept) = self.kept(once) {
+            return Ok(kept);
         }
-        self.connect().await
+        let opened = Connection::open(self.target).await?;
+        self.idle.lock().opened += 1;
+        Ok(opened)
     }
 
-    /// Keeps a connection whose answer is complete.
-    pub(crate) fn give(&self, sender: SendRequest<Body>) {
+    /// Keeps a connection, if it may carry another request.
+    pub(crate) fn give(&self, connection: Connection) {
         let mut idle = self.idle.lock();
-        if !sender.is_closed() && idle.len() < MAX_KEPT {
-            idle.push(Idle {
-                sender,
-                since: Instant::now(),
-            });
+        if connection.is_free() && idle.connections.len() < MAX_KEPT {
+            idle.connections.push(connection);
         }
     }
 
-    fn kept(&self, fresh: bool) -> Option<SendRequest<Body>> {
-        if fresh {
-            return None;
-        }
-        let mut idle = self.idle.lock();
-        idle.retain(|kept| !kept.sender.is_closed() && kept.since.elapsed() < MAX_IDLE);
-        idle.pop().map(|kept| kept.sender)
+    /// A kept connection has swallowed a request: the others may have gone silent with it.
+    pub(crate) fn distrust(&self) {
+        self.idle.lock().connections.clear();
     }
 
-    async fn connect(&self) -> Result<SendRequest<Body>, Error> {
-        let target = self.target;
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(target)).await;
-        let stream = stream.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-        let stream = stream.map_err(|cause| Error::Connect(target, cause))?;
-        stream
-            .set_nodelay(true)
-            .map_err(|cause| Error::Connect(target, cause))?;
-        let shaken = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = shaken.map_err(|cause| Error::Handshake(target, cause))?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("target: connection to {target} ended: {error}.");
+    /// The target has sent what nobody asked for.
+    pub(crate) fn be_wary(&self) {
+        self.idle.lock().wary = Some(Instant::now());
+    }
+
+    fn kept(&self, once: bool) -> Option<Connection> {
+        let mut idle = self.idle.lock();
+        idle.connections
+            .retain(|kept| kept.since.elapsed() < bound(kept));
+        let wary = idle.wary.is_some_and(|since| since.elapsed() < WARY_FOR);
+        if once && wary {
+            return None;
+        }
+        while let Some(kept) = idle.connections.pop() {
+            if once && kept.since.elapsed() >= MAX_IDLE_ONCE {
+                idle.connections.push(kept);
+                return None;
+            }
+            if kept.is_sound() {
+                return Some(kept);
             }
-        });
-        Ok(sender)
+        }
+        None
     }
 }
+
+/// How long a connection may lie idle.
+fn bound(kept: &Connection) -> Duration {
+    let said = kept.keep_for.map(|time| time.saturating_sub(CLOSE_MARGIN));
+    said.map_or(MAX_IDLE, |said| said.min(MAX_IDLE))
+}
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -1,20 +1,25 @@
 //! One target behind its gate.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
+use dialect::Dialect;
 use gate::{Fence, Gate, Status};
 use held::Found;
 use nest::Table;
 use parking_lot::Mutex;
 use pick::measure::{Budget, Setting, Spent};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use unit::{Depth, Instance, Report, Service, Size, Urgency};
 use wire::{Ask, Call, Error, Frame, Known, Sender, Stream};
 
-use crate::Builder;
 use crate::call::Work;
+use crate::life::Life;
 use crate::pool::Pool;
+use crate::{Announced, Builder};
 
 /// Longest time that one question after a token may wait for the call to end.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -26,8 +31,17 @@
     pub(crate) nests: Table,
     pub(crate) max_depth: Depth,
     pub(crate) body_idle: Duration,
-    pub(crate) pool: Pool,
+    pub(crate) pool: Arc<Pool>,
     pub(crate) held: held::Table,
+    pub(crate) dialect: Dialect,
+    pub(crate) announced: Option<Announced>,
+    pub(crate) presence: Mutex<Life>,
+    /// When the target last told its load.
+    pub(crate) told: Mutex<Option<Instant>>,
+    /// Wakes the watch when the target has to be asked.
+    pub(crate) ask: Notify,
+    /// The target has to be asked which life it is.
+    pub(crate) doubted: AtomicBool,
     measure: Mutex<Measure>,
 }
 
@@ -44,13 +58,23 @@
     }
 
     pub(crate) fn new(builder: Builder) -> Server {
+        let slots = builder.gate.slots();
+        if builder.announced.is_some() {
+            builder.gate.target_down();
+        }
         Server {
+            presence: Mutex::new(Life::unknown(Instant::now(), slots)),
+            dialect: builder.dialect,
+            announced: builder.announced,
+            told: Mutex::new(None),
+            ask: Notify::new(),
+            doubted: AtomicBool::new(false),
             service: builder.service,
             gate: builder.gate,
             nests: builder.nests,
             max_depth: builder.max_depth,
             body_idle: builder.body_idle,
-            pool: Pool::new(builder.target),
+            pool: Arc::new(Pool::new(builder.target)),
             held: builder.held,
             measure: Mutex::new(Measure::new(Setting::default().bytes)),
         }
--- /dev/null
+++ b/crates/target/src/watch.rs
@@ -0,0 +1,164 @@
+//! Asks the target how it is, when nothing else tells.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use dialect::Dialect;
+use http::{HeaderMap, Method, StatusCode, header};
+use http1::response;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::connection::{Connection, Content, Outgoing};
+use crate::life::Stage;
+use crate::server::Server;
+
+/// How often a target that does not announce itself is asked. The gate alone asks, at this rate
+/// whatever the load.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// A target on the same instance that takes longer is down.
+const ANSWER_WITHIN: Duration = Duration::from_millis(500);
+
+/// How often a target is asked of which nothing is known, or which can't be reached.
+const SEARCH: Duration = Duration::from_millis(200);
+
+/// How often a target that takes work is asked after its load, when no answer of its has told it.
+/// Work takes five times as long for spells of some 150 ms, and the choice among targets is worth
+/// as much as its figures are fresh.
+const FRESH: Duration = Duration::from_millis(25);
+
+/// Watches the target of `server` until it is dropped.
+pub async fn watch(server: Arc<Server>) {
+    match &server.announced {
+        Some(_) => ask(&server).await,
+        None => connect(&server).await,
+    }
+}
+
+/// A target that has crashed refuses connections at once, and would else look like the one that
+/// answers fastest. One connection in 250 ms finds it, also when no request comes.
+async fn connect(server: &Server) {
+    let target = server.pool.target();
+    let mut up = true;
+    loop {
+        let answers = matches!(
+            timeout(ANSWER_WITHIN, TcpStream::connect(target)).await,
+            Ok(Ok(_))
+        );
+        if answers != up {
+            up = answers;
+            match up {
+                true => {
+                    log::info!("target: {target} takes connections again.");
+                    server.gate.target_up();
+                }
+                false => {
+                    log::warn!("target: {target} takes no connections.");
+                    server.gate.target_down();
+                }
+            }
+        }
+        sleep(PERIOD).await;
+    }
+}
+
+/// Asks by the health path on a kept connection: while nothing is known, and for the load.
+async fn ask(server: &Server) {
+    let mut connection = None;
+    loop {
+        let pause = pause(server);
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = server.ask.notified() => sleep(Duration::from_millis(1)).await,
+        }
+        if !is_due(server) {
+            continue;
+        }
+        let health = server.announced.as_ref().and_then(|told| (told.health)());
+        let Some(path) = health else {
+            continue;
+        };
+        let asked = timeout(ANSWER_WITHIN, once(server, &mut connection, path)).await;
+        if asked.is_err() {
+            // The connection may have gone silent; the next question gets a new one.
+            connection = None;
+        }
+    }
+}
+
+fn pause(server: &Server) -> Duration {
+    match server.presence.lock().stage {
+        Stage::Unknown | Stage::Down => SEARCH,
+        Stage::Ready | Stage::Leaving if server.dialect.load.is_none() => SEARCH,
+        Stage::Ready => {
+            let told = *server.told.lock();
+            let age = told.map_or(FRESH, |at| at.elapsed());
+            FRESH.saturating_sub(age).max(Duration::from_millis(5))
+        }
+        Stage::Leaving => SEARCH,
+    }
+}
+
+/// Whether there is anything to ask.
+fn is_due(server: &Server) -> bool {
+    if server.doubted.swap(false, Ordering::AcqRel) {
+        return true;
+    }
+    match server.presence.lock().stage {
+        Stage::Unknown | Stage::Down => true,
+        Stage::Leaving => false,
+        Stage::Ready => {
+            let told = *server.told.lock();
+            told.is_none_or(|at| at.elapsed() >= FRESH)
+        }
+    }
+}
+
+async fn once(server: &Server, kept: &mut Option<Connection>, path: String) {
+    let target = server.pool.target();
+    let sound = kept.take().filter(Connection::is_sound);
+    let mut connection = match sound {
+        Some(connection) => connection,
+        None => match Connection::open(target).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::debug!("target: {error}.");
+                return server.lost();
+            }
+        },
+    };
+    let mut headers = HeaderMap::new();
+    if let Ok(host) = target.to_string().parse() {
+        headers.insert(header::HOST, host);
+    }
+    let outgoing = Outgoing {
+        method: Method::GET,
+        uri: path,
+        headers,
+    };
+    let answered = connection
+        .send(&outgoing, Content::Empty, &Dialect::default())
+        .await;
+    match answered {
+        Ok(head) => {
+            take(server, &head);
+            while let Ok(Some(_)) = connection.piece().await {}
+            if connection.is_free() {
+                *kept = Some(connection);
+            }
+        }
+        Err(error) => log::debug!("target: asked after its health: {error}."),
+    }
+}
+
+fn take(server: &Server, head: &response::Head) {
+    server.learn(head);
+    // A target without a figure is asked as often as one whose figure is old.
+    *server.told.lock() = Some(Instant::now());
+    let slots = server.dialect.figures(&head.headers).map(|told| told.slots);
+    if let Some(name) = server.dialect.life(&head.headers) {
+        server.answered(name, head.status == StatusCode::OK, slots);
+    }
+}
--- a/crates/unit/src/cause.rs
+++ b/crates/unit/src/cause.rs
@@ -39,6 +39,9 @@
     /// The target has asked for a pause.
     #[display("shed")]
     Shed,
+    /// The target itself was sent the request, and says that it did not run it.
+    #[display("declined")]
+    Declined,
     /// The target can't be reached.
     #[display("down")]
     Down,
--- a/crates/unit/src/report.rs
+++ b/crates/unit/src/report.rs
@@ -19,6 +19,11 @@
     pub service_us: u32,
     /// Requests answered since this incarnation began, for the ramp after a cold start.
     pub answered: u32,
+    /// How long work takes at the target at this moment, in hundredths of what it usually takes;
+    /// 0 where the target doesn't tell.
+    pub pace: u16,
+    /// The target takes no work: it can't be reached, leaves, or is not known yet.
+    pub closed: bool,
     /// The gate has no free slot and a queue, and would rather be passed over.
     pub hot: bool,
 }
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -22,6 +22,10 @@
     pub weight: u32,
     /// Time left until the caller's deadline when the frame was written.
     pub remaining: Duration,
+    /// Time left until the answer is worth little to the caller, if the rule says when.
+    pub goal: Option<Duration>,
+    /// The kind of work, for estimates of how long it runs; 0 where nothing is known of it.
+    pub class: u32,
     /// How deep this call is nested.
     pub depth: Depth,
     /// Retries that the calls nested below may still ask for.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -70,6 +70,20 @@
 pub(crate) fn encode_into(frame: &Frame, out: &mut BytesMut) -> Result<(), Error> {
     let start = out.len();
     out.put_u32(0);
+    encode_body(frame, out)?;
+    let length = out.len() - start - LENGTH;
+    if length > MAX_FRAME {
+        out.truncate(start);
+        let cause = format!("{length} bytes, more than {MAX_FRAME}");
+        return Err(Error::setup("encode a frame", cause));
+    }
+    let length = u32::try_from(length).map_err(|e| Error::setup("encode a frame", e))?;
+    out[start..start + LENGTH].copy_from_slice(&length.to_be_bytes());
+    Ok(())
+}
+
+/// Appends the kind and payload of a frame.
+pub(crate) fn encode_body(frame: &Frame, out: &mut BytesMut) -> Result<(), Error> {
     match frame {
         Frame::Call(call) => message(out, CALL, call)?,
         Frame::Accepted(accepted) => message(out, ACCEPTED, accepted)?,
@@ -85,14 +99,6 @@
             out.put_slice(&note.payload);
         }
     }
-    let length = out.len() - start - LENGTH;
-    if length > MAX_FRAME {
-        out.truncate(start);
-        let cause = format!("{length} bytes, more than {MAX_FRAME}");
-        return Err(Error::setup("encode a frame", cause));
-    }
-    let length = u32::try_from(length).map_err(|e| Error::setup("encode a frame", e))?;
-    out[start..start + LENGTH].copy_from_slice(&length.to_be_bytes());
     Ok(())
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,9 +1,12 @@
-//! Frames and mutually authenticated links between daemons, over quinn.
+//! Frames and links between daemons, over QUIC or TCP.
 //!
-//! A link is one QUIC connection to one peer. Each call has a stream of its own, so that a slow
-//! answer holds up no other, and urgent streams are sent first. Both ends present a self-signed
+//! A link is one connection to one peer. Each call has a stream of its own, so that a slow answer
+//! holds up no other.
+//!
+//! Over QUIC, by quinn, urgent streams are sent first, and both ends present a self-signed
 //! certificate; each accepts only a [`Fingerprint`](unit::Fingerprint) that its [`Trust`] names,
-//! which in a daemon is the roster of announced instances.
+//! which in a daemon is the roster of announced instances. Over TCP a link begins with a
+//! [`Greeting`] that is believed, for networks on which only daemons reach each other.
 //!
 //! ```
 //! use wire::{Frame, codec};
@@ -16,26 +19,24 @@
 
 mod call;
 pub mod codec;
-mod crypto;
 mod dialer;
 mod error;
 mod frame;
 mod header;
-mod identity;
 mod link;
 mod listener;
+mod quic;
 mod stream;
-mod trust;
-mod watchdog;
+mod tcp;
 
 pub use call::{Accepted, Ask, Call, Known, Payload, Refusal, Reply};
 pub use dialer::{Dialer, Peer};
 pub use error::Error;
 pub use frame::{Frame, Note, Topic};
 pub use header::Header;
-pub use identity::Identity;
 pub use link::Link;
-pub use listener::{Handshake, Inbound, Listener};
+pub use listener::{Handshake, Inbound, Listener, Teller};
+pub use quic::{Identity, Trust};
 pub use stream::{Receiver, Sender, Stream};
-pub use trust::Trust;
+pub use tcp::{Greeter, Greeting};
 pub use unit::Cause;
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,81 +1,86 @@
-//! One QUIC connection to one peer, with a count of its open streams.
+//! A link to one peer that this daemon has dialled.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::sync::Notify;
-use unit::Instance;
 
-use crate::stream::{Side, not_admitted};
-use crate::watchdog;
-use crate::{Error, Frame, Note, Peer, Stream, Topic};
+use crate::{Error, Frame, Note, Peer, Stream, Topic, quic, tcp};
 
-/// A connection to a peer that this daemon has dialled.
+/// A connection to a peer that this daemon has dialled; clones are the same link.
 #[derive(Clone)]
 pub struct Link {
-    inner: Arc<Inner>,
+    way: Way,
 }
 
-pub(crate) struct Inner {
-    pub(crate) connection: quinn::Connection,
-    pub(crate) peer: Peer,
-    /// Which of the dialer's sockets this link uses.
-    pub(crate) generation: u64,
-    pub(crate) open: AtomicUsize,
-    /// Wakes the watchdog when the first stream opens.
-    pub(crate) busy: Notify,
-    /// The watchdog has closed the link because nothing came back on it.
-    pub(crate) silent: AtomicBool,
-}
-
-/// Counts one open stream of a link until it is dropped.
-pub(crate) struct Open {
-    inner: Arc<Inner>,
+#[derive(Clone)]
+enum Way {
+    Quic(quic::link::Link),
+    Tcp(tcp::Link),
 }
 
 impl Link {
-    pub(crate) fn new(connection: quinn::Connection, peer: Peer, generation: u64) -> Link {
-        let inner = Arc::new(Inner {
-            connection,
-            peer,
-            generation,
-            open: AtomicUsize::new(0),
-            busy: Notify::new(),
-            silent: AtomicBool::new(false),
-        });
-        tokio::spawn(watchdog::run(
-            Arc::downgrade(&inner),
-            inner.connection.clone(),
-        ));
-        Link { inner }
+    pub(crate) fn quic(link: quic::link::Link) -> Link {
+        Link {
+            way: Way::Quic(link),
+        }
+    }
+
+    pub(crate) fn tcp(link: tcp::Link) -> Link {
+        Link {
+            way: Way::Tcp(link),
+        }
     }
 
     /// The peer that this link leads to.
     pub fn peer(&self) -> &Peer {
-        &self.inner.peer
+        match &self.way {
+            Way::Quic(link) => link.peer(),
+            Way::Tcp(link) => link.peer(),
+        }
+    }
+
+    /// Whether the link leads to `peer`.
+    ///
+    /// A QUIC link leads to one life of it, since its certificate was checked; over TCP the peer
+    /// has told itself which life it is.
+    pub(crate) fn leads_to(&self, peer: &Peer) -> bool {
+        let same = self.peer();
+        match &self.way {
+            Way::Quic(_) => same == peer,
+            Way::Tcp(_) => same.instance == peer.instance && same.address == peer.address,
+        }
     }
 
     /// How many streams are open on it.
     pub fn open_streams(&self) -> usize {
-        self.inner.open.load(Ordering::Relaxed)
+        match &self.way {
+            Way::Quic(link) => link.open_streams(),
+            Way::Tcp(link) => link.open_streams(),
+        }
     }
 
-    /// The time of a round trip, as QUIC measures it.
-    pub fn rtt(&self) -> std::time::Duration {
-        self.inner.connection.rtt()
+    /// The time of a round trip, as last measured; zero before that.
+    pub fn rtt(&self) -> Duration {
+        match &self.way {
+            Way::Quic(link) => link.rtt(),
+            Way::Tcp(link) => link.rtt(),
+        }
     }
 
-    /// Bytes sent and received on this link so far, as UDP payload.
+    /// Bytes sent and received on this link so far, without the headers of IP, UDP and TCP.
     pub fn bytes(&self) -> u64 {
-        let stats = self.inner.connection.stats();
-        stats.udp_tx.bytes + stats.udp_rx.bytes
+        match &self.way {
+            Way::Quic(link) => link.bytes(),
+            Way::Tcp(link) => link.bytes(),
+        }
     }
 
-    /// Datagrams sent and received on this link so far.
+    /// Datagrams or writes of this link so far, both ways.
     pub fn datagrams(&self) -> u64 {
-        let stats = self.inner.connection.stats();
-        stats.udp_tx.datagrams + stats.udp_rx.datagrams
+        match &self.way {
+            Way::Quic(link) => link.datagrams(),
+            Way::Tcp(link) => link.writes(),
+        }
     }
 
     /// Opens a stream for one call.
@@ -84,27 +89,17 @@
     ///
     /// [`Error::Broken`] if the link is gone; nothing has been sent then.
     pub async fn open(&self) -> Result<Stream, Error> {
-        let open = Open::new(self.inner.clone());
-        let halves = self.inner.connection.open_bi().await;
-        let halves = halves.map_err(|e| match not_admitted(&e) {
-            true => Error::dial(self.name(), e),
-            false => Error::broken("open a stream", self.name(), e),
-        })?;
-        let connection = self.inner.connection.clone();
-        Ok(Stream::new(
-            connection,
-            halves,
-            self.name().clone(),
-            Side::Asking(open),
-        ))
+        match &self.way {
+            Way::Quic(link) => link.open().await.map(Stream::quic),
+            Way::Tcp(link) => link.open().map(Stream::tcp),
+        }
     }
 
     /// Sends one frame on a stream of its own and reads the one that answers it.
     ///
     /// # Errors
     ///
-    /// As [`Link::open`], [`Sender::send`](crate::Sender::send) and
-    /// [`Receiver::recv`](crate::Receiver::recv).
+    /// As [`Link::open`], [`Sender::send`](crate::Sender::send) and [`Receiver::recv`](crate::Receiver::recv).
     pub async fn ask(&self, frame: &Frame) -> Result<Frame, Error> {
         let Stream {
             mut sender,
@@ -113,7 +108,8 @@
         sender.push(frame)?;
         sender.finish().await?;
         let answer = receiver.recv().await?;
-        answer.ok_or_else(|| Error::broken("ask", self.name(), "the peer ended without an answer"))
+        let peer = &self.peer().instance;
+        answer.ok_or_else(|| Error::broken("ask", peer, "the peer ended without an answer"))
     }
 
     /// Sends one message of a control role and reads the payload of the one that answers it.
@@ -124,53 +120,41 @@
     pub async fn note(&self, topic: Topic, payload: Bytes) -> Result<Bytes, Error> {
         match self.ask(&Frame::Note(Note { topic, payload })).await? {
             Frame::Note(note) if note.topic == topic => Ok(note.payload),
-            _ => Err(Error::garbled(self.name(), "an answer of another kind")),
+            _ => Err(Error::garbled(
+                &self.peer().instance,
+                "an answer of another kind",
+            )),
         }
     }
 
     /// Ends the link; its open streams fail.
     pub fn close(&self) {
-        self.inner
-            .connection
-            .close(quinn::VarInt::from_u32(0), b"closed");
+        match &self.way {
+            Way::Quic(link) => link.close(),
+            Way::Tcp(link) => link.close(),
+        }
     }
 
-    fn name(&self) -> &Instance {
-        &self.inner.peer.instance
+    /// Resolves when the link has ended.
+    pub async fn closed(&self) {
+        match &self.way {
+            Way::Quic(link) => link.closed().await,
+            Way::Tcp(link) => link.closed().await,
+        }
     }
 
     /// The link can still carry calls.
     pub fn alive(&self) -> bool {
-        self.inner.connection.close_reason().is_none()
-    }
-
-    pub(crate) fn generation(&self) -> u64 {
-        self.inner.generation
-    }
-
-    /// The link ended because nothing came back on it.
-    pub(crate) fn went_silent(&self) -> bool {
-        match self.inner.connection.close_reason() {
-            Some(quinn::ConnectionError::TimedOut) => true,
-            Some(quinn::ConnectionError::LocallyClosed) => {
-                self.inner.silent.load(Ordering::Acquire)
-            }
-            _ => false,
+        match &self.way {
+            Way::Quic(link) => link.alive(),
+            Way::Tcp(link) => link.alive(),
         }
     }
-}
 
-impl Open {
-    fn new(inner: Arc<Inner>) -> Open {
-        if inner.open.fetch_add(1, Ordering::AcqRel) == 0 {
-            inner.busy.notify_one();
+    pub(crate) fn as_quic(&self) -> Option<&quic::link::Link> {
+        match &self.way {
+            Way::Quic(link) => Some(link),
+            Way::Tcp(_) => None,
         }
-        Open { inner }
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.inner.open.fetch_sub(1, Ordering::AcqRel);
     }
 }
