--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -1,62 +1,69 @@
 //! The end of links that peers dial.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
 
-use tokio::time::timeout;
-use tokio_util::task::TaskTracker;
 use unit::Instance;
 
-use crate::dialer::{MAX_STREAMS, transport};
-use crate::stream::Side;
-use crate::{Error, Identity, Stream, Trust, crypto};
+use crate::{Error, Greeter, Identity, Note, Stream, Trust, quic, tcp};
 
-/// How long a peer may take over its handshake.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
-
-/// How long a close waits for the tails of answers. A peer acknowledges what it has received however
-/// slowly its caller reads, so this covers some retransmissions; a peer that is gone takes all of it.
-const DELIVER_WITHIN: Duration = Duration::from_secs(2);
-
-/// Accepts links from announced instances.
+/// Accepts links from peers.
 pub struct Listener {
-    endpoint: quinn::Endpoint,
-    trust: Trust,
-    /// Streams whose answers the peers have not got yet.
-    answering: TaskTracker,
+    way: Way,
+}
+
+enum Way {
+    Quic(quic::listener::Listener),
+    Tcp(tcp::Listener),
 }
 
 /// A link that a peer has begun; the handshake is still to be awaited, apart from others.
 pub struct Handshake {
-    incoming: quinn::Incoming,
-    trust: Trust,
-    answering: TaskTracker,
+    way: HandshakeWay,
+}
+
+enum HandshakeWay {
+    Quic(quic::listener::Handshake),
+    Tcp(tcp::Handshake),
 }
 
 /// A link that a peer has dialled; it yields the peer's streams.
 pub struct Inbound {
-    connection: quinn::Connection,
-    peer: Instance,
-    answering: TaskTracker,
+    way: InboundWay,
+}
+
+enum InboundWay {
+    Quic(quic::listener::Inbound),
+    Tcp(tcp::Inbound),
+}
+
+/// Tells the peer at the other end of an [`Inbound`] link something, without an answer.
+#[derive(Clone)]
+pub struct Teller {
+    inner: tcp::Teller,
 }
 
 impl Listener {
-    /// Listens on `address`, a UDP address.
+    /// Listens on `address`, a UDP address, for QUIC links of announced instances.
     ///
     /// # Errors
     ///
     /// [`Error::Setup`] if the address can't be bound.
     pub fn bind(address: SocketAddr, identity: &Identity, trust: Trust) -> Result<Listener, Error> {
-        let crypto = crypto::server(identity, trust.clone())?;
-        let mut config = quinn::ServerConfig::with_crypto(crypto);
-        config.transport_config(Arc::new(transport(MAX_STREAMS)?));
-        let endpoint = quinn::Endpoint::server(config, address);
-        let endpoint = endpoint.map_err(|e| Error::setup("bind the link address", e))?;
+        let listener = quic::listener::Listener::bind(address, identity, trust)?;
         Ok(Listener {
-            endpoint,
-            trust,
-            answering: TaskTracker::new(),
+            way: Way::Quic(listener),
+        })
+    }
+
+    /// Listens on `address`, a TCP address, for links that begin with a greeting.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Setup`] if the address can't be bound.
+    pub async fn plain(address: SocketAddr, greeter: Greeter) -> Result<Listener, Error> {
+        let listener = tcp::Listener::bind(address, greeter).await?;
+        Ok(Listener {
+            way: Way::Tcp(listener),
         })
     }
 
@@ -66,35 +73,28 @@
     ///
     /// [`Error::Setup`] if the socket is gone.
     pub fn address(&self) -> Result<SocketAddr, Error> {
-        self.endpoint
-            .local_addr()
-            .map_err(|e| Error::setup("read the link address", e))
+        match &self.way {
+            Way::Quic(listener) => listener.address(),
+            Way::Tcp(listener) => listener.address(),
+        }
     }
 
     /// The next peer that dials; `None` when the listener is closed.
     pub async fn accept(&self) -> Option<Handshake> {
-        let incoming = self.endpoint.accept().await?;
-        Some(Handshake {
-            incoming,
-            trust: self.trust.clone(),
-            answering: self.answering.clone(),
-        })
+        let way = match &self.way {
+            Way::Quic(listener) => HandshakeWay::Quic(listener.accept().await?),
+            Way::Tcp(listener) => HandshakeWay::Tcp(listener.accept().await?),
+        };
+        Some(Handshake { way })
     }
 
     /// Takes no more links, waits a bounded time until the peers have the answers that are on their
     /// way, and ends all links.
     pub async fn close(&self) {
-        self.endpoint.set_server_config(None);
-        self.answering.close();
-        if timeout(DELIVER_WITHIN, self.answering.wait())
-            .await
-            .is_err()
-        {
-            let count = self.answering.len();
-            log::warn!("wire: the links end with {count} answers on their way.");
+        match &self.way {
+            Way::Quic(listener) => listener.close().await,
+            Way::Tcp(listener) => listener.close().await,
         }
-        self.endpoint.close(quinn::VarInt::from_u32(0), b"closed");
-        self.endpoint.wait_idle().await;
     }
 }
 
@@ -105,26 +105,21 @@
     ///
     /// [`Error::Dial`] if the peer is slow or not announced.
     pub async fn finish(self) -> Result<Inbound, Error> {
-        let from = self.incoming.remote_address();
-        let connecting = self.incoming.accept().map_err(|e| Error::dial(from, e))?;
-        let connection = timeout(HANDSHAKE_TIMEOUT, connecting).await;
-        let connection = connection.map_err(|_| Error::dial(from, "slow handshake"))?;
-        let connection = connection.map_err(|e| Error::dial(from, e))?;
-        let fingerprint = crypto::peer(&connection);
-        let peer = fingerprint.and_then(|fingerprint| self.trust.find(&fingerprint));
-        let peer = peer.ok_or_else(|| Error::dial(from, "not announced"))?;
-        Ok(Inbound {
-            connection,
-            peer,
-            answering: self.answering,
-        })
+        let way = match self.way {
+            HandshakeWay::Quic(handshake) => InboundWay::Quic(handshake.finish().await?),
+            HandshakeWay::Tcp(handshake) => InboundWay::Tcp(handshake.finish().await?),
+        };
+        Ok(Inbound { way })
     }
 }
 
 impl Inbound {
     /// The instance at the other end.
     pub fn peer(&self) -> &Instance {
-        &self.peer
+        match &self.way {
+            InboundWay::Quic(inbound) => inbound.peer(),
+            InboundWay::Tcp(inbound) => inbound.peer(),
+        }
     }
 
     /// The next stream of the peer.
@@ -133,18 +128,38 @@
     ///
     /// [`Error::Broken`] when the link has ended.
     pub async fn stream(&self) -> Result<Stream, Error> {
-        let halves = self.connection.accept_bi().await;
-        let halves = halves.map_err(|e| Error::broken("accept a stream", &self.peer, e))?;
-        Ok(Stream::new(
-            self.connection.clone(),
-            halves,
-            self.peer.clone(),
-            Side::Answering(self.answering.token()),
-        ))
+        match &self.way {
+            InboundWay::Quic(inbound) => inbound.stream().await.map(Stream::quic),
+            InboundWay::Tcp(inbound) => inbound.stream().await.map(Stream::tcp),
+        }
+    }
+
+    /// What tells the peer something; `None` on a QUIC link, whose listening end opens no streams.
+    pub fn teller(&self) -> Option<Teller> {
+        match &self.way {
+            InboundWay::Quic(_) => None,
+            InboundWay::Tcp(inbound) => Some(Teller {
+                inner: inbound.teller(),
+            }),
+        }
     }
 
     /// Ends the link; its open streams fail.
     pub fn close(&self) {
-        self.connection.close(quinn::VarInt::from_u32(0), b"closed");
+        match &self.way {
+            InboundWay::Quic(inbound) => inbound.close(),
+            InboundWay::Tcp(inbound) => inbound.close(),
+        }
+    }
+}
+
+impl Teller {
+    /// Sends `note`; it may be lost with its link.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Broken`] if the link is gone.
+    pub fn tell(&self, note: Note) -> Result<(), Error> {
+        self.inner.tell(note)
     }
 }
--- a/crates/wire/src/crypto.rs
+++ b/crates/wire/src/quic/crypto.rs
@@ -12,8 +12,9 @@
 use sha2::{Digest, Sha256};
 use unit::Fingerprint;
 
+use crate::Error;
 use crate::codec::ALPN;
-use crate::{Error, Identity, Trust};
+use crate::quic::{Identity, Trust};
 
 /// The name in each certificate. Peers are told apart by fingerprint, so one name serves all.
 pub(crate) const SERVER_NAME: &str = "appleshore";
--- a/crates/wire/src/identity.rs
+++ b/crates/wire/src/quic/identity.rs
@@ -3,7 +3,8 @@
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer};
 use unit::{Fingerprint, Instance};
 
-use crate::{Error, crypto};
+use crate::Error;
+use crate::quic::crypto;
 
 /// A fresh key and self-signed certificate for one life of one instance.
 ///
--- a/crates/wire/src/watchdog.rs
+++ b/crates/wire/src/quic/watchdog.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
-use crate::link::Inner;
+use crate::quic::link::Inner;
 
 /// How often a link with open streams is looked at.
 const PERIOD: Duration = Duration::from_millis(100);
