Start no work in a slow spell of the target, and ask only the life that had the call

Cause: a run takes its time from the moment of its start.

Change: a gate starts in a spell only what ends before one that waits for its end, and hands the rest back; what can't reach its objective any more waits behind what can; only callers that were refused before are served late. A link is asked after a token only if it leads to the same life.

--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::sync::CancellationToken;
 use unit::Size;
 use wire::Listener;
@@ -40,6 +40,13 @@
 /// How long the last writes of a stop may take.
 const GOODBYE: Duration = Duration::from_secs(2);
 
+/// How long the peers may take over the news of a stop, where the platform's patience is short.
+const GOODBYE_QUICK: Duration = Duration::from_millis(400);
+
+/// How long a stop still takes what callers send who have not heard of it. What is taken later may
+/// not end in the time that the platform gives.
+const LAST_CALLERS: Duration = Duration::from_millis(500);
+
 /// A running daemon.
 pub struct Daemon {
     state: Arc<State>,
@@ -279,8 +286,9 @@
     /// Stops as planned on a platform that sends callers elsewhere once the readiness says no.
     ///
     /// For `serve` all is served as before, with answers that ask callers to close. Then the gate
-    /// closes, its entries are told, and what runs may end, until `within` has passed since the
-    /// call. It is reported if that cuts anything off.
+    /// closes and its entries are told; a moment later what still comes is refused as not run. What
+    /// runs may end, until `within` has passed since the call. It is reported if that cuts anything
+    /// off.
     pub async fn retire(mut self, serve: Duration, within: Duration) {
         let state = self.state.clone();
         let until = Instant::now() + within;
@@ -288,7 +296,12 @@
         state.entry.close_connections();
         sleep(serve).await;
         state.server.gate().leave();
-        state.feed.leave().await;
+        let told = timeout(GOODBYE_QUICK, state.feed.leave()).await;
+        if told.is_err() {
+            log::warn!("daemon: some peers are not told of the stop.");
+        }
+        sleep(LAST_CALLERS).await;
+        state.entry.leave();
         let idle = async {
             state.server.gate().idle().await;
             state.entry.idle().await;
@@ -303,11 +316,16 @@
         if timeout_at(until, ports).await.is_err() {
             log::error!("daemon: the stop cuts off callers that had not read all.");
         }
-        match state.server.presence().is_leaving() {
-            true => state.feed.depart().await,
-            false => state.feed.restart().await,
+        let end = async {
+            match state.server.presence().is_leaving() {
+                true => state.feed.depart().await,
+                false => state.feed.restart().await,
+            }
+            self.listener.close().await;
+        };
+        if timeout(GOODBYE_QUICK, end).await.is_err() {
+            log::warn!("daemon: not all peers are told of the end.");
         }
-        self.listener.close().await;
         self.tasks.shutdown().await;
         log::info!("daemon: stop is done.");
     }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -66,7 +66,7 @@
             Ok(Ok(tried)) => tried,
             // The peer does not know us yet, so it has read nothing.
             Ok(Err(error @ Error::Dial(..))) => Tried::NotSent(error.to_string()),
-            Ok(Err(error)) => self.recover(&peer, &link, error).await,
+            Ok(Err(error)) => self.recover(&link, error).await,
             Err(_) => Tried::Late,
         };
         self.settle(guard, &tried);
@@ -156,7 +156,10 @@
 
     /// The link broke under the call. One that may be repeated is left to the retry budget; for
     /// one that may not, the gate is asked after the token over a new link.
-    async fn recover(&self, peer: &Peer, link: &Link, error: Error) -> Tried {
+    async fn recover(&self, link: &Link, error: Error) -> Tried {
+        // Only the very life that was sent the call knows what became of it. A new life at the same
+        // address has never seen its token, and would call it unknown though it ran.
+        let peer = link.peer();
         if matches!(error, Error::Garbled(..)) {
             link.close();
         }
@@ -189,6 +192,18 @@
     }
 
     async fn ask_once(&self, peer: &Peer) -> Result<Option<Tried>, Error> {
+        let life = self
+            .entry
+            .setting
+            .dialer
+            .link(peer)
+            .await?
+            .peer()
+            .fingerprint;
+        if life != peer.fingerprint {
+            let cause = format!("{} has begun a new life", peer.instance);
+            return Ok(Some(Tried::Lost(cause)));
+        }
         let remaining = self.deadline.saturating_duration_since(Instant::now());
         let token = self.call.token;
         let ask = Ask {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -28,12 +28,17 @@
     clock: Clock,
 }
 
+/// A caller that has waited for so long has asked before.
+const ASKED_BEFORE: Duration = Duration::from_millis(10);
+
 /// By when a request has to be answered.
 struct Clock {
     /// Its caller gets a final answer by then.
     deadline: Instant,
     /// The answer is worth little after this.
     goal: Option<Instant>,
+    /// The caller was refused before, and asks again.
+    again: bool,
 }
 
 /// A request with what the rules say of it.
@@ -161,6 +166,7 @@
             depth: routed.depth,
             deadline: routed.clock.deadline,
             goal: routed.clock.goal,
+            again: routed.clock.again,
             class: 0,
             purse: purse(origin),
             kind: head.kind(intake.start()),
@@ -302,7 +308,11 @@
         let outside = matches!(origin, Origin::Outside(_));
         let objective = route.objective.filter(|_| outside);
         let goal = objective.map(|objective| now + objective.saturating_sub(waited));
-        Ok(Clock { deadline, goal })
+        Ok(Clock {
+            deadline,
+            goal,
+            again: waited >= ASKED_BEFORE,
+        })
     }
 
     fn depth(&self, origin: &Origin) -> Result<Depth, Refusal> {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -28,6 +28,8 @@
     pub(crate) deadline: Instant,
     /// When the answer is worth little to the caller.
     pub(crate) goal: Option<Instant>,
+    /// The caller was refused before, and asks again.
+    pub(crate) again: bool,
     /// The kind of work; see [`wire::Call::class`].
     pub(crate) class: u32,
     pub(crate) purse: Purse,
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -213,6 +213,10 @@
             self.refused = Some(answer);
             return Next::Elsewhere;
         }
+        if self.settle_for_late() {
+            self.refused = Some(answer);
+            return Next::Elsewhere;
+        }
         // No other target may have a request that crashes targets.
         let again = intake.sendable()
             && refusal.cause != wire::Cause::Suspect
@@ -233,11 +237,12 @@
         !reached && time && self.handed < most && intake.sendable()
     }
 
-    /// No gate can serve the request in time to be worth much. An answer that comes late is still
-    /// worth more than none, so the gates are asked once more, as for work that can wait.
+    /// No gate can serve the request in time to be worth much. For a caller that was refused before,
+    /// an answer that comes late is worth more than one more refusal, so the gates are asked once
+    /// more, as for work that can wait.
     fn settle_for_late(&mut self) -> bool {
         let crowded = self.job.entry.setting.hand_overs.is_some() && self.sent == 0;
-        if !crowded || self.handed == 0 || self.job.goal.take().is_none() {
+        if !crowded || !self.job.again || self.handed == 0 || self.job.goal.take().is_none() {
             return false;
         }
         self.job.urgency = Urgency::Batch;
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -11,15 +11,11 @@
 use crate::limit::{Limit, Turn};
 use crate::refusal::Refusal;
 use crate::request::{Id, Request};
-use crate::shell::Mark;
 use crate::solo::Solo;
 use crate::suspect::{self, Standing, Suspicion};
 use crate::token::{self, Fence, State, Status};
 use crate::verdict::{Event, Verdict};
 
-/// The pace, in hundredths of the usual time, from which the target counts as slow.
-const SLOW: u16 = 200;
-
 /// A request that holds a slot.
 #[derive(Debug)]
 pub(crate) struct Held {
@@ -27,6 +23,8 @@
     pub(crate) since: Instant,
     pub(crate) turn: Turn,
     pub(crate) dispatched: bool,
+    /// The target's pace when it was dispatched, in hundredths; 0 where it doesn't tell.
+    pub(crate) pace: u16,
 }
 
 impl Held {
@@ -36,6 +34,7 @@
             since,
             turn,
             dispatched: false,
+            pace: 0,
         }
     }
 }
@@ -258,6 +257,7 @@
             return false;
         }
         held.dispatched = true;
+        held.pace = self.pace;
         self.ages.remove(&(held.since, id));
         held.since = now;
         self.ages.insert((now, id));
@@ -341,18 +341,6 @@
         self.advance(now);
     }
 
-    /// Whether work takes much longer than usual at the target at this moment.
-    pub(crate) fn is_slow(&self) -> bool {
-        self.pace >= SLOW
-    }
-
-    pub(crate) fn mark(&self) -> Mark {
-        Mark {
-            closed: self.down || self.leaving,
-            slow: self.is_slow(),
-        }
-    }
-
     /// How a request of this kind is treated. Where suspects don't run alone, they are treated as
     /// all others until they are convicted.
     pub(crate) fn standing(&self, now: Instant, kind: Digest) -> Standing {
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -7,6 +7,7 @@
 use crate::core::{Core, Held};
 use crate::limit::{self, Turn};
 use crate::request::{End, Id};
+use crate::spell::USUAL_PACE;
 use crate::suspect;
 
 /// Longest pause after the target has shed a request.
@@ -75,6 +76,10 @@
 
     /// Takes a service time; returns its ratio to the usual one.
     fn sample(&mut self, now: Instant, held: &Held, latency: Duration) -> f64 {
+        // A run that began in a slow spell takes its time from there, and says nothing of how long
+        // such work usually takes.
+        let pace = f64::from(held.pace.max(USUAL_PACE)) / f64::from(USUAL_PACE);
+        let latency = latency.div_f64(pace);
         let ratio = self.latency.sample(now, &held.request, latency);
         self.limit.answer(ratio, held.turn, self.next_turn);
         ratio
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -40,10 +40,12 @@
             _ => cause,
         };
         if let Some(goal) = request.goal {
-            let run = self.latency.expected_of(now, request);
-            let met = wait.is_zero() || now + wait + run <= goal;
+            let run = self.run_time(now, request);
+            let free = wait.is_zero() && self.is_worth_starting(now, request);
+            let met = free || now + wait + run <= goal;
             return (!met).then(|| blame(Cause::Full));
         }
+        let wait = wait + self.spell_left(now, request);
         if wait > self.setting.wait {
             return Some(blame(Cause::Full));
         }
@@ -64,6 +66,11 @@
         self.wait_behind(now, request.urgency, more_urgent + own)
     }
 
+    /// As [`Core::wait`], with the rest of a slow spell.
+    fn whole_wait(&self, now: Instant, request: &Request) -> Duration {
+        self.wait(now, request) + self.spell_left(now, request)
+    }
+
     fn wait_behind(&self, now: Instant, urgency: Urgency, ahead: usize) -> Duration {
         let service = self.service_now(now);
         let pause = self
@@ -245,7 +252,7 @@
                 _ => self.wait(now, request).clamp(RETRY_LEAST, RETRY_MOST),
             },
             Cause::Full | Cause::Deadline | Cause::Shed => {
-                self.wait(now, request).clamp(RETRY_LEAST, RETRY_MOST)
+                self.whole_wait(now, request).clamp(RETRY_LEAST, RETRY_MOST)
             }
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -49,6 +49,7 @@
 mod schedule;
 mod shell;
 mod solo;
+mod spell;
 mod suspect;
 mod token;
 mod verdict;
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -84,7 +84,8 @@
             return false;
         }
         let mut waiting = self.nested.iter().copied();
-        let Some(id) = waiting.find(|id| self.is_innocent(now, *id)) else {
+        let may = |id: &Id| self.is_innocent(now, *id) && self.may_start(now, *id);
+        let Some(id) = waiting.find(may) else {
             return false;
         };
         let Some(request) = self.waiting.get(&id) else {
@@ -118,13 +119,38 @@
         }
     }
 
+    /// Whether a waiting request is worth starting now; see [`crate::spell`].
+    fn may_start(&self, now: Instant, id: Id) -> bool {
+        let request = self.waiting.get(&id);
+        request.is_none_or(|request| self.is_worth_starting(now, request))
+    }
+
+    /// Starts the first request that is worth it in a slow spell.
+    fn start_short(&mut self, now: Instant) -> bool {
+        let short = self.waiting.iter().find(|(id, request)| {
+            self.is_worth_starting(now, request) && self.is_innocent(now, **id)
+        });
+        let Some((id, request)) = short else {
+            return false;
+        };
+        let (id, rank, caller) = (*id, request.urgency.rank(), request.caller.clone());
+        self.lanes[rank].remove(&caller, id) && self.start(now, id)
+    }
+
     fn start_other(&mut self, now: Instant) -> bool {
+        if self.is_slow() {
+            return self.start_short(now);
+        }
         let Some(rank) = self.next_rank(now) else {
             return false;
         };
         let Some(id) = self.lanes[rank].pop() else {
             return false;
         };
+        if self.is_too_late(now, id, rank) {
+            self.demote(now, id);
+            return true;
+        }
         if !self.is_innocent(now, id) {
             self.divert(now, id);
             return true;
@@ -138,6 +164,35 @@
         self.start(now, id)
     }
 
+    /// Whether a request that waits can't reach its goal any more, while others wait that may.
+    fn is_too_late(&self, now: Instant, id: Id, rank: usize) -> bool {
+        let Some(request) = self.waiting.get(&id) else {
+            return false;
+        };
+        let last = rank == Urgency::Batch.rank();
+        let alone = self.waiting.len() == 1;
+        let run = self.latency.expected_of(now, request);
+        !last && !alone && request.goal.is_some_and(|goal| now + run > goal)
+    }
+
+    /// Lets a request that comes too late wait behind all that don't. It is still served where there
+    /// is room: a late answer is worth a little, and none is worth nothing.
+    fn demote(&mut self, now: Instant, id: Id) {
+        let Some(mut request) = self.forget_waiting(id) else {
+            return;
+        };
+        request.urgency = Urgency::Batch;
+        request.goal = None;
+        let rank = request.urgency.rank();
+        self.lanes[rank].push(&request.caller, request.weight, id);
+        self.deadlines[rank].insert((request.deadline, id));
+        if request.nested {
+            self.nested.insert(id);
+        }
+        self.waiting.insert(id, request);
+        self.update_hot(now);
+    }
+
     fn is_innocent(&self, now: Instant, id: Id) -> bool {
         let request = self.waiting.get(&id);
         request.is_none_or(|r| self.standing(now, r.kind) == Standing::Innocent)
--- /dev/null
+++ b/crates/gate/src/spell.rs
@@ -0,0 +1,71 @@
+//! Slow spells of the target, and what is worth starting in one.
+//!
+//! Targets share their machines with others, and tell how long work takes on them at each moment.
+//! A run takes its time from the moment of its start: in a spell of five times the usual, a slot is
+//! taken for five times as long, while the spell itself is over after some 150 ms. So work waits
+//! for the end of the spell, or goes elsewhere, unless it is so short that it ends before.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::core::Core;
+use crate::request::Request;
+use crate::shell::Mark;
+
+/// The pace of a target whose work takes as long as usual, in hundredths.
+pub(crate) const USUAL_PACE: u16 = 100;
+
+/// The pace from which the target counts as slow.
+const SLOW: u16 = 200;
+
+/// How much longer a spell may be expected to last. Spells end by chance, on average after 150 ms,
+/// however long they have lasted; some of the wait is over when the target is asked.
+const SPELL_LEFT: Duration = Duration::from_millis(100);
+
+impl Core {
+    /// Whether work takes much longer than usual at the target at this moment.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.pace >= SLOW
+    }
+
+    /// What entries should hear of at once.
+    pub(crate) fn mark(&self) -> Mark {
+        Mark {
+            closed: self.down || self.leaving,
+            slow: self.is_slow(),
+        }
+    }
+
+    /// Time that a request takes from the moment at which it has a slot: its run, and the rest of a
+    /// spell if that is the sooner way.
+    pub(crate) fn run_time(&self, now: Instant, request: &Request) -> Duration {
+        let run = self.latency.expected_of(now, request);
+        if !self.is_slow() {
+            return run;
+        }
+        self.slowed(run).min(run + SPELL_LEFT)
+    }
+
+    /// Whether a request is worth starting now. In a spell it is if its run ends sooner than one
+    /// that waits for the end of the spell.
+    pub(crate) fn is_worth_starting(&self, now: Instant, request: &Request) -> bool {
+        if !self.is_slow() {
+            return true;
+        }
+        let run = self.latency.expected_of(now, request);
+        self.slowed(run) <= run + SPELL_LEFT
+    }
+
+    /// The wait that a spell adds for a request that is not worth starting in it.
+    pub(crate) fn spell_left(&self, now: Instant, request: &Request) -> Duration {
+        match self.is_worth_starting(now, request) {
+            true => Duration::ZERO,
+            false => SPELL_LEFT,
+        }
+    }
+
+    fn slowed(&self, run: Duration) -> Duration {
+        run.mul_f64(f64::from(self.pace) / f64::from(USUAL_PACE))
+    }
+}
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -9,7 +9,7 @@
 use http1::response;
 use nest::Context;
 use tokio::time::{Instant, timeout_at};
-use unit::{Depth, Instance, Urgency};
+use unit::{Depth, Instance, Report, Urgency};
 use wire::{
     Accepted, Call, Cause, Error, Frame, Header, Payload, Receiver, Refusal, Reply, Sender, Stream,
 };
@@ -85,14 +85,44 @@
             let cause = Cause::Misdirected;
             return self.refuse(sender, cause, Duration::ZERO).await;
         }
+        let offered = Instant::now();
         let permit = tokio::select! {
             permit = self.server.gate.admit(self.request()) => permit,
             // Nobody waits for the answer any more: the request leaves the queue unsent.
-            () = sender.stopped() => return Ok(()),
+            () = sender.stopped() => {
+                log::info!("gate: id={} gave-up waited_ms={}.", self.id(), millis(offered));
+                return Ok(());
+            }
         };
         match permit {
-            Ok(permit) => self.connect(permit, sender, receiver).await,
-            Err(refusal) => self.refused(sender, &refusal).await,
+            Ok(permit) => {
+                log::debug!(
+                    "gate: id={} starts waited_ms={}.",
+                    self.id(),
+                    millis(offered)
+                );
+                self.connect(permit, sender, receiver).await
+            }
+            Err(refusal) => {
+                log::info!(
+                    "gate: id={} refused={} waited_ms={} {}.",
+                    self.id(),
+                    refusal.cause(),
+                    millis(offered),
+                    load(&refusal.report())
+                );
+                self.refused(sender, &refusal).await
+            }
+        }
+    }
+
+    /// What the request is called in logs: by the caller's name for it, else by the token.
+    fn id(&self) -> String {
+        let name = self.server.dialect.attempt.as_ref();
+        let named = |header: &&Header| name.is_some_and(|name| header.name == name.as_str());
+        match self.call.headers.iter().find(named) {
+            Some(header) => String::from_utf8_lossy(&header.value).into_owned(),
+            None => self.call.token.to_string(),
         }
     }
 
@@ -162,6 +192,7 @@
                 Content::Streamed(receiver)
             }
         };
+        let start = self.server.gate.report();
         let running = permit.dispatch();
         let nest = self.server.nests.enter(self.call.token, self.context());
         let hold = self
@@ -210,6 +241,14 @@
                     hold.done(Answer { reply, body });
                 }
                 self.free(connection);
+                log::info!(
+                    "gate: id={} status={} ran_ms={} class={} {}.",
+                    self.id(),
+                    head.status.as_u16(),
+                    millis(began),
+                    self.call.class,
+                    load(&start)
+                );
                 running.finish(end(shed, head.status, latency));
                 if taken { sender.finish().await } else { Ok(()) }
             }
@@ -372,7 +411,11 @@
                 error.to_string()
             }
         };
-        log::warn!("target: {cause}.");
+        log::warn!(
+            "gate: id={} lost ran_ms={} {cause}.",
+            self.id(),
+            latency.as_millis()
+        );
         abort(sender, cause).await
     }
 
@@ -410,6 +453,22 @@
     }
 }
 
+fn millis(since: Instant) -> u128 {
+    since.elapsed().as_millis()
+}
+
+/// The load of the gate in a line of the log, as it decided the request.
+fn load(report: &Report) -> String {
+    format!(
+        "running={} queued={} limit={} pace={} service_us={}",
+        report.running,
+        report.waiting(),
+        report.limit,
+        report.pace,
+        report.service_us
+    )
+}
+
 /// Reads a body that follows its call at once.
 async fn collect(receiver: &mut Receiver) -> Result<Bytes, Error> {
     let mut body = BytesMut::new();
