Know nested calls by their names, find the knee of a target, and bound what is served late

Cause: callers and targets come from one address, so every request was taken for a nested call: no goal was ever set, and nothing was refused early (index-search: p50 418 ms against an aim of 200).

The gate learns from the work of runs, without their calls, how many at once get most done. A request is let in with the spread of its run to spare, what waits is handed back when a spell begins, and what is late has every fourth start and a third of the slots to wait for.

--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -48,9 +48,11 @@
     let queue = setting.slots as usize * setting.limits.queue as usize;
     let mut gate = Gate::builder(slots).queue(queue);
     if profile.heartbeat.is_some() {
-        // The target tells its slots and its pace, so the limit need not be guessed from how long
-        // its answers take; these vary five times by spells that are no one's fault.
-        gate = gate.law(gate::Law::Fixed).alone(false);
+        // The target tells its slots and its pace, so a slow answer is no sign of too much work: times
+        // vary five times by spells that are no one's fault. What is left to find is whether it
+        // slows down before its last slot. Slots kept for urgent work would lie idle: the queue
+        // serves it first, and a slot is free within a tenth of a service time.
+        gate = gate.law(gate::Law::Knee).reserve(0.0).alone(false);
     }
     let server = Server::builder(setting.service.clone(), setting.target, gate.build())
         .nests(nests.clone())
@@ -134,7 +136,8 @@
     .held(held)
     .claims(ways.desk.claims())
     .dialect(profile.dialect.clone())
-    .retry(profile.retry);
+    .retry(profile.retry)
+    .choice(profile.choice);
     if let Some(most) = profile.hand_overs {
         entry = entry.hand_overs(most);
     }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -186,8 +186,8 @@
                 self.port(ports.outbound, outbound, bound);
             }
             None => {
-                let target = state.setting.target.ip();
-                let port = port::shared(entry, target, self.bounds(), self.close.clone());
+                let dialect = state.profile.dialect.clone();
+                let port = port::shared(entry, nests, dialect, self.bounds(), self.close.clone());
                 self.ports.spawn(port.serve(ports.outbound));
             }
         }
--- a/crates/appleshore/src/port.rs
+++ b/crates/appleshore/src/port.rs
@@ -1,10 +1,11 @@
 //! The two HTTP ports of an entry, as gotham routers.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
 
+use dialect::Dialect;
 use entry::{Body, Bounds, Entry, Origin, Port};
 use futures_util::FutureExt;
 use gotham::handler::HandlerFuture;
@@ -13,23 +14,35 @@
 use gotham::state::{FromState, State, client_addr};
 use http::{HeaderMap, Method, Request, Uri};
 use nest::{Nest, Table};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-/// Serves callers and the own target on one port. The target is known by its address: a call from
-/// there serves some running request.
+/// Serves callers and the own target on one port. A call of the target is known by its name, which
+/// shows that of the running request that it serves.
 pub(crate) fn shared(
     entry: Arc<Entry>,
-    target: IpAddr,
+    nests: Table,
+    dialect: Dialect,
     bounds: impl Fn() -> Bounds + Send + Sync + 'static,
     stop: CancellationToken,
 ) -> Port {
     let handler = move |peer: SocketAddr, request: Request<Body>| {
         let entry = entry.clone();
-        let origin = match peer.ip() == target {
-            true => Origin::Inner,
-            false => Origin::Outside(peer.ip()),
+        let parent = dialect.parent(request.headers());
+        let nest = parent.and_then(|parent| nests.find_named(parent.as_bytes()));
+        let Some(nest) = nest else {
+            let origin = Origin::Outside(peer.ip());
+            return async move { entry.handle(origin, request).await }.boxed();
         };
-        async move { entry.handle(origin, request).await }.boxed()
+        async move {
+            let began = Instant::now();
+            let response = entry
+                .handle(Origin::Nested(Some(nest.clone())), request)
+                .await;
+            nest.was_away(began.elapsed());
+            response
+        }
+        .boxed()
     };
     Port {
         handler: Arc::new(handler),
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -29,6 +29,8 @@
     pub retry: retry::Setting,
     /// How many gates may refuse one request; see [`entry::Builder::hand_overs`].
     pub hand_overs: Option<u32>,
+    /// How targets are chosen.
+    pub choice: pick::Setting,
     /// Callers and the own target use one port, where the target is known by its address.
     pub one_port: bool,
 }
@@ -44,8 +46,11 @@
 /// such as the calls of a run that is itself a repeat, have the rest.
 const RETRY_PART: f64 = 0.5;
 
+/// What a call to another zone costs beside its way, in mean service times.
+const FAR_COST: f64 = 0.25;
+
 /// Gates that are asked for one request; a refusal costs a round trip and no work.
-const HAND_OVERS: u32 = 3;
+const HAND_OVERS: u32 = 4;
 
 impl Profile {
     /// What the settings say of the platform.
@@ -69,6 +74,7 @@
                 pause: LONGEST_PAUSE,
             };
             profile.policy = policy();
+            profile.choice.far_cost = FAR_COST;
         }
         profile
     }
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -29,6 +29,8 @@
 pub struct Dialect {
     /// Names one try of a caller; a target repeats it in its answer.
     pub attempt: Option<HeaderName>,
+    /// Tells of a try's name the name of the running request that it serves, if it shows it.
+    pub parent: Option<fn(&str) -> Option<&str>>,
     /// Whole milliseconds that the caller, and then the target, has left.
     pub deadline: Option<HeaderName>,
     /// The service of the instance where a request began; the entry sets it.
@@ -94,6 +96,12 @@
         headers.get(self.attempt.as_ref()?)
     }
 
+    /// The name of the running request for which `headers` make a call, if they show it.
+    pub fn parent<'h>(&self, headers: &'h HeaderMap) -> Option<&'h str> {
+        let attempt = self.attempt(headers)?.to_str().ok()?;
+        self.parent?(attempt)
+    }
+
     /// The load that an answer tells of.
     pub fn figures(&self, headers: &HeaderMap) -> Option<Figures> {
         let load = self.load.as_ref()?;
--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -57,6 +57,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) retry: retry::Setting,
     pub(crate) hand_overs: Option<u32>,
+    pub(crate) choice: pick::Setting,
 }
 
 impl Entry {
@@ -81,6 +82,7 @@
             dialect: Dialect::default(),
             retry: retry::Setting::default(),
             hand_overs: None,
+            choice: pick::Setting::default(),
         }
     }
 }
@@ -141,6 +143,12 @@
         self
     }
 
+    /// How targets are chosen.
+    pub fn choice(mut self, choice: pick::Setting) -> Builder {
+        self.choice = choice;
+        self
+    }
+
     /// The entry.
     pub fn build(self) -> Entry {
         Entry::new(self)
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -86,7 +86,7 @@
         relay: crate::Relay,
     ) -> Result<Response<Body>, Refusal> {
         // What runs here may still need its nested calls: a planned stop must not cut them off.
-        let nested = matches!(origin, Origin::Nested(Some(_)) | Origin::Inner);
+        let nested = matches!(origin, Origin::Nested(Some(_)));
         if self.is_leaving() && !nested {
             return Err(Refusal::not_run(Reason::Leaving).detail("this instance is leaving"));
         }
@@ -156,7 +156,11 @@
         if let Some(name) = &self.setting.dialect.origin {
             head.set(name, self.setting.service.as_str());
         }
+        let id = self.setting.dialect.attempt(&parts.headers);
         Job {
+            id: id.map_or("none".into(), |id| {
+                String::from_utf8_lossy(id.as_bytes()).into()
+            }),
             entry: self.clone(),
             upstream: self.upstream(&service),
             service,
@@ -167,6 +171,7 @@
             deadline: routed.clock.deadline,
             goal: routed.clock.goal,
             again: routed.clock.again,
+            late: false,
             class: 0,
             purse: purse(origin),
             kind: head.kind(intake.start()),
@@ -235,7 +240,7 @@
         path: &'a str,
         caller: &'a Caller,
     ) -> rule::Request<'a> {
-        let nested = matches!(origin, Origin::Nested(_) | Origin::Inner);
+        let nested = matches!(origin, Origin::Nested(_));
         rule::Request {
             service: nested.then_some(&self.setting.service),
             method: &parts.method,
@@ -256,15 +261,20 @@
         parts: &Parts,
     ) -> Result<Caller, Refusal> {
         match origin {
+            // Requests are known by the service where they begin.
+            Origin::Outside(_) if self.setting.dialect.origin.is_some() => self.own_name(),
             Origin::Outside(peer) => Ok(document.caller(&parts.headers, *peer)),
             Origin::Nested(Some(nest)) => Ok(nest.context().caller.clone()),
-            Origin::Nested(None) | Origin::Inner => {
-                let caller = self.setting.service.as_str().parse();
-                caller.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))
-            }
+            Origin::Nested(None) => self.own_name(),
         }
     }
 
+    /// The own service as a caller.
+    fn own_name(&self) -> Result<Caller, Refusal> {
+        let caller = self.setting.service.as_str().parse();
+        caller.map_err(|e| Refusal::not_run(Reason::Malformed).detail(e))
+    }
+
     fn place(
         &self,
         rule: &Rule,
@@ -316,10 +326,8 @@
     }
 
     fn depth(&self, origin: &Origin) -> Result<Depth, Refusal> {
-        let nest = match origin {
-            Origin::Nested(Some(nest)) => nest,
-            Origin::Inner => return Ok(Depth(1)),
-            Origin::Nested(None) | Origin::Outside(_) => return Ok(Depth(0)),
+        let Origin::Nested(Some(nest)) = origin else {
+            return Ok(Depth(0));
         };
         let depth = Depth(nest.context().depth.0.saturating_add(1));
         if depth > self.setting.limits.depth {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -17,6 +17,8 @@
 
 /// One request, with all that its tries share.
 pub(crate) struct Job {
+    /// What the request is called in logs: its caller's name for it, where it has one.
+    pub(crate) id: String,
     pub(crate) entry: Arc<Entry>,
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) route: Route,
@@ -30,6 +32,8 @@
     pub(crate) goal: Option<Instant>,
     /// The caller was refused before, and asks again.
     pub(crate) again: bool,
+    /// The answer comes too late to be worth much.
+    pub(crate) late: bool,
     /// The kind of work; see [`wire::Call::class`].
     pub(crate) class: u32,
     pub(crate) purse: Purse,
@@ -122,6 +126,7 @@
             goal: self
                 .goal
                 .map(|goal| goal.saturating_duration_since(Instant::now())),
+            late: self.late,
             class: self.class,
             depth: self.depth,
             allowance: self.purse.units(),
--- a/crates/entry/src/origin.rs
+++ b/crates/entry/src/origin.rs
@@ -9,8 +9,6 @@
 pub enum Origin {
     /// A caller on the callers' port, with its address.
     Outside(IpAddr),
-    /// This instance's own target, whose call serves some running one that it doesn't name.
-    Inner,
     /// This instance's own target on the outbound port, with the running call that it named.
     Nested(Option<Nest>),
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -153,6 +153,11 @@
         self.outcome
     }
 
+    /// The HTTP status.
+    pub(crate) fn status_code(&self) -> u16 {
+        self.status.as_u16()
+    }
+
     /// Why.
     pub fn reason(&self) -> Reason {
         self.reason
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -67,6 +67,33 @@
     /// The refusal for the caller. It comes at once when the request is given up, and never later
     /// for the sake of a caller that might ask again.
     pub(crate) async fn run(mut self, intake: &mut Intake) -> Result<Answer, Refusal> {
+        let began = Instant::now();
+        let ended = self.try_on(intake).await;
+        let (status, reason) = match &ended {
+            Ok(answer) => (answer.reply.status, "answered".to_string()),
+            Err(refusal) => (refusal.status_code(), refusal.reason().to_string()),
+        };
+        let job = &self.job;
+        let last = self.tried.last().map_or("none", Instance::as_str);
+        log::info!(
+            "entry: id={} service={} class={} status={status} reason={reason} sent={} refused={} \
+             again={} late={} last={last} took_ms={} left_ms={}.",
+            job.id,
+            job.service,
+            job.class,
+            self.sent,
+            self.handed,
+            job.again,
+            job.late,
+            began.elapsed().as_millis(),
+            job.deadline
+                .saturating_duration_since(Instant::now())
+                .as_millis(),
+        );
+        ended
+    }
+
+    async fn try_on(&mut self, intake: &mut Intake) -> Result<Answer, Refusal> {
         self.job.upstream.first(Instant::now());
         loop {
             let Some(guard) = self.choose() else {
@@ -245,7 +272,7 @@
         if !crowded || !self.job.again || self.handed == 0 || self.job.goal.take().is_none() {
             return false;
         }
-        self.job.urgency = Urgency::Batch;
+        self.job.late = true;
         self.tried.clear();
         // One more gate, the best of them, has the last word.
         self.handed = self.job.entry.setting.hand_overs.unwrap_or(0);
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -26,12 +26,17 @@
             way,
             instance: entry,
             retry,
+            choice,
             ..
         } = setting;
         // Each entry draws its own numbers, or all entries would choose the same targets at once.
         let parts = [entry.as_str().as_bytes(), service.as_str().as_bytes()];
         let seed = unit::Digest::of_parts(&parts).0 as u64;
-        let pick = Pick::builder(zone.clone()).way(*way).seed(seed).build();
+        let pick = Pick::builder(zone.clone())
+            .way(*way)
+            .seed(seed)
+            .setting(*choice)
+            .build();
         Upstream {
             pick: Shared::from(pick),
             retry: Mutex::new(Budget::new(*retry)),
--- a/crates/gate/examples/queue.rs
+++ b/crates/gate/examples/queue.rs
@@ -61,6 +61,7 @@
             kind: Digest(token),
             nested: false,
             goal: None,
+            late: false,
             class: 0,
         };
         let verdict = self.core.offer(self.now, request);
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -1,11 +1,13 @@
 //! The decisions of a gate, without clock, lock or task.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use tokio::time::Instant;
 use unit::{Cause, Digest, Token, Urgency};
 
 use crate::builder::Setting;
+use crate::knee::Knee;
 use crate::lane::Lane;
 use crate::latency::Latency;
 use crate::limit::{Limit, Turn};
@@ -25,6 +27,8 @@
     pub(crate) dispatched: bool,
     /// The target's pace when it was dispatched, in hundredths; 0 where it doesn't tell.
     pub(crate) pace: u16,
+    /// How many ran when it was dispatched, itself included.
+    pub(crate) among: usize,
 }
 
 impl Held {
@@ -35,6 +39,7 @@
             turn,
             dispatched: false,
             pace: 0,
+            among: 0,
         }
     }
 }
@@ -61,6 +66,7 @@
 ///     kind: Digest::of(b"GET /box/9"),
 ///     nested: false,
 ///     goal: None,
+///     late: false,
 ///     class: 0,
 /// };
 /// let mut core = Builder::new(1).core(start);
@@ -77,11 +83,17 @@
     pub(crate) setting: Setting,
     pub(crate) limit: Limit,
     pub(crate) latency: Latency,
+    pub(crate) knee: Knee,
     pub(crate) lanes: [Lane; 3],
     pub(crate) solo: Solo,
     pub(crate) waiting: BTreeMap<Id, Request>,
     /// Waiting requests that others wait for.
     pub(crate) nested: BTreeSet<Id>,
+    /// Waiting requests whose answers come too late to be worth much. They are in no lane: in one
+    /// with others, each would hold up those behind it until they are late themselves.
+    pub(crate) late: BTreeSet<Id>,
+    /// Starts of others since one of those had its turn.
+    pub(crate) passed_late: u32,
     /// Waiting requests of each urgency by deadline.
     pub(crate) deadlines: [BTreeSet<(Instant, Id)>; 3],
     pub(crate) held: BTreeMap<Id, Held>,
@@ -115,10 +127,13 @@
         Core {
             limit: Limit::new(setting.law, setting.slots),
             latency: Latency::default(),
+            knee: Knee::new(now, usize::from(setting.slots)),
             lanes: Default::default(),
             solo: Solo::new(now),
             waiting: BTreeMap::new(),
             nested: BTreeSet::new(),
+            late: BTreeSet::new(),
+            passed_late: 0,
             deadlines: Default::default(),
             held: BTreeMap::new(),
             ages: BTreeSet::new(),
@@ -199,6 +214,8 @@
         let suspect = self.standing(now, request.kind) != Standing::Innocent;
         if suspect {
             self.solo.push(id);
+        } else if request.late {
+            self.late.insert(id);
         } else {
             self.make_room(now, &request);
             self.lanes[rank].push(&request.caller, request.weight, id);
@@ -246,10 +263,20 @@
         true
     }
 
+    /// The run of a dispatched request took so much work at the target, without the calls that the
+    /// target made for it.
+    pub fn worked(&mut self, now: Instant, id: Id, work: Duration) {
+        if let Some(held) = self.held.get(&id) {
+            let run = (held.request.class, held.among, held.pace);
+            self.watch_knee(now, run, work);
+        }
+    }
+
     /// The request leaves for the target: from here on nothing can refuse it.
     ///
     /// False when the id holds no slot, or was dispatched before.
     pub fn dispatch(&mut self, now: Instant, id: Id) -> bool {
+        let among = self.held.len();
         let Some(held) = self.held.get_mut(&id) else {
             return false;
         };
@@ -257,6 +284,7 @@
             return false;
         }
         held.dispatched = true;
+        held.among = among;
         held.pace = self.pace;
         self.ages.remove(&(held.since, id));
         held.since = now;
@@ -328,7 +356,11 @@
     /// The target is there and takes work, with so many slots; a new life of it perhaps.
     pub fn target_here(&mut self, now: Instant, slots: u16) {
         self.leaving = false;
+        if self.limit.slots() != usize::from(slots.max(1)) {
+            self.knee = Knee::new(now, usize::from(slots.max(1)));
+        }
         self.limit.resize(slots);
+        self.limit.settle(self.knee.best());
         if std::mem::take(&mut self.down) {
             self.limit.chill();
         }
@@ -337,7 +369,11 @@
 
     /// The target tells how long work takes at it now, in hundredths of what it usually takes.
     pub fn set_pace(&mut self, now: Instant, pace: u16) {
+        let was_slow = self.is_slow();
         self.pace = pace;
+        if self.is_slow() && !was_slow {
+            self.hand_back(now);
+        }
         self.advance(now);
     }
 
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -85,6 +85,22 @@
         ratio
     }
 
+    /// Learns from a run that began at the usual pace how much longer it took for the others that ran.
+    pub(crate) fn watch_knee(&mut self, now: Instant, run: (u32, usize, u16), work: Duration) {
+        let (class, among, pace) = run;
+        if pace > USUAL_PACE {
+            return;
+        }
+        if self.knee.is_quiet(among) {
+            self.latency.sample_quiet(now, class, work);
+        }
+        if let Some(usual) = self.latency.quiet(class) {
+            let ratio = work.as_secs_f64() / usual.as_secs_f64();
+            self.knee.sample(now, among, ratio);
+            self.limit.settle(self.knee.best());
+        }
+    }
+
     /// Lets one more start when a quick answer comes to the newest run while the rest, from
     /// worse times, fill the limit.
     fn pass_stragglers(&mut self, turn: Turn) {
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -20,6 +20,8 @@
 const STALL_FEW: f64 = 9.0;
 /// Fewest running requests that can look stuck, where there are as many slots.
 const STALL_LEAST: usize = 3;
+/// Of the slots, one in so many may be waited for by requests that are late already.
+const LATE_PART: usize = 3;
 /// Usual service times without a start after which a probe is due.
 const PROBE: u32 = 8;
 /// Bounds of what a refused caller is told to wait.
@@ -39,8 +41,11 @@
             Some(until) if until > now => Cause::Shed,
             _ => cause,
         };
+        if request.late && self.late.len() >= self.limit.now().div_ceil(LATE_PART) {
+            return Some(blame(Cause::Full));
+        }
         if let Some(goal) = request.goal {
-            let run = self.run_time(now, request);
+            let run = self.run_time(now, request) + self.latency.spread_of(request);
             let free = wait.is_zero() && self.is_worth_starting(now, request);
             let met = free || now + wait + run <= goal;
             return (!met).then(|| blame(Cause::Full));
@@ -60,9 +65,15 @@
     /// Expected wait of a request that comes now: for the pause, for a suspect's turn, and for
     /// the requests that run over the limit or start before it.
     pub(crate) fn wait(&self, now: Instant, request: &Request) -> Duration {
-        let rank = request.urgency.rank();
+        let rank = match request.late {
+            true => self.lanes.len(),
+            false => request.urgency.rank(),
+        };
         let more_urgent: usize = self.lanes[..rank].iter().map(|lane| lane.len()).sum();
-        let own = self.lanes[rank].before(&request.caller, request.weight);
+        let own = match self.lanes.get(rank) {
+            Some(lane) => lane.before(&request.caller, request.weight),
+            None => self.late.len(),
+        };
         self.wait_behind(now, request.urgency, more_urgent + own)
     }
 
@@ -200,7 +211,8 @@
         if self.down || self.leaving || self.pause.is_some() {
             return true;
         }
-        let waiting: usize = self.lanes.iter().map(|lane| lane.len()).sum();
+        let lanes: usize = self.lanes.iter().map(|lane| lane.len()).sum();
+        let waiting = lanes + self.late.len();
         if waiting == 0 {
             return false;
         }
--- a/crates/gate/src/latency.rs
+++ b/crates/gate/src/latency.rs
@@ -34,6 +34,9 @@
 const MARGIN: f64 = 4.0;
 /// Mean deviations above the mean that a waiting request must have left, else it is given up.
 const LATE: f64 = 1.5;
+/// Mean deviations that a request let in must have to spare before its goal. Let in to the last
+/// moment, half of them end too late.
+const SPREAD: f64 = 1.5;
 /// Age from which a smoothed time no longer refuses anything.
 ///
 /// An estimate that refuses all its requests is never corrected by an answer; without this the
@@ -108,6 +111,22 @@
     }
 }
 
+/// Least weight of one run in the mean work of its class; the first few count alike. It changes
+/// slowly, since it is what other runs are compared with.
+const QUIET_ALPHA: f64 = 0.005;
+/// Runs after which the mean work of a class is believed: times of single runs differ by a third.
+const QUIET_TRUSTED: u32 = 16;
+/// A class of which nothing was heard for so long makes room for others.
+const FORGET_QUIET: Duration = Duration::from_secs(60);
+
+/// The mean work of one class.
+#[derive(Debug, Clone, Copy)]
+struct Quiet {
+    mean: f64,
+    count: u32,
+    last: Instant,
+}
+
 /// The service times of one target: over all, and by urgency.
 ///
 /// The urgencies are kept apart so that a batch of heavy work neither looks like a slow-down of
@@ -117,6 +136,21 @@
     all: Estimate,
     by_urgency: [Estimate; 3],
     by_class: BTreeMap<u32, Estimate>,
+    /// The work of runs that few others ran beside, by class.
+    quiet: BTreeMap<u32, Quiet>,
+}
+
+/// Takes a sample of one class; classes without fresh ones make room.
+fn sample_into(classes: &mut BTreeMap<u32, Estimate>, now: Instant, class: u32, latency: Duration) {
+    if class == 0 {
+        return;
+    }
+    if classes.len() >= CLASSES && !classes.contains_key(&class) {
+        classes.retain(|_, estimate| estimate.is_fresh(now));
+    }
+    if classes.len() < CLASSES {
+        classes.entry(class).or_default().sample(now, latency);
+    }
 }
 
 impl Latency {
@@ -129,15 +163,37 @@
     }
 
     fn sample_class(&mut self, now: Instant, class: u32, latency: Duration) {
+        sample_into(&mut self.by_class, now, class, latency);
+    }
+
+    /// Takes the time of a run that few others ran beside.
+    pub(crate) fn sample_quiet(&mut self, now: Instant, class: u32, latency: Duration) {
         if class == 0 {
             return;
         }
-        if self.by_class.len() >= CLASSES && !self.by_class.contains_key(&class) {
-            self.by_class.retain(|_, estimate| estimate.is_fresh(now));
+        let quiet = &mut self.quiet;
+        if quiet.len() >= CLASSES && !quiet.contains_key(&class) {
+            quiet.retain(|_, quiet| now.saturating_duration_since(quiet.last) < FORGET_QUIET);
         }
-        if self.by_class.len() < CLASSES {
-            self.by_class.entry(class).or_default().sample(now, latency);
+        if quiet.len() >= CLASSES {
+            return;
         }
+        let quiet = quiet.entry(class).or_insert(Quiet {
+            mean: 0.0,
+            count: 0,
+            last: now,
+        });
+        quiet.last = now;
+        quiet.count = quiet.count.saturating_add(1);
+        let weight = QUIET_ALPHA.max(1.0 / f64::from(quiet.count));
+        quiet.mean += (latency.as_secs_f64() - quiet.mean) * weight;
+    }
+
+    /// How long work of this class takes while few others run, once that is known.
+    pub(crate) fn quiet(&self, class: u32) -> Option<Duration> {
+        let quiet = self.quiet.get(&class)?;
+        let known = quiet.count >= QUIET_TRUSTED && quiet.mean > LEAST;
+        known.then(|| Duration::from_secs_f64(quiet.mean))
     }
 
     /// Smoothed service time over all.
@@ -161,6 +217,13 @@
         }
     }
 
+    /// By how much the time of such a request varies; zero when little is known.
+    pub(crate) fn spread_of(&self, request: &Request) -> Duration {
+        let class = self.by_class.get(&request.class);
+        let spread = class.map_or(0.0, |class| SPREAD * class.deviation);
+        Duration::from_secs_f64(spread)
+    }
+
     /// Time that a request of this urgency will likely run; zero when nothing fresh is known.
     pub(crate) fn expected(&self, now: Instant, urgency: Urgency) -> Duration {
         self.view(now, urgency, |estimate| estimate.mean)
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,6 +24,7 @@
 //!     kind: Digest::of_parts(&[b"GET", b"/land-file/88"]),
 //!     nested: false,
 //!     goal: None,
+//!     late: false,
 //!     class: 0,
 //! };
 //! let permit = gate.admit(request).await?;
@@ -41,6 +42,7 @@
 mod dump;
 mod ending;
 mod forecast;
+mod knee;
 mod lane;
 mod latency;
 mod limit;
--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -29,6 +29,8 @@
     Gradient,
     /// Always the configured slots.
     Fixed,
+    /// The slots up to which the target does not slow down; see [`crate::knee`].
+    Knee,
 }
 
 /// The place of a start in the order of all starts.
@@ -63,6 +65,18 @@
         limit
     }
 
+    /// Whether single answers and troubles leave the limit as it is.
+    fn is_set(&self) -> bool {
+        matches!(self.law, Law::Fixed | Law::Knee)
+    }
+
+    /// Sets the limit to what the target gets most done with.
+    pub(crate) fn settle(&mut self, best: usize) {
+        if self.law == Law::Knee {
+            self.set(best as f64);
+        }
+    }
+
     /// The target runs so many at once from now on.
     pub(crate) fn resize(&mut self, slots: u16) {
         let slots = f64::from(slots.max(1));
@@ -89,7 +103,7 @@
     pub(crate) fn chill(&mut self) {
         self.strain = 1.0;
         self.cold = true;
-        if self.law != Law::Fixed {
+        if !self.is_set() {
             self.set(self.slots * COLD);
         }
     }
@@ -110,7 +124,7 @@
         }
         self.strain += ALPHA * (ratio.min(RATIO_CAP) - self.strain);
         match self.law {
-            Law::Fixed => {}
+            Law::Fixed | Law::Knee => {}
             Law::Aimd => self.answer_aimd(turn, next),
             Law::Gradient => self.answer_gradient(),
         }
@@ -138,7 +152,7 @@
     /// At most one decrease a round: the runs under way were all started at the old limit, and
     /// would each cut it again for the same trouble.
     pub(crate) fn cut(&mut self, turn: Turn, next: Turn) {
-        if self.law == Law::Fixed || turn < self.round {
+        if self.is_set() || turn < self.round {
             return;
         }
         self.round = next;
@@ -148,7 +162,9 @@
 
     /// Allows at least `count` at once.
     pub(crate) fn lift(&mut self, count: usize) {
-        self.set(self.value.max(count as f64));
+        if self.law != Law::Knee {
+            self.set(self.value.max(count as f64));
+        }
     }
 
     fn set(&mut self, value: f64) {
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -16,6 +16,13 @@
 /// urgent work a sixteenth of the slots at most.
 const AGEING: u32 = 15;
 
+/// A request that is late already gets a start after so many others.
+///
+/// Behind all others it would wait until its deadline whenever there is a little too much work, and
+/// a caller that has waited for nothing is the worst end of all. A quarter of the starts is more than
+/// becomes late, so that those who wait are few.
+const LATE_TURN: u32 = 3;
+
 impl Core {
     /// Starts a newcomer that finds a free slot.
     ///
@@ -93,7 +100,8 @@
         };
         let lane = &mut self.lanes[request.urgency.rank()];
         // One that waits alone as a suspect is not in its lane, and keeps its turn.
-        lane.remove(&request.caller, id) && self.start(now, id)
+        let waits = lane.remove(&request.caller, id) || self.late.remove(&id);
+        waits && self.start(now, id)
     }
 
     /// Starts one request, if one may start.
@@ -106,7 +114,7 @@
             return false;
         }
         self.recheck_suspects(now);
-        let others = self.lanes.iter().any(|lane| lane.len() > 0);
+        let others = self.lanes.iter().any(|lane| lane.len() > 0) || !self.late.is_empty();
         let service = self.latency.mean();
         match self.solo.step(now, self.held.len(), others, service) {
             Step::Hold => false,
@@ -134,21 +142,42 @@
             return false;
         };
         let (id, rank, caller) = (*id, request.urgency.rank(), request.caller.clone());
-        self.lanes[rank].remove(&caller, id) && self.start(now, id)
+        let waits = self.lanes[rank].remove(&caller, id) || self.late.remove(&id);
+        waits && self.start(now, id)
+    }
+
+    /// Starts the first request that is late already; nothing else waits that may start.
+    fn start_late(&mut self, now: Instant) -> bool {
+        let lower = self.held.len() - self.held_by[Urgency::Urgent.rank()];
+        if lower >= self.lower_limit(now) {
+            return false;
+        }
+        let Some(id) = self.late.pop_first() else {
+            return false;
+        };
+        self.passed_late = 0;
+        if !self.is_innocent(now, id) {
+            self.divert(now, id);
+            return true;
+        }
+        self.start(now, id)
     }
 
     fn start_other(&mut self, now: Instant) -> bool {
         if self.is_slow() {
             return self.start_short(now);
         }
+        if self.passed_late >= LATE_TURN && self.start_late(now) {
+            return true;
+        }
         let Some(rank) = self.next_rank(now) else {
-            return false;
+            return self.start_late(now);
         };
         let Some(id) = self.lanes[rank].pop() else {
             return false;
         };
-        if self.is_too_late(now, id, rank) {
-            self.demote(now, id);
+        if self.is_too_late(now, id) {
+            self.late.insert(id);
             return true;
         }
         if !self.is_innocent(now, id) {
@@ -156,6 +185,7 @@
             return true;
         }
         self.passed[rank] = 0;
+        self.passed_late += u32::from(!self.late.is_empty());
         for lower in rank + 1..self.lanes.len() {
             if self.lanes[lower].len() > 0 {
                 self.passed[lower] += 1;
@@ -164,33 +194,14 @@
         self.start(now, id)
     }
 
-    /// Whether a request that waits can't reach its goal any more, while others wait that may.
-    fn is_too_late(&self, now: Instant, id: Id, rank: usize) -> bool {
+    /// Whether a request can't reach its goal any more. It then waits behind all that may: a late
+    /// answer is worth a little, and none is worth nothing.
+    fn is_too_late(&self, now: Instant, id: Id) -> bool {
         let Some(request) = self.waiting.get(&id) else {
             return false;
         };
-        let last = rank == Urgency::Batch.rank();
-        let alone = self.waiting.len() == 1;
         let run = self.latency.expected_of(now, request);
-        !last && !alone && request.goal.is_some_and(|goal| now + run > goal)
-    }
-
-    /// Lets a request that comes too late wait behind all that don't. It is still served where there
-    /// is room: a late answer is worth a little, and none is worth nothing.
-    fn demote(&mut self, now: Instant, id: Id) {
-        let Some(mut request) = self.forget_waiting(id) else {
-            return;
-        };
-        request.urgency = Urgency::Batch;
-        request.goal = None;
-        let rank = request.urgency.rank();
-        self.lanes[rank].push(&request.caller, request.weight, id);
-        self.deadlines[rank].insert((request.deadline, id));
-        if request.nested {
-            self.nested.insert(id);
-        }
-        self.waiting.insert(id, request);
-        self.update_hot(now);
+        request.goal.is_some_and(|goal| now + run > goal)
     }
 
     fn is_innocent(&self, now: Instant, id: Id) -> bool {
@@ -286,7 +297,7 @@
     pub(crate) fn take_waiting(&mut self, id: Id) -> Option<Request> {
         let request = self.forget_waiting(id)?;
         let rank = request.urgency.rank();
-        if !self.lanes[rank].remove(&request.caller, id) {
+        if !self.lanes[rank].remove(&request.caller, id) && !self.late.remove(&id) {
             self.solo.remove(id);
         }
         if self.lanes[rank].len() == 0 {
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
@@ -392,6 +393,13 @@
         self.end(end);
     }
 
+    /// Tells how much work the run was for the target; see [`Core::worked`].
+    pub fn worked(&self, work: Duration) {
+        if let Some(slot) = &self.slot {
+            slot.inner.with(|core, now| core.worked(now, slot.id, work));
+        }
+    }
+
     /// When the request was dispatched.
     pub fn since(&self) -> Instant {
         self.since
--- a/crates/gate/src/spell.rs
+++ b/crates/gate/src/spell.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use unit::Cause;
 
 use crate::core::Core;
-use crate::request::Request;
+use crate::request::{Id, Request};
 use crate::shell::Mark;
 
 /// The pace of a target whose work takes as long as usual, in hundredths.
@@ -57,6 +58,24 @@
         self.slowed(run) <= run + SPELL_LEFT
     }
 
+    /// Refuses what waits for a goal that it would miss behind the spell that has just begun: it has
+    /// not run, and another target may be quick.
+    pub(crate) fn hand_back(&mut self, now: Instant) {
+        let misses = |request: &Request| {
+            let waits = !request.nested && !self.is_worth_starting(now, request);
+            let run = self.latency.expected_of(now, request);
+            waits
+                && request
+                    .goal
+                    .is_some_and(|goal| now + SPELL_LEFT + run > goal)
+        };
+        let missing = self.waiting.iter().filter(|(_, request)| misses(request));
+        let ids: Vec<Id> = missing.map(|(id, _)| *id).collect();
+        for id in ids {
+            self.refuse_waiting(now, id, Cause::Full);
+        }
+    }
+
     /// The wait that a spell adds for a request that is not worth starting in it.
     pub(crate) fn spell_left(&self, now: Instant, request: &Request) -> Duration {
         match self.is_worth_starting(now, request) {
--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -130,6 +130,7 @@
             kind: Digest(offer.kind.into()),
             nested: false,
             goal: None,
+            late: false,
             class: 0,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
--- a/crates/gate/tests/all/kit.rs
+++ b/crates/gate/tests/all/kit.rs
@@ -21,6 +21,7 @@
         kind: Digest(token),
         nested: false,
         goal: None,
+        late: false,
         class: 0,
     }
 }
--- a/crates/nest/src/lib.rs
+++ b/crates/nest/src/lib.rs
@@ -30,10 +30,11 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
-use unit::{Caller, Depth, Token, Urgency};
+use unit::{Caller, Depth, Digest, Token, Urgency};
 
 /// The header that a target copies from the request it runs onto the calls that it makes.
 ///
@@ -62,6 +63,8 @@
 pub struct Nest {
     context: Arc<Context>,
     left: Arc<Mutex<u8>>,
+    /// Time that the run has spent on its calls.
+    away: Arc<Mutex<Duration>>,
 }
 
 /// The running calls of one daemon's target; clones share the table.
@@ -95,6 +98,7 @@
         let nest = Nest {
             context: Arc::new(context),
             left,
+            away: Arc::default(),
         };
         self.shard(token).lock().insert(token, nest.clone());
         Running {
@@ -104,6 +108,17 @@
         }
     }
 
+    /// Holds `context` under the name that the request has with its caller, where its target makes
+    /// calls under names that show it.
+    pub fn enter_named(&self, name: &[u8], context: Context) -> Running {
+        self.enter(named(name), context)
+    }
+
+    /// The running call of a request that has `name` with its caller.
+    pub fn find_named(&self, name: &[u8]) -> Option<Nest> {
+        self.find(named(name))
+    }
+
     /// The running call that `token` names.
     pub fn find(&self, token: Token) -> Option<Nest> {
         self.shard(token).lock().get(&token).cloned()
@@ -124,6 +139,11 @@
     }
 }
 
+/// A name as a token; 128 bits of a hash don't collide.
+fn named(name: &[u8]) -> Token {
+    Token(Digest::of(name).0)
+}
+
 impl Nest {
     /// What the nested calls inherit.
     pub fn context(&self) -> &Context {
@@ -136,7 +156,19 @@
     }
 }
 
+impl Nest {
+    /// Notes a call that the run has made.
+    pub fn was_away(&self, time: Duration) {
+        *self.away.lock() += time;
+    }
+}
+
 impl Running {
+    /// Time that the run has spent on its calls so far, added up.
+    pub fn away(&self) -> Duration {
+        *self.nest.away.lock()
+    }
+
     /// What is left of the allowance; it goes back with the answer.
     pub fn left(&self) -> u8 {
         *self.nest.left.lock()
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -254,6 +254,7 @@
             now,
             mean: &self.mean,
             half_life: self.setting.half_life,
+            far_cost: self.setting.far_cost,
         }
     }
 
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -100,6 +100,7 @@
     pub(crate) now: Instant,
     pub(crate) mean: &'a Mean,
     pub(crate) half_life: Duration,
+    pub(crate) far_cost: f64,
 }
 
 impl Scale<'_> {
@@ -110,6 +111,9 @@
         let wait = wait(self.load(record, need.urgency, fresh), self.limit(record)) * service;
         let trip = match need.zone {
             Preference::Any => 0.0,
+            Preference::Near if !record.near => {
+                micros(record.trip) + self.far_cost * self.mean.service_us
+            }
             Preference::Near | Preference::Only => micros(record.trip),
         };
         let heat = self.heat(record, need.urgency, fresh) * service;
--- a/crates/pick/src/setting.rs
+++ b/crates/pick/src/setting.rs
@@ -17,6 +17,9 @@
     pub subset_over: usize,
     /// Targets in the subset outside the entry's zone.
     pub subset_far: usize,
+    /// What a call to another zone costs beside the way there, in mean service times: bytes between
+    /// zones are paid for. A request stays in its zone while the wait there is longer by less.
+    pub far_cost: f64,
 }
 
 impl Default for Setting {
@@ -28,6 +31,7 @@
             half_life: Duration::from_millis(100),
             subset_over: 16,
             subset_far: 12,
+            far_cost: 0.0,
         }
     }
 }
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -29,6 +29,8 @@
     /// The instance that asks.
     entry: Instance,
     deadline: Instant,
+    /// How long it has waited for a slot.
+    waited: Duration,
 }
 
 /// All that a request needs to start.
@@ -67,6 +69,7 @@
             call,
             entry,
             deadline,
+            waited: Duration::ZERO,
         }
     }
 
@@ -75,7 +78,7 @@
     /// # Errors
     ///
     /// The link's error if the entry went away.
-    pub(crate) async fn run(self, stream: Stream) -> Result<(), Error> {
+    pub(crate) async fn run(mut self, stream: Stream) -> Result<(), Error> {
         let Stream {
             mut sender,
             receiver,
@@ -96,11 +99,7 @@
         };
         match permit {
             Ok(permit) => {
-                log::debug!(
-                    "gate: id={} starts waited_ms={}.",
-                    self.id(),
-                    millis(offered)
-                );
+                self.waited = offered.elapsed();
                 self.connect(permit, sender, receiver).await
             }
             Err(refusal) => {
@@ -118,14 +117,19 @@
 
     /// What the request is called in logs: by the caller's name for it, else by the token.
     fn id(&self) -> String {
-        let name = self.server.dialect.attempt.as_ref();
-        let named = |header: &&Header| name.is_some_and(|name| header.name == name.as_str());
-        match self.call.headers.iter().find(named) {
+        match self.attempt() {
             Some(header) => String::from_utf8_lossy(&header.value).into_owned(),
             None => self.call.token.to_string(),
         }
     }
 
+    /// The caller's name for the request.
+    fn attempt(&self) -> Option<&Header> {
+        let name = self.server.dialect.attempt.as_ref()?;
+        let mut headers = self.call.headers.iter();
+        headers.find(|header| header.name == name.as_str())
+    }
+
     fn method(&self) -> Option<Method> {
         Method::from_bytes(self.call.method.as_bytes()).ok()
     }
@@ -144,6 +148,7 @@
             kind: self.call.kind,
             nested: self.call.depth > Depth(0),
             goal: self.call.goal.map(|left| Instant::now() + left),
+            late: self.call.late,
             class: self.call.class,
         }
     }
@@ -194,7 +199,7 @@
         };
         let start = self.server.gate.report();
         let running = permit.dispatch();
-        let nest = self.server.nests.enter(self.call.token, self.context());
+        let nest = self.nest();
         let hold = self
             .call
             .once
@@ -242,13 +247,22 @@
                 }
                 self.free(connection);
                 log::info!(
-                    "gate: id={} status={} ran_ms={} class={} {}.",
+                    "gate: id={} status={} urgency={} goal_ms={} late={} waited_ms={} ran_ms={} class={} {}.",
                     self.id(),
                     head.status.as_u16(),
+                    self.call.urgency,
+                    self.call.goal.map_or(-1, |goal| goal.as_millis() as i64),
+                    self.call.late,
+                    self.waited.as_millis(),
                     millis(began),
                     self.call.class,
                     load(&start)
                 );
+                if head.status.is_success()
+                    && let Some(work) = latency.checked_sub(nest.away())
+                {
+                    running.worked(work);
+                }
                 running.finish(end(shed, head.status, latency));
                 if taken { sender.finish().await } else { Ok(()) }
             }
@@ -356,6 +370,14 @@
         }
     }
 
+    /// Enters the run for the calls that the target makes for it.
+    fn nest(&self) -> nest::Running {
+        match self.attempt() {
+            Some(header) => self.server.nests.enter_named(&header.value, self.context()),
+            None => self.server.nests.enter(self.call.token, self.context()),
+        }
+    }
+
     fn context(&self) -> Context {
         Context {
             urgency: self.call.urgency,
