Tell the handler the end of a body whose last piece filled its channel

Cause: the end of a body was looked for only when more bytes had come. Reads went 64 bytes at a time besides, since a buffer without room grows by that; and a newcomer was tried once, before it was ready.

--- a/crates/appleshore/src/keeper.rs
+++ b/crates/appleshore/src/keeper.rs
@@ -22,10 +22,11 @@
 const LOOK: Duration = Duration::from_secs(1);
 
 /// Pauses between two tries to dial one peer, doubled up to the second. A process that is started
-/// again is back within a second or two; one that is gone for good costs a connection a second
-/// until it is removed from the roster.
+/// again is back within a second or two, and while the store is down it knows nothing until a peer
+/// has dialled it. One that is gone for good costs four packets a second until it is removed from
+/// the roster.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
-const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
 /// What the keeping of links reads and changes.
 #[derive(Clone)]
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -31,6 +31,8 @@
 const MOST_AT_ONCE: usize = 64;
 /// Bytes that are read ahead. A caller that leaves is noticed as long as there is room.
 const READ_AHEAD: usize = 256 << 10;
+/// Room for one read. Without it the buffer grows by 64 bytes at a time, and each is a system call.
+const READ_AT_ONCE: usize = 4 << 10;
 /// Bytes of answers that wait to be written before more is taken from a body.
 const WRITE_AHEAD: usize = 64 << 10;
 /// Pieces of a request's body that wait for the handler.
@@ -150,6 +152,7 @@
         let room = self.feed_room();
         let (mut reader, mut writer) = stream.split();
         let can_read = self.input.len() < READ_AHEAD;
+        self.input.reserve(READ_AT_ONCE);
         let can_write = !self.output.is_empty();
         let can_fill = self.output.len() < WRITE_AHEAD;
         let may_stop = !self.last_read && self.input.is_empty() && self.feed.is_none();
@@ -276,6 +279,11 @@
             return true;
         };
         loop {
+            if feed.body.is_done() {
+                self.feed = None;
+                self.since = Instant::now();
+                return true;
+            }
             if feed
                 .to
                 .as_ref()
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -55,7 +55,7 @@
 
     /// Whether all of it has been read.
     pub fn is_done(&self) -> bool {
-        self.state == State::Done
+        matches!(self.state, State::Done | State::Sized(0))
     }
 
     /// Takes the next piece out of `bytes`; `None` when more bytes are needed.
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -20,6 +20,8 @@
 const MAX_DOUBLINGS: u32 = 5;
 /// A failing target is tried at least this often, however few requests there are.
 const FAILING_PAUSE: Duration = Duration::from_secs(5);
+/// A target that has joined and had nothing to answer is tried again after this long.
+const NEWCOMER_AGAIN: Duration = Duration::from_millis(500);
 /// The part of its fair share at which a new target gets its first call.
 const FIRST_CALL: f64 = 0.25;
 /// A difference of this share of the service time halves the chance of the worse target.
@@ -105,7 +107,8 @@
     /// Chooses a target for a request, or none when no target may serve it.
     pub fn choose(&mut self, now: Instant, need: &Need<'_>) -> Option<Instance> {
         let able = self.able(now, need);
-        let place = match self.trial(now, need, &able) {
+        let turn = self.newcomer(now, need, &able);
+        let place = match turn.or_else(|| self.trial(now, need, &able)) {
             Some(place) => place,
             None => self.best(now, need, able)?,
         };
@@ -276,6 +279,25 @@
         if open.is_empty() { able } else { open }
     }
 
+    /// A target that has joined and has given no answer here yet.
+    ///
+    /// Where there is little to do, the estimates keep requests in their zone, and one that joins in
+    /// another zone would never be asked: nobody would know how quick it is when it is needed. One
+    /// request of each entry tells.
+    fn newcomer(&self, now: Instant, need: &Need<'_>, able: &[usize]) -> Option<usize> {
+        if need.urgency == Urgency::Urgent || need.zone == Preference::Only {
+            return None;
+        }
+        let untried = |place: &usize| {
+            let record = &self.records[*place];
+            // Its daemon may be there before it is.
+            let rested = |at: Instant| now.saturating_duration_since(at) >= NEWCOMER_AGAIN;
+            let idle = record.flying.is_empty() && record.tried_at.is_none_or(rested);
+            idle && record.answered == 0 && record.failures == 0 && !record.settled
+        };
+        able.iter().copied().find(untried)
+    }
+
     /// The failing target whose turn it is to show that it is well again.
     ///
     /// It is chosen outright, since by its estimate it would never be. Urgent requests are not
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -17,6 +17,9 @@
 /// How long a connection to the target may take. It is on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Room for one read. Without it the buffer grows by 64 bytes at a time, and each is a system call.
+const READ_AT_ONCE: usize = 8 << 10;
+
 /// Answers to other requests that are passed over on one connection before it is given up.
 const MOST_FOREIGN: usize = 3;
 
@@ -159,6 +162,7 @@
         rest: &mut Option<Receiver>,
         chunked: bool,
     ) -> Result<(), Error> {
+        self.input.reserve(READ_AT_ONCE);
         let (mut reader, mut writer) = self.stream.split();
         tokio::select! {
             read = reader.read_buf(&mut self.input) => match read {
@@ -223,6 +227,7 @@
                 }
                 None => {}
             }
+            self.input.reserve(READ_AT_ONCE);
             match self.stream.read_buf(&mut self.input).await {
                 Ok(0) => {
                     self.keep = false;
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -24,10 +24,14 @@
 /// How often a target is asked of which nothing is known, or which can't be reached.
 const SEARCH: Duration = Duration::from_millis(200);
 
-/// How often a target that takes work is asked after its load, when no answer of its has told it.
-/// Work takes five times as long for spells of some 150 ms, and the choice among targets is worth
-/// as much as its figures are fresh.
-const FRESH: Duration = Duration::from_millis(25);
+/// How often a target in a slow spell is asked after its load, when no answer of its has told it:
+/// nothing starts until the spell is known to be over.
+const FRESH: Duration = Duration::from_millis(20);
+
+/// The same of a target that is not slow, while it has work. Work takes five times as long for
+/// spells of some 150 ms, and the choice among targets is worth as much as its figures are fresh.
+/// One that has no work tells of a spell when some comes: each question has a price.
+const FRESH_QUICK: Duration = Duration::from_millis(40);
 
 /// Watches the target of `server` until it is dropped.
 pub async fn watch(server: Arc<Server>) {
@@ -94,13 +98,25 @@
         Stage::Ready | Stage::Leaving if server.dialect.load.is_none() => SEARCH,
         Stage::Ready => {
             let told = *server.told.lock();
-            let age = told.map_or(FRESH, |at| at.elapsed());
-            FRESH.saturating_sub(age).max(Duration::from_millis(5))
+            let bound = fresh(server);
+            let age = told.map_or(bound, |at| at.elapsed());
+            bound.saturating_sub(age).max(Duration::from_millis(5))
         }
         Stage::Leaving => SEARCH,
     }
 }
 
+/// How old the target's word on its load may be.
+fn fresh(server: &Server) -> Duration {
+    let report = server.gate.report();
+    let slow = report.pace > 100;
+    match (slow, report.running) {
+        (true, _) => FRESH,
+        (false, 0) => SEARCH,
+        (false, _) => FRESH_QUICK,
+    }
+}
+
 /// Whether there is anything to ask.
 fn is_due(server: &Server) -> bool {
     if server.doubted.swap(false, Ordering::AcqRel) {
@@ -111,7 +127,7 @@
         Stage::Leaving => false,
         Stage::Ready => {
             let told = *server.told.lock();
-            told.is_none_or(|at| at.elapsed() >= FRESH)
+            told.is_none_or(|at| at.elapsed() >= fresh(server))
         }
     }
 }
--- a/crates/wire/src/tcp/mux.rs
+++ b/crates/wire/src/tcp/mux.rs
@@ -22,6 +22,9 @@
 /// and no other. The window carries 40 MB a second over a round trip of 3 ms.
 pub(crate) const WINDOW: usize = 128 << 10;
 
+/// Room for one read. Without it the buffer grows by 64 bytes at a time, and each is a system call.
+const READ_AT_ONCE: usize = 8 << 10;
+
 /// What a stream's receiving half is given.
 #[derive(Debug)]
 pub(crate) enum Event {
@@ -347,8 +350,9 @@
 
 async fn read_all(mux: Mux, mut reader: OwnedReadHalf, arrived: impl Fn(Arrival) + Send + 'static) {
     let closed = mux.shared.closed.clone();
-    let mut bytes = BytesMut::with_capacity(16 << 10);
+    let mut bytes = BytesMut::new();
     let cause = loop {
+        bytes.reserve(READ_AT_ONCE);
         let read = tokio::select! {
             read = reader.read_buf(&mut bytes) => read,
             () = closed.cancelled() => break "closed here".to_string(),
