--- a/bin/appleshored/src/main.rs
+++ b/bin/appleshored/src/main.rs
@@ -80,5 +80,6 @@
         () = daemon.asked_to_drain() => {}
     }
     daemon.drain().await;
+    logging::flush();
     Ok(())
 }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -37,6 +37,10 @@
 const HELD: Size = Size::of(8_000_000);
 const HELD_FOR: Duration = Duration::from_secs(120);
 
+/// Bytes a second that reports on answers may take where rules don't bound them: one of 20 bytes on
+/// each of some thousand answers.
+const REPORTS: Size = Size::of(20_000);
+
 /// How long the last writes of a stop may take.
 const GOODBYE: Duration = Duration::from_secs(2);
 
@@ -251,9 +255,13 @@
             self.tasks.spawn(keeper.run());
             self.tasks.spawn(notice::run(gate, hearers));
         }
-        let service = state.setting.service.clone();
-        let measuring = measuring::run(state.current.clone(), state.server.clone(), service);
-        self.tasks.spawn(measuring);
+        if state.profile.heartbeat.is_some() {
+            state.server.set_measuring(REPORTS);
+        } else {
+            let service = state.setting.service.clone();
+            let measuring = measuring::run(state.current.clone(), state.server.clone(), service);
+            self.tasks.spawn(measuring);
+        }
         self.tasks.spawn(async move { state.feed.run().await });
     }
 
--- a/crates/appleshore/src/notice.rs
+++ b/crates/appleshore/src/notice.rs
@@ -10,7 +10,7 @@
 
 use gate::Gate;
 use parking_lot::Mutex;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 use unit::Instance;
 use wire::{Note, Teller, Topic, codec};
 
@@ -20,6 +20,10 @@
 /// Up to so many entries are all told.
 const FEW: usize = 16;
 
+/// What speaks against a target is said again after this long: entries forget it, lest they pass over
+/// for ever a target whose better news was lost.
+const AGAIN: Duration = Duration::from_millis(300);
+
 /// The least time between two notices. A target that flickers would else cost more than it is worth.
 const GAP: Duration = Duration::from_millis(5);
 
@@ -62,7 +66,15 @@
 /// Tells of each change of `gate`, for ever.
 pub(crate) async fn run(gate: Gate, hearers: Arc<Hearers>) {
     let mut mark = gate.mark();
-    while mark.changed().await.is_ok() {
+    loop {
+        let now = *mark.borrow_and_update();
+        let changed = match now.slow || now.closed {
+            true => timeout(AGAIN, mark.changed()).await.unwrap_or(Ok(())),
+            false => mark.changed().await,
+        };
+        if changed.is_err() {
+            return;
+        }
         mark.borrow_and_update();
         match codec::pack(&gate.report()) {
             Ok(payload) => hearers.tell(&Note {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -116,6 +116,8 @@
     pub(crate) hot: bool,
     /// How long work takes at the target now, in hundredths; 0 where it doesn't tell.
     pub(crate) pace: u16,
+    /// Since when the target has been slow.
+    pub(crate) slow_since: Option<Instant>,
     pub(crate) answered: u32,
     pub(crate) next_turn: Turn,
     pub(crate) events: Vec<Event>,
@@ -150,6 +152,7 @@
             leaving: false,
             hot: false,
             pace: 0,
+            slow_since: None,
             answered: 0,
             next_turn: 0,
             events: Vec::new(),
@@ -372,6 +375,7 @@
         let was_slow = self.is_slow();
         self.pace = pace;
         if self.is_slow() && !was_slow {
+            self.slow_since = Some(now);
             self.hand_back(now);
         }
         self.advance(now);
--- a/crates/gate/src/latency.rs
+++ b/crates/gate/src/latency.rs
@@ -208,10 +208,13 @@
         Some(Duration::from_secs_f64(usual.max(LEAST)))
     }
 
-    /// Time that this request will likely run; zero when nothing fresh is known.
+    /// Time that this request will likely run at the usual pace; zero when nothing is known.
+    ///
+    /// The time of a class, free of the target's pace, holds for long: a class that is rare must not
+    /// be taken for one that takes no time at all.
     pub(crate) fn expected_of(&self, now: Instant, request: &Request) -> Duration {
         let class = self.by_class.get(&request.class);
-        match class.filter(|class| class.count >= TRUSTED && class.is_fresh(now)) {
+        match class.filter(|class| class.count >= TRUSTED) {
             Some(class) => Duration::from_secs_f64(class.mean),
             None => self.expected(now, request.urgency),
         }
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Which waiting request starts next, and which has waited in vain.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 use unit::{Digest, Urgency};
 
@@ -23,6 +25,10 @@
 /// becomes late, so that those who wait are few.
 const LATE_TURN: u32 = 3;
 
+/// A request that waits is refused so long before its deadline at least. Its entry gives it up at
+/// the deadline, and would have to say that it may have run.
+const ANSWER_WITHIN: Duration = Duration::from_millis(10);
+
 impl Core {
     /// Starts a newcomer that finds a free slot.
     ///
@@ -60,7 +66,7 @@
         }
         let earliest = self.pause.unwrap_or(now);
         self.refuse_until(now, |core, urgency| {
-            earliest + core.latency.scant(now, urgency)
+            earliest + core.latency.scant(now, urgency).max(ANSWER_WITHIN)
         });
     }
 
@@ -164,7 +170,7 @@
     }
 
     fn start_other(&mut self, now: Instant) -> bool {
-        if self.is_slow() {
+        if self.is_in_spell(now) {
             return self.start_short(now);
         }
         if self.passed_late >= LATE_TURN && self.start_late(now) {
@@ -332,10 +338,17 @@
         let earliest = self.pause.unwrap_or(now);
         let late = Urgency::ALL.into_iter().filter_map(|urgency| {
             let (deadline, _) = self.deadlines[urgency.rank()].first()?;
-            let slack = (earliest - now) + self.latency.scant(now, urgency);
+            let scant = self.latency.scant(now, urgency).max(ANSWER_WITHIN);
+            let slack = (earliest - now) + scant;
             Some(deadline.checked_sub(slack).unwrap_or(now).max(now))
         });
-        let others = [self.pause, self.solo.timer(now), self.trouble_timer(now)];
+        let spell = self.spell_ends().filter(|end| *end > now);
+        let others = [
+            self.pause,
+            spell,
+            self.solo.timer(now),
+            self.trouble_timer(now),
+        ];
         late.chain(others.into_iter().flatten()).min()
     }
 }
--- a/crates/gate/src/spell.rs
+++ b/crates/gate/src/spell.rs
@@ -20,6 +20,9 @@
 /// The pace from which the target counts as slow.
 const SLOW: u16 = 200;
 
+/// A target that is slow for longer than this is in no spell: one in fifty lasts so long.
+const SPELL_MOST: Duration = Duration::from_millis(600);
+
 /// How much longer a spell may be expected to last. Spells end by chance, on average after 150 ms,
 /// however long they have lasted; some of the wait is over when the target is asked.
 const SPELL_LEFT: Duration = Duration::from_millis(100);
@@ -30,6 +33,18 @@
         self.pace >= SLOW
     }
 
+    /// Whether the slowness is a spell that is worth waiting out. A target that stays slow for longer
+    /// has become so, and work that waited for its end would wait for ever.
+    pub(crate) fn is_in_spell(&self, now: Instant) -> bool {
+        self.spell_ends().is_some_and(|end| now < end)
+    }
+
+    /// When a spell is taken for the target's new pace.
+    pub(crate) fn spell_ends(&self) -> Option<Instant> {
+        let since = self.slow_since.filter(|_| self.is_slow());
+        since.map(|since| since + SPELL_MOST)
+    }
+
     /// What entries should hear of at once.
     pub(crate) fn mark(&self) -> Mark {
         Mark {
@@ -42,16 +57,17 @@
     /// spell if that is the sooner way.
     pub(crate) fn run_time(&self, now: Instant, request: &Request) -> Duration {
         let run = self.latency.expected_of(now, request);
-        if !self.is_slow() {
-            return run;
+        match (self.is_slow(), self.is_in_spell(now)) {
+            (false, _) => run,
+            (true, true) => self.slowed(run).min(run + SPELL_LEFT),
+            (true, false) => self.slowed(run),
         }
-        self.slowed(run).min(run + SPELL_LEFT)
     }
 
     /// Whether a request is worth starting now. In a spell it is if its run ends sooner than one
     /// that waits for the end of the spell.
     pub(crate) fn is_worth_starting(&self, now: Instant, request: &Request) -> bool {
-        if !self.is_slow() {
+        if !self.is_in_spell(now) {
             return true;
         }
         let run = self.latency.expected_of(now, request);
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -33,8 +33,8 @@
 const LATE: f64 = 3.0;
 /// Late time is spread over this many answers.
 const LATE_SPREAD: f64 = 4.0;
-/// What a target says of its pace counts for so long.
-const PACE_FOR: Duration = Duration::from_millis(200);
+/// What a target says of its pace counts for so long, if it says nothing else: it tells of each turn.
+const PACE_FOR: Duration = Duration::from_millis(600);
 /// The wait at a gate that is just full, in service times.
 const FULL_WAIT: f64 = 0.5;
 
@@ -206,8 +206,8 @@
 
     /// How much longer than usual work takes at the target at this moment, as it told last.
     ///
-    /// Spells in which work takes several times as long last some 150 ms, so the figure is worth
-    /// nothing once it is older than that.
+    /// Spells in which work takes several times as long last some 150 ms, and the gate tells when one
+    /// ends; if that is lost the figure is worth nothing after a while.
     fn pace(&self, heard: &Heard) -> f64 {
         if heard.report.pace == 0 || self.mean.pace <= 0.0 {
             return 1.0;
