--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -20,12 +20,75 @@
 /// The encoder's error; writing to a string does not fail.
 pub(crate) fn text(state: &State) -> Result<String, fmt::Error> {
     let mut registry = Registry::with_prefix("appleshore");
+    register(&mut registry, state);
     registry.register_collector(Box::new(Collector(Values::of(state))));
     let mut text = String::new();
     encode(&mut text, &registry)?;
     Ok(text)
 }
 
+/// Registers what the parts measure by themselves.
+fn register(registry: &mut Registry, state: &State) {
+    let entry = state.entry.stats().clone();
+    registry.register(
+        "took_seconds",
+        "From a request's head to that of its answer",
+        entry.took,
+    );
+    registry.register(
+        "choice_age_seconds",
+        "Age of the report behind a choice",
+        entry.age,
+    );
+    registry.register(
+        "choices_blind",
+        "Targets chosen without any report",
+        entry.blind,
+    );
+    registry.register("choices_slow", "Targets chosen in a slow spell", entry.slow);
+    registry.register(
+        "handed_over",
+        "Requests that several gates were asked for",
+        entry.handed,
+    );
+    registry.register(
+        "repeated",
+        "Requests sent to more than one target",
+        entry.repeated,
+    );
+    let target = state.server.stats().clone();
+    registry.register(
+        "waited_seconds",
+        "Wait for a slot at this gate",
+        target.waited,
+    );
+    registry.register(
+        "ran_seconds",
+        "From a start to the head of the answer",
+        target.ran,
+    );
+    registry.register(
+        "lost",
+        "Runs here that ended without a whole answer",
+        target.lost,
+    );
+    registry.register(
+        "unfit",
+        "Answers of the target that no caller may get",
+        target.unfit,
+    );
+    registry.register(
+        "declined",
+        "Requests that the target turned away",
+        target.declined,
+    );
+    registry.register(
+        "asked",
+        "Questions after the target's health and load",
+        target.asked,
+    );
+}
+
 #[derive(Debug)]
 struct Collector(Values);
 
@@ -35,6 +98,9 @@
     report: unit::Report,
     rules: u64,
     links: u64,
+    connections: u64,
+    store: store::Count,
+    left_out: u64,
 }
 
 impl Values {
@@ -44,6 +110,9 @@
             report: state.server.gate().report(),
             rules: state.current.version().0,
             links: state.dialer.links().len() as u64,
+            connections: state.server.connections(),
+            store: state.feed.dump().store,
+            left_out: crate::logging::left_out(),
         }
     }
 }
@@ -55,6 +124,9 @@
             report,
             rules,
             links,
+            connections,
+            store,
+            left_out,
         } = &self.0;
         counter(
             &mut encoder,
@@ -110,6 +182,24 @@
             "Version of the rules in force",
             *rules,
         )?;
+        counter(
+            &mut encoder,
+            "target_connections",
+            "Connections opened to the target",
+            *connections,
+        )?;
+        counter(
+            &mut encoder,
+            "store_calls",
+            "Calls on the platform's store, watches included",
+            store.total(),
+        )?;
+        counter(
+            &mut encoder,
+            "log_left_out",
+            "Lines of the log that were left out",
+            *left_out,
+        )?;
         gauge(&mut encoder, "links", "Links to other daemons", *links)
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod refusal;
 pub mod server;
 mod state;
+mod stats;
 mod tries;
 mod upstream;
 
@@ -39,6 +40,7 @@
 pub use port::{Bounds, Handler, Port};
 pub use refusal::{REASON, Reason, Refusal};
 pub use state::{Count, Entry, Relay};
+pub use stats::Stats;
 pub use upstream::Upstream;
 
 /// The body of requests and answers, as gotham has it.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 use unit::{Instance, Outcome, Report, Service};
 
-use crate::{Builder, Upstream};
+use crate::{Builder, Stats, Upstream};
 
 /// Routes of which something is remembered. When there are more, as after many changes of the
 /// rules, all is learnt anew.
@@ -34,6 +34,7 @@
     leaving: AtomicBool,
     open: watch::Sender<usize>,
     outcomes: [AtomicU64; 4],
+    stats: Stats,
 }
 
 /// The bound of one rule on the requests of each caller.
@@ -75,6 +76,7 @@
             leaving: AtomicBool::new(false),
             open: watch::Sender::new(0),
             outcomes: Default::default(),
+            stats: Stats::default(),
         }
     }
 
@@ -220,6 +222,11 @@
         self.outcomes[outcome as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// What this entry measures.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
     /// How many requests ended in which way.
     pub fn count(&self) -> Count {
         let read = |outcome: Outcome| self.outcomes[outcome as usize].load(Ordering::Relaxed);
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -69,6 +69,8 @@
     pub(crate) async fn run(mut self, intake: &mut Intake) -> Result<Answer, Refusal> {
         let began = Instant::now();
         let ended = self.try_on(intake).await;
+        let stats = self.job.entry.stats();
+        stats.ended(began.elapsed(), self.handed, self.sent);
         let (status, reason) = match &ended {
             Ok(answer) => (answer.reply.status, "answered".to_string()),
             Err(refusal) => (refusal.status_code(), refusal.reason().to_string()),
@@ -117,6 +119,7 @@
         let guard = self.take(&self.tried);
         let guard = guard.or_else(|| self.broken.then(|| self.take(&[])).flatten())?;
         self.tried.push(guard.instance().clone());
+        self.job.entry.stats().chose(guard.basis());
         Some(guard)
     }
 
--- a/crates/gate/tests/all/main.rs
+++ b/crates/gate/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod kit;
 mod law;
 mod shell;
+mod spell;
 mod suspect;
 mod token;
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -60,6 +60,6 @@
 pub use need::{Need, Preference};
 pub use pick::Pick;
 pub use setting::Setting;
-pub use shared::{Guard, Shared};
+pub use shared::{Basis, Guard, Shared};
 pub use split::Wheel;
 pub use target::Target;
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -10,6 +10,7 @@
 use crate::dump::Line;
 use crate::record::Record;
 use crate::score::{Mean, Scale};
+use crate::shared::Basis;
 use crate::{Answer, Builder, Dump, Need, Preference, Setting, Target, subset};
 
 /// From this many failures in a row on, the share of a target is capped.
@@ -22,6 +23,8 @@
 const FAILING_PAUSE: Duration = Duration::from_secs(5);
 /// A target that has joined and had nothing to answer is tried again after this long.
 const NEWCOMER_AGAIN: Duration = Duration::from_millis(500);
+/// The pace, in hundredths of the usual time, that counts as much longer than usual.
+const SLOW_PACE: u16 = 200;
 /// The part of its fair share at which a new target gets its first call.
 const FIRST_CALL: f64 = 0.25;
 /// A difference of this share of the service time halves the chance of the worse target.
@@ -130,6 +133,16 @@
             .any(|place| !scale.is_hot(&self.records[place]))
     }
 
+    /// What is known of `instance`.
+    pub(crate) fn basis(&self, now: Instant, instance: &Instance) -> Basis {
+        let place = self.place(instance).ok();
+        let heard = place.and_then(|place| self.records[place].heard);
+        Basis {
+            age: heard.map(|heard| now.saturating_duration_since(heard.at)),
+            slow: heard.is_some_and(|heard| heard.report.pace >= SLOW_PACE),
+        }
+    }
+
     /// Counts a call to `instance` that begins now.
     pub fn begin(&mut self, now: Instant, instance: &Instance) {
         if let Some(record) = self.find(instance) {
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -1,6 +1,7 @@
 //! A [`Pick`] under its own lock, with guards for calls under way.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::time::Instant;
@@ -23,9 +24,19 @@
     pick: Arc<Mutex<Pick>>,
     instance: Instance,
     began: Instant,
+    basis: Basis,
     open: bool,
 }
 
+/// What was known of a target when it was chosen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// How old its last report was; `None` where it had given none.
+    pub age: Option<Duration>,
+    /// By that report work took much longer than usual there.
+    pub slow: bool,
+}
+
 impl From<Pick> for Shared {
     fn from(pick: Pick) -> Shared {
         Shared {
@@ -59,8 +70,11 @@
     pub fn take(&self, now: Instant, need: &Need<'_>) -> Option<Guard> {
         let mut pick = self.pick.lock();
         let instance = pick.choose(now, need)?;
+        let basis = pick.basis(now, &instance);
         pick.begin(now, &instance);
-        Some(self.guard(now, instance))
+        let mut guard = self.guard(now, instance);
+        guard.basis = basis;
+        Some(guard)
     }
 
     /// Begins a call to an instance that was chosen in another way.
@@ -94,6 +108,7 @@
             pick: Arc::clone(&self.pick),
             instance,
             began,
+            basis: Basis::default(),
             open: true,
         }
     }
@@ -105,6 +120,11 @@
         &self.instance
     }
 
+    /// What was known of the target when it was chosen.
+    pub fn basis(&self) -> Basis {
+        self.basis
+    }
+
     /// When the call began.
     pub fn began(&self) -> Instant {
         self.began
--- /dev/null
+++ b/crates/pick/tests/decisions/join.rs
@@ -0,0 +1,112 @@
+//! Targets that join, close, or can't be reached.
+
+use std::time::Duration;
+
+use pick::{Need, Pick, Preference, Setting, Target};
+use tokio::time::Instant;
+use unit::{Incarnation, Urgency, Zone};
+
+use crate::world::{answer, report};
+use pick::Kind;
+
+fn target(name: &str, zone: &str) -> Target {
+    Target {
+        instance: name.parse().expect("a name"),
+        zone: zone.parse().expect("a zone"),
+        incarnation: Incarnation(1),
+        leaving: false,
+    }
+}
+
+/// A choice in `near` with two targets there and one far, where the far cost much.
+fn pick(now: Instant) -> Pick {
+    let zone: Zone = "near".parse().expect("a zone");
+    let setting = Setting {
+        far_cost: 2.0,
+        ..Setting::default()
+    };
+    let mut pick = Pick::builder(zone).seed(7).setting(setting).build();
+    pick.set(
+        now,
+        &[target("a", "near"), target("b", "near"), target("c", "far")],
+    );
+    pick
+}
+
+fn chosen(pick: &mut Pick, now: &mut Instant, count: usize) -> Vec<String> {
+    let need = Need::of(Urgency::Routine);
+    let choose = |_| {
+        *now += Duration::from_millis(20);
+        let instance = pick.choose(*now, &need).expect("a target");
+        pick.begin(*now, &instance);
+        *now += Duration::from_millis(10);
+        pick.end(*now, &instance, &answer(Kind::Ok, 10, report(1, 0)));
+        instance.to_string()
+    };
+    (0..count).map(choose).collect()
+}
+
+/// A target joins in another zone while there is little to do. Estimates keep all requests near, and
+/// it would never be asked until it is needed: so each entry asks it once.
+#[test]
+fn one_that_joins_far_away_is_asked_once() {
+    let mut now = Instant::now();
+    let mut pick = pick(now);
+    chosen(&mut pick, &mut now, 50);
+    let mut all = vec![target("a", "near"), target("b", "near"), target("c", "far")];
+    all.push(target("d", "far"));
+    pick.set(now, &all);
+    let asked = chosen(&mut pick, &mut now, 50);
+    assert_eq!(
+        asked.iter().filter(|name| *name == "d").count(),
+        1,
+        "{asked:?}"
+    );
+}
+
+/// A call to another zone is paid for by the byte, so requests stay while the wait is short, and go
+/// when it is long.
+#[test]
+fn requests_stay_in_their_zone_while_the_wait_is_short() {
+    let mut now = Instant::now();
+    let mut pick = pick(now);
+    let near = chosen(&mut pick, &mut now, 100);
+    let far = near.iter().filter(|name| *name == "c").count();
+    assert!(far <= 2, "{far} of 100 went far");
+    let need = Need {
+        zone: Preference::Near,
+        ..Need::of(Urgency::Routine)
+    };
+    for name in ["a", "b"] {
+        pick.hear(now, &name.parse().expect("a name"), report(10, 60));
+    }
+    pick.hear(now, &"c".parse().expect("a name"), report(0, 0));
+    let instance = pick.choose(now, &need).expect("a target");
+    assert_eq!(instance.as_str(), "c");
+}
+
+/// A target without a link, or whose gate has said that it takes no work, is passed over while there
+/// are others; when there are none, it is better than nothing.
+#[test]
+fn closed_and_cut_targets_are_passed_over() {
+    let mut now = Instant::now();
+    let mut pick = pick(now);
+    chosen(&mut pick, &mut now, 20);
+    pick.set_cut(&"a".parse().expect("a name"), true);
+    let asked = chosen(&mut pick, &mut now, 20);
+    assert!(!asked.contains(&"a".to_string()), "{asked:?}");
+    let closed = unit::Report {
+        closed: true,
+        ..report(0, 0)
+    };
+    pick.hear(now, &"b".parse().expect("a name"), closed);
+    let need = Need::of(Urgency::Routine);
+    let instance = pick.choose(now, &need).expect("a target");
+    assert_eq!(instance.as_str(), "c");
+    now += Duration::from_millis(600);
+    let asked = chosen(&mut pick, &mut now, 20);
+    assert!(
+        asked.contains(&"b".to_string()),
+        "it is asked again: {asked:?}"
+    );
+}
--- a/crates/pick/tests/decisions/main.rs
+++ b/crates/pick/tests/decisions/main.rs
@@ -2,5 +2,6 @@
 
 mod budget;
 mod choice;
+mod join;
 mod subset;
 mod world;
--- a/crates/rule/src/read/then.rs
+++ b/crates/rule/src/read/then.rs
@@ -87,14 +87,16 @@
 
 fn route<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> Option<Route> {
     let split = fields.get("split").and_then(|value| split(reader, value));
-    let service = match &split {
-        Some(parts) => parts.first().map(|part| part.service.clone()),
-        None => service(reader, fields),
+    let service = match (&split, fields.get("split")) {
+        (Some(parts), _) => parts.first().map(|part| part.service.clone()),
+        // Its faults are noted already.
+        (None, Some(_)) => None,
+        (None, None) => service(reader, fields),
     };
     let priority = count(reader, fields, "priority", 0, MAX_PRIORITY);
     let objective = fields
         .get("objective")
-        .and_then(|value| timeout(reader, value));
+        .and_then(|value| span(reader, value, "an objective"));
     let repeat = fields.get("repeat").and_then(|value| reader.flag(value));
     let attempts = count(reader, fields, "attempts", 1, MAX_ATTEMPTS);
     let urgency = fields
@@ -230,10 +232,14 @@
 }
 
 fn timeout<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Duration> {
+    span(reader, value, "a timeout")
+}
+
+fn span<'t>(reader: &mut Reader<'t>, value: &Value<'t>, what: &str) -> Option<Duration> {
     let Span(timeout) = reader.parsed(value)?;
     if timeout.is_zero() || timeout > MAX_TIMEOUT {
         let cause = format!(
-            "a timeout of {}: expected more than 0s and at most {}",
+            "{what} of {}: expected more than 0s and at most {}",
             Span(timeout),
             Span(MAX_TIMEOUT)
         );
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -211,15 +211,20 @@
             failed => return self.fail(failed, running, sender, began).await,
         };
         let latency = began.elapsed();
+        let stats = self.server.stats();
+        stats.waited.observe(self.waited.as_secs_f64());
+        stats.ran.observe(latency.as_secs_f64());
         self.server.learn(&head);
         match self.judge(&head) {
             Verdict::Pass => {}
             Verdict::Declined => {
+                stats.declined.inc();
                 running.finish(End::Declined);
                 self.declined(&head, connection);
                 return self.refuse(sender, Cause::Declined, Duration::ZERO).await;
             }
             Verdict::Unfit(cause) => {
+                stats.unfit.inc();
                 running.finish(End::Failed { latency });
                 return abort(sender, cause.to_string()).await;
             }
@@ -408,6 +413,7 @@
         began: Instant,
     ) -> Result<(), Error> {
         let latency = began.elapsed();
+        self.server.stats().lost.inc();
         let cause = match sent {
             Sent::Answer(..) | Sent::Cancelled => {
                 running.finish(End::Cancelled);
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -25,10 +25,12 @@
 mod pool;
 mod presence;
 mod server;
+mod stats;
 mod watch;
 
 pub use builder::{Announced, Builder, Health};
 pub use connection::Error;
 pub use life::{Beat, Heard, Life, Stage};
 pub use server::Server;
+pub use stats::Stats;
 pub use watch::watch;
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -19,7 +19,7 @@
 use crate::call::Work;
 use crate::life::Life;
 use crate::pool::Pool;
-use crate::{Announced, Builder};
+use crate::{Announced, Builder, Stats};
 
 /// Longest time that one question after a token may wait for the call to end.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -43,6 +43,7 @@
     /// The target has to be asked which life it is.
     pub(crate) doubted: AtomicBool,
     measure: Mutex<Measure>,
+    pub(crate) stats: Stats,
 }
 
 /// What may be spent on telling entries of the load here.
@@ -69,6 +70,7 @@
             told: Mutex::new(None),
             ask: Notify::new(),
             doubted: AtomicBool::new(false),
+            stats: Stats::default(),
             service: builder.service,
             gate: builder.gate,
             nests: builder.nests,
@@ -85,6 +87,16 @@
         &self.gate
     }
 
+    /// What this role measures.
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Connections to the target that were opened so far, without those of questions.
+    pub fn connections(&self) -> u64 {
+        self.pool.opened()
+    }
+
     /// Sets the bytes per second that may be spent on reports of the load, as the rules say.
     pub fn set_measuring(&self, bytes: Size) {
         let mut measure = self.measure.lock();
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -145,6 +145,7 @@
             }
         },
     };
+    server.stats().asked.inc();
     let mut headers = HeaderMap::new();
     if let Ok(host) = target.to_string().parse() {
         headers.insert(header::HOST, host);
