--- a/crates/appleshore/src/keeper.rs
+++ b/crates/appleshore/src/keeper.rs
@@ -54,10 +54,9 @@
                 stays
             });
             for instance in wanted {
-                if !kept.contains_key(&instance) {
-                    let task = tasks.spawn(self.clone().keep(instance.clone()));
-                    kept.insert(instance, task);
-                }
+                kept.entry(instance).or_insert_with_key(|instance| {
+                    tasks.spawn(self.clone().keep(instance.clone()))
+                });
             }
             while tasks.try_join_next().is_some() {}
             // Either way the links are looked over.
--- a/crates/appleshore/tests/docs.rs
+++ b/crates/appleshore/tests/docs.rs
@@ -1,4 +1,4 @@
-//! Each example of settings or rules in the pages is accepted as it stands.
+//! Each example of settings or rules in the documents is accepted as it stands.
 
 use std::path::Path;
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -274,6 +274,10 @@
 }
 
 /// The first frame behind a call whose body is streamed.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "It is moved once, and a box would cost an allocation each."
+)]
 enum First {
     Accepted,
     Other(Option<Frame>),
--- a/crates/gate/src/limit.rs
+++ b/crates/gate/src/limit.rs
@@ -29,7 +29,7 @@
     Gradient,
     /// Always the configured slots.
     Fixed,
-    /// The slots up to which the target does not slow down; see [`crate::knee`].
+    /// The slots up to which the target does not slow down; see docs/design/spells.md.
     Knee,
 }
 
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -17,6 +17,7 @@
 use crate::answer::{self, Ended, Relay};
 use crate::connection::{self, Connection, Content, Outgoing};
 use crate::server::Server;
+use crate::verdict::{self, Verdict};
 
 /// A deadline beyond this is cut, so that an entry with a wrong clock or setting can't make the
 /// gate remember a token for ever.
@@ -40,6 +41,10 @@
 }
 
 /// What came of the request at the target.
+#[expect(
+    clippy::large_enum_variant,
+    reason = "It is moved once, and a box would cost an allocation each."
+)]
 enum Sent {
     /// The target answers.
     Answer(response::Head, Connection),
@@ -51,16 +56,6 @@
     Cancelled,
 }
 
-/// What an answer's head means for the caller.
-enum Verdict {
-    /// It is the answer.
-    Pass,
-    /// The target says that it did not run the request.
-    Declined,
-    /// It can't be given to a caller: it would promise or confirm what the target did not.
-    Unfit(&'static str),
-}
-
 impl<'a> Work<'a> {
     pub(crate) fn new(server: &'a Server, call: Call, entry: Instance) -> Work<'a> {
         let deadline = Instant::now() + call.remaining.min(MAX_REMAINING);
@@ -215,7 +210,7 @@
         stats.waited.observe(self.waited.as_secs_f64());
         stats.ran.observe(latency.as_secs_f64());
         self.server.learn(&head);
-        match self.judge(&head) {
+        match Verdict::of(&self.server.dialect, &head) {
             Verdict::Pass => {}
             Verdict::Declined => {
                 stats.declined.inc();
@@ -269,7 +264,7 @@
                 {
                     running.worked(work);
                 }
-                running.finish(end(shed, head.status, latency));
+                running.finish(verdict::end(shed, head.status, latency));
                 if taken { sender.finish().await } else { Ok(()) }
             }
             Ended::Unwanted => {
@@ -306,25 +301,6 @@
         }
     }
 
-    /// What an answer's head means, where the target has names for it.
-    fn judge(&self, head: &response::Head) -> Verdict {
-        let dialect = &self.server.dialect;
-        if dialect.not_run.is_some() && answer::promises(head.status) {
-            // Only the target's own mark makes its word a promise: it may have run what it
-            // answers with a bare 503.
-            let declined = dialect.says_not_run(&head.headers)
-                || head.status == StatusCode::MISDIRECTED_REQUEST;
-            return match declined {
-                true => Verdict::Declined,
-                false => Verdict::Unfit("the target refuses without saying that it did not run it"),
-            };
-        }
-        match head.status.is_success() && !dialect.is_signed(&head.headers) {
-            true => Verdict::Unfit("the target's answer is not signed"),
-            false => Verdict::Pass,
-        }
-    }
-
     /// The target did not run the request. If another life than the one meant has answered, the
     /// gate must know before it sends more.
     fn declined(&self, head: &response::Head, mut connection: Connection) {
@@ -469,16 +445,6 @@
     }
 }
 
-fn end(shed: Option<Duration>, status: http::StatusCode, latency: Duration) -> End {
-    match shed {
-        Some(after) => End::Shed {
-            retry_after: Some(after),
-        },
-        None if status.is_server_error() => End::Failed { latency },
-        None => End::Answered { latency },
-    }
-}
-
 fn millis(since: Instant) -> u128 {
     since.elapsed().as_millis()
 }
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -26,6 +26,7 @@
 mod presence;
 mod server;
 mod stats;
+mod verdict;
 mod watch;
 
 pub use builder::{Announced, Builder, Health};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -38,5 +38,5 @@
 pub use listener::{Handshake, Inbound, Listener, Teller};
 pub use quic::{Identity, Trust};
 pub use stream::{Receiver, Sender, Stream};
-pub use tcp::{Greeter, Greeting};
+pub use tcp::{Greeter, Greeting, Told};
 pub use unit::Cause;
--- a/crates/wire/src/listener.rs
+++ b/crates/wire/src/listener.rs
@@ -22,7 +22,7 @@
 }
 
 enum HandshakeWay {
-    Quic(quic::listener::Handshake),
+    Quic(Box<quic::listener::Handshake>),
     Tcp(tcp::Handshake),
 }
 
@@ -82,7 +82,7 @@
     /// The next peer that dials; `None` when the listener is closed.
     pub async fn accept(&self) -> Option<Handshake> {
         let way = match &self.way {
-            Way::Quic(listener) => HandshakeWay::Quic(listener.accept().await?),
+            Way::Quic(listener) => HandshakeWay::Quic(Box::new(listener.accept().await?)),
             Way::Tcp(listener) => HandshakeWay::Tcp(listener.accept().await?),
         };
         Some(Handshake { way })
--- a/crates/wire/src/tcp/greet.rs
+++ b/crates/wire/src/tcp/greet.rs
@@ -34,6 +34,9 @@
     pub card: Vec<u8>,
 }
 
+/// Takes in what the named peer tells.
+pub type Told = Arc<dyn Fn(&Instance, Note) + Send + Sync>;
+
 /// How a daemon greets, and what it does with what others say.
 #[derive(Clone)]
 pub struct Greeter {
@@ -42,7 +45,7 @@
     /// Takes a peer's greeting in, before its link carries anything.
     pub heard: Arc<dyn Fn(&Greeting) + Send + Sync>,
     /// Takes in what a peer tells over a link that this daemon has dialled.
-    pub told: Arc<dyn Fn(&Instance, Note) + Send + Sync>,
+    pub told: Told,
 }
 
 impl Greeter {
--- a/crates/wire/src/tcp/mod.rs
+++ b/crates/wire/src/tcp/mod.rs
@@ -15,7 +15,7 @@
 mod record;
 mod stream;
 
-pub use greet::{Greeter, Greeting};
+pub use greet::{Greeter, Greeting, Told};
 pub(crate) use link::{Link, dial};
 pub(crate) use listener::{Handshake, Inbound, Listener, Teller};
 pub(crate) use stream::{Receiver, Sender};
--- a/crates/wire/src/tcp/mux.rs
+++ b/crates/wire/src/tcp/mux.rs
@@ -27,6 +27,10 @@
 
 /// What a stream's receiving half is given.
 #[derive(Debug)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "It is moved once, and a box would cost an allocation each."
+)]
 pub(crate) enum Event {
     Frame(Frame),
     Fin,
@@ -329,7 +333,9 @@
     fn deliver(&mut self, number: Number, event: Event) -> Option<Arrival> {
         if let Some(slot) = self.streams.get(&number) {
             // A half that is gone wants no more; its peer has been told.
-            let _ = slot.to.as_ref().map(|to| to.send(event));
+            if let Some(to) = &slot.to {
+                drop(to.send(event));
+            }
             return None;
         }
         let opens = matches!(
@@ -343,7 +349,9 @@
         let ends = self.insert(number);
         let slot = self.streams.get(&number)?;
         // The receiver is in `ends`.
-        let _ = slot.to.as_ref().map(|to| to.send(event));
+        if let Some(to) = &slot.to {
+            drop(to.send(event));
+        }
         Some(Arrival::Opened(number, ends.from))
     }
 }
--- a/crates/wire/src/tcp/record.rs
+++ b/crates/wire/src/tcp/record.rs
@@ -23,6 +23,10 @@
 
 /// What one record says.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[expect(
+    clippy::large_enum_variant,
+    reason = "It is moved once, and a box would cost an allocation each."
+)]
 pub(crate) enum Record {
     /// A frame of the stream; on the link itself, a note without an answer.
     Frame(Frame),
