Soak real daemons under faults from outside, and check what callers were told

bench -- soak starts appleshored processes beside targets, injects faults that a seed draws (signals, dying targets, proxies that delay, silence, mute or reset, a store that is down or loses answers) and compares what callers were told with what targets ran. Settings' links and retries now hold for appleshored too: Daemon::start took the profile's defaults in their place. An order's answer is logged at its entry.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -18,6 +18,8 @@
     Policy(policy::Options),
     /// Concurrent runs under faults, and what must hold of each.
     History(history::Options),
+    /// Real daemons under faults from outside, and what callers see of them.
+    Soak(soak::Options),
     /// What two daemons add to a call on real sockets.
     Path(path::Options),
 }
@@ -27,6 +29,7 @@
         Command::Capacity(options) => capacity::main(&options),
         Command::Policy(options) => policy::main(&options),
         Command::History(options) => history::main(&options),
+        Command::Soak(options) => soak::main(&options),
         Command::Path(options) => path::main(&options),
     }
 }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -89,7 +89,8 @@
     ///
     /// As [`Daemon::start`].
     pub async fn start_with(setting: Setting, store: Store) -> Result<Daemon, Error> {
-        Daemon::start_as(setting, store, Profile::default()).await
+        let profile = Profile::of(&setting);
+        Daemon::start_as(setting, store, profile).await
     }
 
     /// Starts a daemon on a platform that `profile` describes.
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -61,8 +61,9 @@
             one_port: setting.one_port,
             ..Profile::default()
         };
-        profile.retry.share = setting.retry.share * RETRY_PART;
+        profile.retry.share = setting.retry.share;
         if let Some(saved) = setting.retry.saved {
+            profile.retry.share *= RETRY_PART;
             profile.retry.cap = f64::from(saved) * RETRY_PART;
         }
         if setting.links == Links::Tcp {
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -108,10 +108,17 @@
     /// It runs in a task of its own to its end, whether its caller waits or not: the end of a
     /// claimed request must be recorded.
     pub(crate) async fn serve(self) -> Result<Response<Body>, Refusal> {
+        let (id, key) = (self.job.id.clone(), self.key);
         let served = tokio::spawn(self.run()).await;
-        served.unwrap_or_else(|error| {
+        let served = served.unwrap_or_else(|error| {
             Err(Refusal::unknown(Reason::Lost).detail(format!("the request's task ended: {error}")))
-        })
+        });
+        let (status, reason) = match &served {
+            Ok(response) => (response.status().as_u16(), "answered".to_string()),
+            Err(refusal) => (refusal.status_code(), refusal.reason().to_string()),
+        };
+        log::info!("entry: id={id} once={key} status={status} reason={reason}.");
+        served
     }
 
     async fn run(self) -> Result<Response<Body>, Refusal> {
--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,148 @@
+//! The nodes of a run, and what is injected into them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use rustix::process::Signal;
+use standin::Platform;
+use tokio::sync::Mutex as Turn;
+use tokio::time::{Instant, sleep};
+
+use crate::check::Broken;
+use crate::node::Node;
+use crate::plan::Fault;
+use crate::proxy::Mode;
+use crate::run::Error;
+use crate::sent::{Trouble, Window};
+
+/// Of the store's writes, so many are lost in such a time.
+const LOST_SHARE: f64 = 0.3;
+
+/// All nodes; clones are the same.
+#[derive(Clone)]
+pub(crate) struct Fleet {
+    /// Whoever has a node's turn does something with its process or target.
+    pub(crate) nodes: Arc<Vec<Turn<Node>>>,
+    pub(crate) platform: Platform,
+    pub(crate) windows: Arc<Mutex<Vec<Window>>>,
+    pub(crate) broken: Arc<Mutex<Vec<Broken>>>,
+    /// Planned stops kill.
+    pub(crate) without_drain: bool,
+    pub(crate) seed: u64,
+}
+
+impl Fleet {
+    /// Injects a fault and ends it again; whether it could be injected.
+    pub(crate) async fn inject(&self, fault: Fault) -> Result<bool, Error> {
+        let from = Instant::now();
+        match fault {
+            Fault::Kill(index, lasts) => self.kill(index, lasts).await,
+            Fault::Retire(index, lasts) => self.retire(index, lasts).await,
+            Fault::Pause(index, lasts) => self.pause(index, lasts).await,
+            Fault::Target(index, lasts) => {
+                let Ok(mut node) = self.nodes[index].try_lock() else {
+                    return Ok(false);
+                };
+                node.kill_target().await;
+                sleep(lasts).await;
+                node.start_target().await;
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
+            Fault::Way(index, mode, lasts) => {
+                self.nodes[index].lock().await.way.set(mode);
+                sleep(lasts).await;
+                self.nodes[index].lock().await.way.set(Mode::Pass);
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
+            Fault::Store(index, mode, lasts) => {
+                self.nodes[index].lock().await.store.set(mode);
+                sleep(lasts).await;
+                self.nodes[index].lock().await.store.set(Mode::Pass);
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
+            Fault::Down(lasts) => {
+                self.platform.fault().down(true);
+                sleep(lasts).await;
+                self.platform.fault().down(false);
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
+            Fault::Lost(lasts) => {
+                self.platform.fault().lose_share(LOST_SHARE, self.seed);
+                sleep(lasts).await;
+                self.platform.fault().lose_share(0.0, self.seed);
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
+            Fault::KillAll(lasts) => {
+                let mut any = false;
+                let mut all = tokio::task::JoinSet::new();
+                for index in 0..self.nodes.len() {
+                    let fleet = self.clone();
+                    all.spawn(async move { fleet.kill(index, lasts).await });
+                }
+                while let Some(killed) = all.join_next().await {
+                    any |= killed.expect("no panic")?;
+                }
+                Ok(any)
+            }
+        }
+    }
+
+    fn note(&self, trouble: Trouble, from: Instant) {
+        let to = Instant::now();
+        self.windows.lock().push(Window { trouble, from, to });
+    }
+
+    async fn kill(&self, index: usize, lasts: Duration) -> Result<bool, Error> {
+        let Ok(mut node) = self.nodes[index].try_lock() else {
+            return Ok(false);
+        };
+        let from = Instant::now();
+        node.kill().await?;
+        sleep(lasts).await;
+        node.start().await?;
+        self.note(Trouble::Gone(index), from);
+        self.note(Trouble::Other, from);
+        Ok(true)
+    }
+
+    async fn retire(&self, index: usize, lasts: Duration) -> Result<bool, Error> {
+        let Ok(mut node) = self.nodes[index].try_lock() else {
+            return Ok(false);
+        };
+        let from = Instant::now();
+        if self.without_drain {
+            node.signal(Signal::KILL)?;
+            node.ended().await?;
+        } else {
+            node.signal(Signal::TERM)?;
+            let ended = node.ended().await?;
+            if !ended.is_some_and(|status| status.success()) {
+                self.broken.lock().push(Broken::Stop(index));
+            }
+        }
+        self.note(Trouble::Stopping(index), from);
+        let gone = Instant::now();
+        sleep(lasts).await;
+        node.start().await?;
+        self.note(Trouble::Gone(index), gone);
+        Ok(true)
+    }
+
+    async fn pause(&self, index: usize, lasts: Duration) -> Result<bool, Error> {
+        let Ok(node) = self.nodes[index].try_lock() else {
+            return Ok(false);
+        };
+        let from = Instant::now();
+        node.signal(Signal::STOP)?;
+        sleep(lasts).await;
+        node.signal(Signal::CONT)?;
+        self.note(Trouble::Paused(index), from);
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/node.rs
@@ -0,0 +1,184 @@
+//! One daemon's process, with the proxies and the target around it.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::Duration;
+
+use mesh::{Address, Block, Log, Target};
+use rustix::process::{Pid, Signal, kill_process};
+use tokio::process::{Child, Command};
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::proxy::Proxy;
+use crate::run::Error;
+
+/// How long a stop may take: 6 s by the settings, 2 s each for its word before and after, and 2 s
+/// for answers on their way.
+const STOP_WITHIN: Duration = Duration::from_secs(13);
+/// How long a start may take until the port is bound.
+const START_WITHIN: Duration = Duration::from_secs(10);
+
+/// The place in a block of an instance's proxies: before the target, before the store.
+const WAY: usize = 100;
+const STORE: usize = 150;
+
+/// One daemon, its target, and the ways between them.
+pub(crate) struct Node {
+    pub(crate) index: usize,
+    block: Block,
+    program: PathBuf,
+    settings: PathBuf,
+    log: Option<File>,
+    child: Option<Child>,
+    target: Option<Target>,
+    logs: Vec<Log>,
+    pub(crate) way: Proxy,
+    pub(crate) store: Proxy,
+}
+
+/// What a node's settings differ in.
+pub(crate) struct Place<'a> {
+    pub(crate) index: usize,
+    pub(crate) block: Block,
+    pub(crate) program: &'a Path,
+    pub(crate) log: Option<File>,
+    pub(crate) directory: &'a Path,
+    pub(crate) tcp: bool,
+    pub(crate) twice: bool,
+}
+
+impl Node {
+    /// Starts the proxies and the target; the daemon is still to be started.
+    pub(crate) async fn open(place: Place<'_>) -> Result<Node, Error> {
+        let (index, block) = (place.index, place.block);
+        let target = block.of(index, Address::Target);
+        let way = Proxy::start(block.of(WAY + index, Address::Target), target, place.twice).await;
+        let store = block.of(0, Address::Store);
+        let store = Proxy::start(block.of(STORE + index, Address::Store), store, false).await;
+        let settings = place.directory.join(format!("desk-{index}.jsonc"));
+        std::fs::write(&settings, setting(&place)).map_err(Error::Io)?;
+        let mut node = Node {
+            index,
+            block,
+            program: place.program.to_path_buf(),
+            settings,
+            log: place.log,
+            child: None,
+            target: None,
+            logs: Vec::new(),
+            way: way.map_err(Error::Io)?,
+            store: store.map_err(Error::Io)?,
+        };
+        node.start_target().await;
+        Ok(node)
+    }
+
+    pub(crate) fn callers(&self) -> SocketAddr {
+        self.block.of(self.index, Address::Callers)
+    }
+
+    pub(crate) fn operator(&self) -> SocketAddr {
+        self.block.of(self.index, Address::Operator)
+    }
+
+    /// What the target's lives have begun to run.
+    pub(crate) fn logs(&self) -> &[Log] {
+        &self.logs
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.child.is_some()
+    }
+
+    pub(crate) async fn start_target(&mut self) {
+        let address = self.block.of(self.index, Address::Target);
+        let outbound = self.block.of(self.index, Address::Outbound);
+        let target = Target::start(&format!("desk-{}", self.index), address, outbound).await;
+        self.logs.push(target.log());
+        self.target = Some(target);
+    }
+
+    pub(crate) async fn kill_target(&mut self) {
+        if let Some(target) = self.target.take() {
+            target.kill().await;
+        }
+    }
+
+    /// Starts the daemon and waits until it takes connections.
+    pub(crate) async fn start(&mut self) -> Result<(), Error> {
+        let mut command = Command::new(&self.program);
+        command.arg("--settings").arg(&self.settings);
+        command.stdout(match &self.log {
+            Some(file) => Stdio::from(file.try_clone().map_err(Error::Io)?),
+            None => Stdio::null(),
+        });
+        command.stderr(Stdio::inherit());
+        command.kill_on_drop(true);
+        self.child = Some(command.spawn().map_err(Error::Io)?);
+        let until = Instant::now() + START_WITHIN;
+        while tokio::net::TcpStream::connect(self.callers())
+            .await
+            .is_err()
+        {
+            if Instant::now() > until {
+                return Err(Error::Start(self.index));
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) -> Result<(), Error> {
+        let id = self.child.as_ref().and_then(Child::id);
+        let Some(pid) = id.and_then(|id| Pid::from_raw(id as i32)) else {
+            return Ok(());
+        };
+        kill_process(pid, signal).map_err(|error| Error::Io(error.into()))
+    }
+
+    /// Kills the daemon at once.
+    pub(crate) async fn kill(&mut self) -> Result<(), Error> {
+        match self.child.take() {
+            Some(mut child) => child.kill().await.map_err(Error::Io),
+            None => Ok(()),
+        }
+    }
+
+    /// Waits for the end of a planned stop; `None` if the process is still there far beyond the
+    /// bound, and is killed then.
+    pub(crate) async fn ended(&mut self) -> Result<Option<std::process::ExitStatus>, Error> {
+        let Some(mut child) = self.child.take() else {
+            return Ok(None);
+        };
+        match timeout(STOP_WITHIN, child.wait()).await {
+            Ok(status) => status.map(Some).map_err(Error::Io),
+            Err(_) => {
+                child.kill().await.map_err(Error::Io)?;
+                Ok(None)
+            }
+        }
+    }
+}
+
+fn setting(place: &Place<'_>) -> String {
+    let (index, block) = (place.index, place.block);
+    let address = |what| block.of(index, what);
+    let links = if place.tcp { "tcp" } else { "quic" };
+    let level = if place.log.is_some() { "info" } else { "off" };
+    format!(
+        r#"{{
+    "instance": "desk-{index}", "zone": "longbien", "service": "desk",
+    "callers": "{}", "outbound": "{}", "link": "{}", "operator": "{}",
+    "target": "{}", "slots": 16, "store": ["{}"],
+    "links": "{links}", "log": "{level}", "threads": 1, "limits": {{ "drain": "6s" }}
+}}"#,
+        address(Address::Callers),
+        address(Address::Outbound),
+        address(Address::Link),
+        address(Address::Operator),
+        block.of(WAY + index, Address::Target),
+        block.of(STORE + index, Address::Store),
+    )
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,123 @@
+//! What is injected when, drawn from a seed.
+
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::Mode;
+
+/// The mean pause between two faults; several overlap, as each lasts up to some seconds.
+const MEAN_PAUSE: f64 = 0.9;
+/// How long a fault lasts, in seconds.
+const LASTS: std::ops::Range<f64> = 0.2..3.0;
+
+/// One fault.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// The daemon is killed and started again after the time.
+    Kill(usize, Duration),
+    /// The daemon is stopped as planned, and started again after the time.
+    Retire(usize, Duration),
+    /// The daemon gets no processor for the time.
+    Pause(usize, Duration),
+    /// The target dies, and lives again after the time.
+    Target(usize, Duration),
+    /// The way from the daemon to its target has trouble for the time.
+    Way(usize, Mode, Duration),
+    /// The way from the daemon to the store has trouble for the time.
+    Store(usize, Mode, Duration),
+    /// The store refuses everything for the time.
+    Down(Duration),
+    /// Of the store's writes, some take effect without an answer for the time.
+    Lost(Duration),
+    /// All daemons are killed at once, and started again after the time.
+    KillAll(Duration),
+}
+
+impl Fault {
+    /// What it is called in reports.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Fault::Kill(..) => "kill",
+            Fault::Retire(..) => "planned stop",
+            Fault::Pause(..) => "pause",
+            Fault::Target(..) => "target dies",
+            Fault::Way(..) => "way to a target",
+            Fault::Store(..) => "way to the store",
+            Fault::Down(..) => "store down",
+            Fault::Lost(..) => "store loses answers",
+            Fault::KillAll(..) => "all killed",
+        }
+    }
+}
+
+/// A fault and its time, from the start of the run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Step {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub fault: Fault,
+}
+
+/// The whole schedule of one run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// The seed that it was drawn from.
+    pub seed: u64,
+    /// How long faults begin.
+    pub length: Duration,
+    /// How many daemons there are.
+    pub instances: usize,
+    /// The faults, in the order of their times.
+    pub steps: Vec<Step>,
+}
+
+impl Plan {
+    /// Draws a schedule; the same arguments give the same one.
+    pub fn draw(seed: u64, length: Duration, instances: usize) -> Plan {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut steps = Vec::new();
+        let mut at = Duration::from_millis(300);
+        while at < length {
+            let fault = fault(&mut random, instances);
+            steps.push(Step { at, fault });
+            let pause: f64 = -MEAN_PAUSE * (1.0 - random.random::<f64>()).ln();
+            at += Duration::from_secs_f64(pause.min(4.0));
+        }
+        Plan {
+            seed,
+            length,
+            instances,
+            steps,
+        }
+    }
+
+    /// Whether links are carried by TCP: every other seed.
+    pub fn tcp(&self) -> bool {
+        self.seed % 2 == 1
+    }
+}
+
+fn fault(random: &mut Pcg64Mcg, instances: usize) -> Fault {
+    let which = random.random_range(0..instances);
+    let lasts = Duration::from_secs_f64(random.random_range(LASTS));
+    let mode = match random.random_range(0..4) {
+        0 => Mode::Delay(Duration::from_millis(random.random_range(5..400))),
+        1 => Mode::Reset,
+        2 => Mode::Silent,
+        _ => Mode::Mute,
+    };
+    match random.random_range(0..20) {
+        0..3 => Fault::Kill(which, lasts),
+        3..7 => Fault::Retire(which, lasts),
+        7..9 => Fault::Pause(which, lasts),
+        9..11 => Fault::Target(which, lasts),
+        11..14 => Fault::Way(which, mode, lasts),
+        14..16 => Fault::Store(which, mode, lasts),
+        16 => Fault::Down(lasts),
+        17..19 => Fault::Lost(lasts),
+        _ => Fault::KillAll(lasts),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/proxy.rs
@@ -0,0 +1,154 @@
+//! A TCP proxy on loopback that makes trouble.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::sleep;
+
+const CHUNK: usize = 16 << 10;
+
+/// What a proxy does with its connections.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Mode {
+    /// Nothing of its own.
+    Pass,
+    /// Holds up each chunk, both ways.
+    Delay(Duration),
+    /// Resets all connections, and each new one.
+    Reset,
+    /// Passes nothing on, neither way, and closes nothing.
+    Silent,
+    /// Passes on what is sent to the server, and nothing of what it answers.
+    Mute,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Way {
+    There,
+    Back,
+}
+
+/// A proxy; it ends with the value.
+pub struct Proxy {
+    mode: watch::Sender<Mode>,
+    task: JoinHandle<()>,
+}
+
+impl Proxy {
+    /// Listens at `at` and passes connections on to `to`; with `twice` the server gets all bytes
+    /// on a second connection too, whose answers nobody sees.
+    ///
+    /// # Errors
+    ///
+    /// If `at` is taken.
+    pub async fn start(at: SocketAddr, to: SocketAddr, twice: bool) -> io::Result<Proxy> {
+        let listener = TcpListener::bind(at).await?;
+        let (mode, seen) = watch::channel(Mode::Pass);
+        let task = tokio::spawn(accept(listener, to, twice, seen));
+        Ok(Proxy { mode, task })
+    }
+
+    /// From now on.
+    pub fn set(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, twice: bool, mode: watch::Receiver<Mode>) {
+    let mut pairs = JoinSet::new();
+    loop {
+        let Ok((client, _)) = listener.accept().await else {
+            continue;
+        };
+        while pairs.try_join_next().is_some() {}
+        let mode = mode.clone();
+        pairs.spawn(async move {
+            // A connection that ends in an error ends for its client too, which is all there is.
+            drop(pair(client, to, twice, mode).await);
+        });
+    }
+}
+
+async fn pair(
+    client: TcpStream,
+    to: SocketAddr,
+    twice: bool,
+    mut mode: watch::Receiver<Mode>,
+) -> io::Result<()> {
+    if *mode.borrow() == Mode::Reset {
+        return client.set_zero_linger();
+    }
+    let server = TcpStream::connect(to).await?;
+    client.set_nodelay(true)?;
+    server.set_nodelay(true)?;
+    // Whatever ends the pair first, the reset comes with the drop of the sockets.
+    client.set_zero_linger()?;
+    let second = match twice {
+        true => Some(copier(TcpStream::connect(to).await?)),
+        false => None,
+    };
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let there = carry(Way::There, from_client, to_server, mode.clone(), second);
+    let back = carry(Way::Back, from_server, to_client, mode.clone(), None);
+    tokio::select! {
+        ended = there => ended,
+        ended = back => ended,
+        _ = mode.wait_for(|mode| *mode == Mode::Reset) => Ok(()),
+    }
+}
+
+/// Writes what it is given to the server, and reads off its answers.
+fn copier(server: TcpStream) -> OwnedWriteHalf {
+    let (mut answers, requests) = server.into_split();
+    tokio::spawn(async move {
+        let mut bytes = vec![0; CHUNK];
+        while matches!(answers.read(&mut bytes).await, Ok(count) if count > 0) {}
+    });
+    requests
+}
+
+async fn carry(
+    way: Way,
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut mode: watch::Receiver<Mode>,
+    mut second: Option<OwnedWriteHalf>,
+) -> io::Result<()> {
+    let mut bytes = vec![0; CHUNK];
+    loop {
+        let count = from.read(&mut bytes).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        let held = |mode: &Mode| match mode {
+            Mode::Silent => true,
+            Mode::Mute => way == Way::Back,
+            _ => false,
+        };
+        // The sender of the modes lives as long as the proxy.
+        let now = *mode
+            .wait_for(|mode| !held(mode))
+            .await
+            .map_err(io::Error::other)?;
+        if let Mode::Delay(by) = now {
+            sleep(by).await;
+        }
+        to.write_all(&bytes[..count]).await?;
+        if let Some(second) = &mut second {
+            second.write_all(&bytes[..count]).await?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/run.rs
@@ -0,0 +1,293 @@
+//! One run: start all, call, inject, heal, check.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use mesh::{Address, Block, Client};
+use parking_lot::Mutex;
+use quick_error::quick_error;
+use standin::{Platform, serve};
+use store::Condition;
+use tokio::net::TcpListener;
+use tokio::sync::{Mutex as Turn, watch};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::caller::{Callers, Stop};
+use crate::check::{Broken, check};
+use crate::fleet::Fleet;
+use crate::node::{Node, Place};
+use crate::plan::Plan;
+use crate::report::Report;
+use crate::sent::Sent;
+use crate::{Safeguard, rules};
+
+/// Callers of a run.
+const CALLERS: usize = 12;
+/// The time after the last fault within which everything works again.
+const RECOVER: Duration = Duration::from_secs(8);
+/// A change of the rules is in force everywhere after this.
+const SPREAD: Duration = Duration::from_secs(5);
+/// The pause between two versions of the rules.
+const EDIT: Duration = Duration::from_millis(1_300);
+/// How often each daemon's version is looked at.
+const LOOK: Duration = Duration::from_millis(250);
+
+quick_error! {
+    /// Why a run could not be made.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A process, socket or file.
+        Io(error: io::Error) {
+            display("{error}")
+            source(error)
+        }
+        /// The daemon of this index did not take connections.
+        Start(index: usize) {
+            display("desk-{index} does not start")
+        }
+        /// The fleet did not serve before any fault.
+        Begin {
+            display("the fleet does not serve before any fault")
+        }
+    }
+}
+
+/// What a run is made with.
+#[derive(Debug, Clone)]
+pub struct Program {
+    /// The daemon's program.
+    pub daemon: PathBuf,
+    /// Where the daemons' logs are kept.
+    pub logs: Option<PathBuf>,
+    /// A safeguard that is taken out.
+    pub without: Option<Safeguard>,
+}
+
+/// Makes one run.
+///
+/// # Errors
+///
+/// [`Error`] if the run could not be made; broken promises are in the report.
+pub async fn run(plan: &Plan, program: &Program) -> Result<Report, Error> {
+    let block = Block::next();
+    let platform = Platform::builder().open();
+    let listener = TcpListener::bind(block.of(0, Address::Store)).await;
+    let listener = listener.map_err(Error::Io)?;
+    let _served = serve(platform.clone(), listener).map_err(Error::Io)?;
+    put(&platform, 1).await;
+    let directory = tempfile::tempdir().map_err(Error::Io)?;
+    let mut nodes = Vec::new();
+    for index in 0..plan.instances {
+        let place = Place {
+            index,
+            block,
+            program: &program.daemon,
+            log: program.log(plan.seed, index).map_err(Error::Io)?,
+            directory: directory.path(),
+            tcp: plan.tcp(),
+            twice: program.without == Some(Safeguard::Once),
+        };
+        let mut node = Node::open(place).await?;
+        node.start().await?;
+        nodes.push(node);
+    }
+    let entries: Vec<_> = nodes.iter().map(Node::callers).collect();
+    let operators: Vec<_> = nodes.iter().map(Node::operator).collect();
+    let fleet = Fleet {
+        nodes: Arc::new(nodes.into_iter().map(Turn::new).collect()),
+        platform: platform.clone(),
+        windows: Arc::default(),
+        broken: Arc::default(),
+        without_drain: program.without == Some(Safeguard::Drain),
+        seed: plan.seed,
+    };
+    let client = Client::default();
+    if !recovers(&client, &entries).await.is_empty() {
+        return Err(Error::Begin);
+    }
+    let (over, stop) = watch::channel(false);
+    let callers = Callers {
+        entries: Arc::new(entries.clone()),
+        sent: Arc::new(Mutex::default()),
+        stop: stop.clone(),
+    };
+    let mut tasks = JoinSet::new();
+    for name in 0..CALLERS {
+        tasks.spawn(callers.clone().call(name, plan.seed));
+    }
+    let editor = tokio::spawn(edit(platform.clone(), stop.clone()));
+    for (index, operator) in operators.iter().enumerate() {
+        tasks.spawn(look(fleet.clone(), index, *operator, stop.clone()));
+    }
+    let (injected, left_out) = inject(&fleet, plan).await?;
+    let mut broken = recovers(&client, &entries).await;
+    over.send_replace(true);
+    let versions = editor.await.expect("no panic");
+    while tasks.join_next().await.is_some() {}
+    let last = versions + 1;
+    put(&platform, last).await;
+    sleep(SPREAD).await;
+    broken.extend(newest(&platform, &client, &operators).await);
+    let sent = callers.sent.lock().clone();
+    broken.extend(fleet.broken.lock().drain(..));
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for node in fleet.nodes.iter() {
+        let node = node.lock().await;
+        for run in node.logs().iter().flat_map(mesh::Log::runs) {
+            *runs.entry(run.path).or_default() += 1;
+        }
+    }
+    broken.extend(check(&sent, &runs, &fleet.windows.lock()));
+    for node in fleet.nodes.iter() {
+        node.lock().await.kill().await?;
+    }
+    Ok(Report {
+        seed: plan.seed,
+        injected,
+        left_out,
+        seen: seen(&sent),
+        versions: last,
+        broken,
+    })
+}
+
+impl Program {
+    /// The file for the log of one daemon.
+    fn log(&self, seed: u64, index: usize) -> io::Result<Option<File>> {
+        let Some(directory) = &self.logs else {
+            return Ok(None);
+        };
+        std::fs::create_dir_all(directory)?;
+        File::create(directory.join(format!("{seed}-desk-{index}.log"))).map(Some)
+    }
+}
+
+async fn inject(
+    fleet: &Fleet,
+    plan: &Plan,
+) -> Result<(BTreeMap<&'static str, usize>, usize), Error> {
+    let began = Instant::now();
+    let mut tasks = JoinSet::new();
+    for step in plan.steps.clone() {
+        let fleet = fleet.clone();
+        tasks.spawn(async move {
+            tokio::time::sleep_until(began + step.at).await;
+            let done = fleet.inject(step.fault).await;
+            done.map(|done| (step.fault.name(), done))
+        });
+    }
+    let (mut injected, mut left_out) = (BTreeMap::new(), 0);
+    while let Some(ended) = tasks.join_next().await {
+        match ended.expect("no panic")? {
+            (name, true) => *injected.entry(name).or_default() += 1,
+            (_, false) => left_out += 1,
+        }
+    }
+    Ok((injected, left_out))
+}
+
+/// Waits until each daemon serves ten requests in a row, and names those that don't in time.
+async fn recovers(client: &Client, entries: &[std::net::SocketAddr]) -> Vec<Broken> {
+    let until = Instant::now() + RECOVER;
+    let mut broken = Vec::new();
+    for (index, entry) in entries.iter().enumerate() {
+        let (mut good, mut last) = (0, String::new());
+        while good < 10 && (good > 0 || Instant::now() < until) {
+            let answer = client
+                .send(*entry, Method::GET, "/echo/well", &[], "")
+                .await;
+            good = if answer.status == 200 { good + 1 } else { 0 };
+            if answer.status != 200 {
+                last = format!("{} {}", answer.status, answer.reason);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+        if good < 10 {
+            broken.push(Broken::Recover(index, last));
+        }
+    }
+    broken
+}
+
+async fn put(platform: &Platform, number: u64) {
+    let store = platform.store_named("operator");
+    // With the store in trouble this version does not come, and the next one does.
+    let rules = Bytes::from(rules::text(number));
+    drop(store.put("rules", rules, Condition::Any).await);
+}
+
+/// Writes versions of the rules until the run is over, and says the number of the last.
+async fn edit(platform: Platform, stop: Stop) -> u64 {
+    let mut number = 1;
+    while !*stop.borrow() {
+        number += 1;
+        put(&platform, number).await;
+        sleep(EDIT).await;
+    }
+    number
+}
+
+/// Watches that a daemon's rules never go back within one life.
+async fn look(fleet: Fleet, index: usize, operator: std::net::SocketAddr, stop: Stop) {
+    let client = Client::default();
+    let mut last = 0;
+    while !*stop.borrow() {
+        // Whoever restarts the daemon has the turn; what it had is of no account then.
+        match fleet.nodes[index].try_lock() {
+            Ok(node) if node.is_up() => {
+                if let Some(version) = version(&client, operator).await {
+                    if version < last {
+                        fleet.broken.lock().push(Broken::Back(index, last, version));
+                    }
+                    last = version;
+                }
+            }
+            _ => last = 0,
+        }
+        sleep(LOOK).await;
+    }
+}
+
+async fn version(client: &Client, operator: std::net::SocketAddr) -> Option<u64> {
+    let answer = client
+        .send(operator, Method::GET, "/metrics", &[], "")
+        .await;
+    let text = answer.text();
+    let mut lines = text.lines();
+    let line = lines.find_map(|line| line.strip_prefix("appleshore_rules_version "))?;
+    line.trim().parse().ok()
+}
+
+/// Names the daemons whose rules are older than those in the store, or that say nothing.
+async fn newest(
+    platform: &Platform,
+    client: &Client,
+    operators: &[std::net::SocketAddr],
+) -> Vec<Broken> {
+    let stored = platform.store_named("operator").get("rules").await;
+    let stored = stored.expect("the store is well").expect("rules are there");
+    let mut broken = Vec::new();
+    for (index, operator) in operators.iter().enumerate() {
+        let version = version(client, *operator).await.unwrap_or(0);
+        if version < stored.version.0 {
+            broken.push(Broken::Spread(index, version));
+        }
+    }
+    broken
+}
+
+fn seen(sent: &[Sent]) -> BTreeMap<String, usize> {
+    let mut seen = BTreeMap::new();
+    for one in sent {
+        let name = format!("{} {} {}", one.status, one.outcome, one.reason);
+        *seen.entry(name.trim().to_string()).or_default() += 1;
+    }
+    seen
+}
