Let one piece of code load settings, wait for idle and wait after a failed accept

The two kinds of planned stop share State::idle and Daemon::ports_end, the two accept loops of entry share server::refused.

--- a/bin/appleshored/src/main.rs
+++ b/bin/appleshored/src/main.rs
@@ -7,7 +7,7 @@
 use std::process::ExitCode;
 
 use appleshore::setting::Setting;
-use appleshore::{Daemon, logging};
+use appleshore::{Daemon, file, logging};
 use clap::Parser;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
@@ -29,7 +29,7 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let setting = match read(&arguments) {
+    let setting = match file::load(&arguments.settings) {
         Ok(setting) => setting,
         Err(text) => return fail(FAULTY, &text),
     };
@@ -48,13 +48,6 @@
     ExitCode::from(code)
 }
 
-fn read(arguments: &Arguments) -> Result<Setting, String> {
-    let path = arguments.settings.display();
-    let text = std::fs::read_to_string(&arguments.settings);
-    let text = text.map_err(|error| format!("{path}: {error}"))?;
-    Setting::parse(&text).map_err(|error| format!("{path}:\n{error}"))
-}
-
 fn start(setting: Setting) -> Result<(), String> {
     logging::start(setting.log).map_err(|error| error.to_string())?;
     let runtime = runtime(&setting).map_err(|error| format!("start threads: {error}"))?;
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -292,6 +292,11 @@
         move || !state.entry.is_closing() && state.current.get().is_some()
     }
 
+    /// Waits until callers have read all that is for them.
+    async fn ports_end(&mut self) {
+        while self.ports.join_next().await.is_some() {}
+    }
+
     /// Stops as planned on a platform that sends callers elsewhere once the readiness says no.
     ///
     /// For `serve` all is served as before, with answers that ask callers to close. Then the gate
@@ -311,18 +316,13 @@
         }
         sleep(LAST_CALLERS).await;
         state.entry.leave();
-        let idle = async {
-            state.server.gate().idle().await;
-            state.entry.idle().await;
-        };
-        if timeout_at(until, idle).await.is_err() {
+        if timeout_at(until, state.idle()).await.is_err() {
             let open = state.entry.count().open;
             let running = state.server.gate().report().running;
             log::error!("daemon: stop cuts off open={open} running={running}.");
         }
         self.close.cancel();
-        let ports = async { while self.ports.join_next().await.is_some() {} };
-        if timeout_at(until, ports).await.is_err() {
+        if timeout_at(until, self.ports_end()).await.is_err() {
             log::error!("daemon: the stop cuts off callers that had not read all.");
         }
         let end = async {
@@ -349,11 +349,7 @@
         state.feed.leave().await;
         let bound = state.setting.limits.drain.0;
         let until = Instant::now() + bound;
-        let idle = async {
-            state.server.gate().idle().await;
-            state.entry.idle().await;
-        };
-        if timeout_at(until, idle).await.is_err() {
+        if timeout_at(until, state.idle()).await.is_err() {
             let count = state.entry.count().open;
             let running = state.server.gate().report().running;
             log::error!(
@@ -364,8 +360,7 @@
         self.close.cancel();
         // The tails of answers may still lie in buffers here, for callers that read slowly.
         let until = until.max(Instant::now() + GOODBYE);
-        let ports = async { while self.ports.join_next().await.is_some() {} };
-        if timeout_at(until, ports).await.is_err() {
+        if timeout_at(until, self.ports_end()).await.is_err() {
             log::error!("daemon: drain bound of {bound:?} hit with callers that had not read all.");
         }
         state.feed.depart().await;
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -25,6 +25,7 @@
 mod daemon;
 mod dump;
 mod error;
+pub mod file;
 mod inbound;
 mod keeper;
 mod links;
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -31,6 +31,12 @@
 }
 
 impl State {
+    /// Waits until nothing runs at the target and no request is under way for callers here.
+    pub(crate) async fn idle(&self) {
+        self.server.gate().idle().await;
+        self.entry.idle().await;
+    }
+
     /// The state of one part. Keys and bodies of requests are in none of them.
     pub(crate) fn dump(&self, part: Part) -> Dump {
         let state = match part {
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -12,16 +12,13 @@
 use tokio_util::task::TaskTracker;
 use unit::Size;
 
-use crate::Body;
 use crate::connection::Connection;
+use crate::{Body, server};
 
 /// Answers one request of a peer.
 pub type Handler =
     Arc<dyn Fn(SocketAddr, Request<Body>) -> BoxFuture<'static, Response<Body>> + Send + Sync>;
 
-/// Pause after a failed accept, which mostly means that file descriptors have run out.
-const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-
 /// The bounds on callers of one address, as they are in force now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Bounds {
@@ -59,8 +56,7 @@
             let (stream, peer) = match accepted {
                 Ok(accepted) => accepted,
                 Err(error) => {
-                    log::warn!("entry: no connection accepted: {error}.");
-                    tokio::time::sleep(ACCEPT_AGAIN).await;
+                    server::refused(&error).await;
                     continue;
                 }
             };
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -100,7 +100,8 @@
     place: OwnedSemaphorePermit,
 }
 
-async fn refused(error: &io::Error) {
+/// Says that no connection could be accepted, and waits before the next one is.
+pub(crate) async fn refused(error: &io::Error) {
     log::warn!("entry: no connection accepted: {error}.");
     tokio::time::sleep(ACCEPT_AGAIN).await;
 }
