Ask a target for its pace before a start, and hand back in a spell what a quick one can take

Cause: a run takes its time from the pace at its start. A cold target says 200 for three seconds after its start, which was taken for a spell, so that all targets were left idle for 600 ms when all had started at once.

The entry says whether it knows of a quick target, and the gate then hands the request back. Late work starts only where nothing else waits, and is told after a round of the slots.

--- a/bench/src/policy/world/target.rs
+++ b/bench/src/policy/world/target.rs
@@ -46,6 +46,7 @@
             goal: None,
             late: false,
             class: 0,
+            elsewhere: false,
         }
     }
 
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -115,7 +115,7 @@
 
 impl Job {
     /// The first frame of a try.
-    pub(crate) fn call(&mut self, token: Token, body: Payload) -> Call {
+    pub(crate) fn call(&mut self, token: Token, body: Payload, elsewhere: bool) -> Call {
         Call {
             token,
             service: self.service.clone(),
@@ -128,6 +128,7 @@
                 .map(|goal| goal.saturating_duration_since(Instant::now())),
             late: self.late,
             class: self.class,
+            elsewhere,
             depth: self.depth,
             allowance: self.purse.units(),
             once: !self.repeatable(),
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -139,7 +139,8 @@
     }
 
     fn make(&mut self, intake: &Intake) -> Attempt {
-        let call = self.job.call(token(), intake.payload());
+        let elsewhere = self.may_go_elsewhere(intake);
+        let call = self.job.call(token(), intake.payload(), elsewhere);
         Attempt {
             entry: self.job.entry.clone(),
             upstream: self.job.upstream.clone(),
@@ -148,6 +149,14 @@
         }
     }
 
+    /// Whether the gate that is asked now may hand the request back for the sake of a quick target.
+    fn may_go_elsewhere(&self, intake: &Intake) -> bool {
+        let most = self.job.entry.setting.hand_overs.unwrap_or(0);
+        let need = self.need(&self.tried);
+        let pick = &self.job.upstream.pick;
+        self.handed + 1 < most && intake.sendable() && pick.has_quick(Instant::now(), &need)
+    }
+
     fn next(&mut self, tried: Tried, intake: &Intake) -> Next {
         match tried {
             Tried::Answer(answer) => self.answered(answer, intake),
--- a/crates/entry/src/tries/copy.rs
+++ b/crates/entry/src/tries/copy.rs
@@ -11,27 +11,10 @@
 use crate::intake::Intake;
 use crate::tries::{Tries, UNAVAILABLE};
 
-/// How long after a start a slow spell that it met is told of at the latest, for the most part.
-///
-/// A gate asks its target for its pace every 40 ms while it works, and tells of a turn at once. Of the
-/// calls that started in a spell nobody knew of, 94 in 100 are told within this time if turns are spread
-/// evenly over those 40 ms; a longer wait would double ever more calls that started before the spell.
-const SPELL_TOLD: Duration = Duration::from_millis(30);
-
-/// When a second copy of a request may be sent beside the first.
-struct Hedge {
-    after: Duration,
-    /// Only if the target has turned slow since the first was sent. A run takes its time from the
-    /// moment of its start, so that one that starts in a slow spell is lost for its goal, while a
-    /// copy sent 30 ms later to another target is not.
-    in_spell: bool,
-}
-
 impl Tries<'_> {
-    /// One try, with a second copy beside it if the first is late by the rule, or has met a slow
-    /// spell of its target.
+    /// One try, with a second copy beside it if the first is late by the rule.
     pub(super) async fn attempt(&mut self, guard: Guard, intake: &mut Intake) -> Tried {
-        let Some(hedge) = self.hedge(intake) else {
+        let Some(after) = self.copy_after(intake) else {
             let attempt = self.make(intake);
             return attempt.run(guard, intake).await;
         };
@@ -44,17 +27,14 @@
         tokio::pin!(first);
         tokio::select! {
             tried = &mut first => return tried,
-            () = tokio::time::sleep(hedge.after) => {}
+            () = tokio::time::sleep(after) => {}
         }
-        let Some(guard) = self.choose_for_copy(&hedge, began) else {
+        let Some(guard) = self.choose_for_copy(began) else {
             return first.await;
         };
         let second = self.make(&copy).run(guard, &mut copy);
         tokio::pin!(second);
         self.sent += 1;
-        if hedge.in_spell {
-            self.left = self.left.saturating_sub(1);
-        }
         // The first good answer wins. The other try is dropped, which cancels it at its gate. Where one
         // may have run without an answer, a refusal of the other doesn't make the request "not run".
         tokio::select! {
@@ -75,35 +55,16 @@
         }
     }
 
-    /// When to look whether a second copy is wanted.
-    fn hedge(&self, intake: &Intake) -> Option<Hedge> {
-        if !self.job.repeatable() || !intake.replayable() {
-            return None;
-        }
-        if self.job.route.hedge && self.job.urgency == Urgency::Urgent {
-            let after = self.job.upstream.hedge_after()?;
-            return Some(Hedge {
-                after,
-                in_spell: false,
-            });
-        }
-        // A rule that allows for one try means it, and late work is out of its goal anyway.
-        let may_repeat = self.job.route.attempts.is_some() || self.left > 0;
-        (may_repeat && !self.job.late).then_some(Hedge {
-            after: SPELL_TOLD,
-            in_spell: true,
-        })
+    /// After which time a second copy is wanted, if the rule has such requests copied.
+    fn copy_after(&self, intake: &Intake) -> Option<Duration> {
+        let may = self.job.repeatable() && intake.replayable();
+        let wanted = self.job.route.hedge && self.job.urgency == Urgency::Urgent;
+        self.job.upstream.hedge_after().filter(|_| may && wanted)
     }
 
     /// The target of a second copy, if one is wanted and allowed; says so in the log.
-    fn choose_for_copy(&mut self, hedge: &Hedge, began: Instant) -> Option<Guard> {
-        let first = self.tried.last()?;
-        let pick = &self.job.upstream.pick;
-        if hedge.in_spell && !pick.has_turned_slow(first, began) {
-            return None;
-        }
-        let first = first.clone();
-        let cause = if hedge.in_spell { "spell" } else { "late" };
+    fn choose_for_copy(&mut self, began: Instant) -> Option<Guard> {
+        let first = self.tried.last()?.clone();
         let chosen = self
             .allow_copy()
             .and_then(|()| self.choose().ok_or("target"));
@@ -112,7 +73,7 @@
             Err(why) => ("none", *why),
         };
         log::info!(
-            "entry: id={} copy={to} cause={cause} first={first} after_ms={} left_out={left_out}.",
+            "entry: id={} copy={to} cause=late first={first} after_ms={} left_out={left_out}.",
             self.job.id,
             began.elapsed().as_millis(),
         );
--- a/crates/gate/examples/queue.rs
+++ b/crates/gate/examples/queue.rs
@@ -63,6 +63,7 @@
             goal: None,
             late: false,
             class: 0,
+            elsewhere: false,
         };
         let verdict = self.core.offer(self.now, request);
         let (Verdict::Start(id) | Verdict::Wait(id)) = verdict else {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -11,6 +11,7 @@
 use crate::lane::Lane;
 use crate::latency::Latency;
 use crate::limit::{Limit, Turn};
+use crate::pace::Pace;
 use crate::refusal::Refusal;
 use crate::request::{Id, Request};
 use crate::solo::Solo;
@@ -68,6 +69,7 @@
 ///     goal: None,
 ///     late: false,
 ///     class: 0,
+///     elsewhere: false,
 /// };
 /// let mut core = Builder::new(1).core(start);
 /// let Verdict::Start(first) = core.offer(start, request(1)) else { unreachable!() };
@@ -114,10 +116,7 @@
     pub(crate) down: bool,
     pub(crate) leaving: bool,
     pub(crate) hot: bool,
-    /// How long work takes at the target now, in hundredths; 0 where it doesn't tell.
-    pub(crate) pace: u16,
-    /// Since when the target has been slow.
-    pub(crate) slow_since: Option<Instant>,
+    pub(crate) pace: Pace,
     pub(crate) answered: u32,
     pub(crate) next_turn: Turn,
     pub(crate) events: Vec<Event>,
@@ -151,8 +150,7 @@
             down: false,
             leaving: false,
             hot: false,
-            pace: 0,
-            slow_since: None,
+            pace: Pace::default(),
             answered: 0,
             next_turn: 0,
             events: Vec::new(),
@@ -200,6 +198,7 @@
             Standing::Convicted { .. } => Some(Cause::Suspect),
             Standing::Suspect if !self.solo.has_room() => Some(Cause::Suspect),
             Standing::Suspect => None,
+            Standing::Innocent if self.is_better_elsewhere(now, request) => Some(Cause::Full),
             Standing::Innocent if request.nested && self.has_nested_room() => None,
             Standing::Innocent => self.forecast_objection(now, request),
         }
@@ -212,7 +211,7 @@
         self.refusal(now, request, cause)
     }
 
-    fn enqueue(&mut self, now: Instant, id: Id, request: Request) {
+    pub(crate) fn enqueue(&mut self, now: Instant, id: Id, request: Request) {
         let rank = request.urgency.rank();
         let suspect = self.standing(now, request.kind) != Standing::Innocent;
         if suspect {
@@ -243,7 +242,7 @@
     }
 
     /// The fate of a request just offered, taken out of the events.
-    fn verdict(&mut self, id: Id) -> Verdict {
+    pub(crate) fn verdict(&mut self, id: Id) -> Verdict {
         let own = |event: &Event| match event {
             Event::Start { id: other } | Event::Refuse { id: other, .. } => *other == id,
         };
@@ -288,7 +287,7 @@
         }
         held.dispatched = true;
         held.among = among;
-        held.pace = self.pace;
+        held.pace = self.pace.told();
         self.ages.remove(&(held.since, id));
         held.since = now;
         self.ages.insert((now, id));
@@ -356,6 +355,11 @@
         }
     }
 
+    /// The target has started a moment ago, and is slower than usual for a while.
+    pub fn target_cold(&mut self) {
+        self.pace.chill();
+    }
+
     /// The target is there and takes work, with so many slots; a new life of it perhaps.
     pub fn target_here(&mut self, now: Instant, slots: u16) {
         self.leaving = false;
@@ -372,10 +376,7 @@
 
     /// The target tells how long work takes at it now, in hundredths of what it usually takes.
     pub fn set_pace(&mut self, now: Instant, pace: u16) {
-        let was_slow = self.is_slow();
-        self.pace = pace;
-        if self.is_slow() && !was_slow {
-            self.slow_since = Some(now);
+        if self.pace.tell(now, pace) {
             self.hand_back(now);
         }
         self.advance(now);
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -6,8 +6,8 @@
 
 use crate::core::{Core, Held};
 use crate::limit::{self, Turn};
+use crate::pace::USUAL;
 use crate::request::{End, Id};
-use crate::spell::USUAL_PACE;
 use crate::suspect;
 
 /// Longest pause after the target has shed a request.
@@ -78,7 +78,7 @@
     fn sample(&mut self, now: Instant, held: &Held, latency: Duration) -> f64 {
         // A run that began in a slow spell takes its time from there, and says nothing of how long
         // such work usually takes.
-        let pace = f64::from(held.pace.max(USUAL_PACE)) / f64::from(USUAL_PACE);
+        let pace = f64::from(held.pace.max(USUAL)) / f64::from(USUAL);
         let latency = latency.div_f64(pace);
         let ratio = self.latency.sample(now, &held.request, latency);
         self.limit.answer(ratio, held.turn, self.next_turn);
@@ -88,7 +88,7 @@
     /// Learns from a run that began at the usual pace how much longer it took for the others that ran.
     pub(crate) fn watch_knee(&mut self, now: Instant, run: (u32, usize, u16), work: Duration) {
         let (class, among, pace) = run;
-        if pace > USUAL_PACE {
+        if pace > USUAL {
             return;
         }
         if self.knee.is_quiet(among) {
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -41,7 +41,8 @@
             Some(until) if until > now => Cause::Shed,
             _ => cause,
         };
-        if request.late && self.late.len() >= self.limit.now().div_ceil(LATE_PART) {
+        let crowded = self.lanes.iter().any(|lane| lane.len() > 0);
+        if request.late && (crowded || self.late.len() >= self.limit.now().div_ceil(LATE_PART)) {
             return Some(blame(Cause::Full));
         }
         if let Some(goal) = request.goal {
@@ -118,7 +119,7 @@
     /// Service time over all; when the running requests look stuck, their age, as the target has
     /// slowed down though no answer has said so yet.
     pub(crate) fn service_now(&self, now: Instant) -> Duration {
-        let mean = self.latency.mean();
+        let mean = self.pace.between_spells(now, self.latency.mean());
         self.stuck(now).map_or(mean, |age| age.max(mean))
     }
 
@@ -232,14 +233,17 @@
     pub fn report(&self, now: Instant) -> Report {
         let narrow = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
         let queued = Urgency::ALL.map(|u| narrow(self.deadlines[u.rank()].len()));
-        let service = self.service_now(now).as_micros();
+        let service = self.latency.mean();
+        let service = self.stuck(now).map_or(service, |age| age.max(service));
+        let service = service.as_micros();
         Report {
             running: narrow(self.held.len()),
             queued,
             limit: narrow(self.limit.now()),
             service_us: u32::try_from(service).unwrap_or(u32::MAX),
             answered: self.answered,
-            pace: self.pace,
+            pace: self.pace.told(),
+            slow: self.pace.is_slow(now),
             closed: self.down || self.leaving,
             hot: self.hot,
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -26,6 +26,7 @@
 //!     goal: None,
 //!     late: false,
 //!     class: 0,
+//!     elsewhere: false,
 //! };
 //! let permit = gate.admit(request).await?;
 //! let running = permit.dispatch();
@@ -46,6 +47,7 @@
 mod lane;
 mod latency;
 mod limit;
+mod pace;
 mod refusal;
 mod request;
 mod schedule;
@@ -54,6 +56,7 @@
 mod spell;
 mod suspect;
 mod token;
+mod turns;
 mod verdict;
 
 pub use builder::Builder;
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -33,6 +33,8 @@
     pub late: bool,
     /// The kind of work, for estimates of how long it runs; 0 where nothing is known of it.
     pub class: u32,
+    /// Its entry knew of another target that was not slow when it sent the request here.
+    pub elsewhere: bool,
 }
 
 /// Names an offered request inside one [`Core`](crate::Core); never used twice.
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -18,13 +18,6 @@
 /// urgent work a sixteenth of the slots at most.
 const AGEING: u32 = 15;
 
-/// A request that is late already gets a start after so many others.
-///
-/// Behind all others it would wait until its deadline whenever there is a little too much work, and
-/// a caller that has waited for nothing is the worst end of all. A quarter of the starts is more than
-/// becomes late, so that those who wait are few.
-const LATE_TURN: u32 = 3;
-
 /// A request that waits is refused so long before its deadline at least. Its entry gives it up at
 /// the deadline, and would have to say that it may have run.
 const ANSWER_WITHIN: Duration = Duration::from_millis(10);
@@ -169,12 +162,24 @@
         self.start(now, id)
     }
 
+    /// Refuses what is late already and was passed over by a whole round of starts.
+    ///
+    /// Work in time comes first, since each slot that a late one takes makes another late. Left behind
+    /// it, the late ones would wait until their deadlines while there is a little too much work; a
+    /// round is about as long as one run.
+    fn give_up_late(&mut self, now: Instant) {
+        self.passed_late = 0;
+        while let Some(id) = self.late.first().copied() {
+            self.refuse_waiting(now, id, Cause::Full);
+        }
+    }
+
     fn start_other(&mut self, now: Instant) -> bool {
-        if self.is_in_spell(now) {
+        if self.pace.is_in_spell(now) {
             return self.start_short(now);
         }
-        if self.passed_late >= LATE_TURN && self.start_late(now) {
-            return true;
+        if self.passed_late as usize >= self.limit.now() {
+            self.give_up_late(now);
         }
         let Some(rank) = self.next_rank(now) else {
             return self.start_late(now);
@@ -183,7 +188,10 @@
             return false;
         };
         if self.is_too_late(now, id) {
-            self.late.insert(id);
+            match self.lanes.iter().any(|lane| lane.len() > 0) {
+                true => self.refuse_waiting(now, id, Cause::Full),
+                false => drop(self.late.insert(id)),
+            }
             return true;
         }
         if !self.is_innocent(now, id) {
@@ -200,13 +208,13 @@
         self.start(now, id)
     }
 
-    /// Whether a request can't reach its goal any more. It then waits behind all that may: a late
-    /// answer is worth a little, and none is worth nothing.
+    /// Whether a request can't reach its goal any more. It is then started where nothing else waits,
+    /// as a late answer is worth a little and none is worth nothing, and else refused.
     fn is_too_late(&self, now: Instant, id: Id) -> bool {
         let Some(request) = self.waiting.get(&id) else {
             return false;
         };
-        let run = self.latency.expected_of(now, request);
+        let run = self.run_between_spells(now, request);
         request.goal.is_some_and(|goal| now + run > goal)
     }
 
@@ -342,7 +350,7 @@
             let slack = (earliest - now) + scant;
             Some(deadline.checked_sub(slack).unwrap_or(now).max(now))
         });
-        let spell = self.spell_ends().filter(|end| *end > now);
+        let spell = self.pace.spell_ends().filter(|end| *end > now);
         let others = [
             self.pause,
             spell,
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -83,7 +83,7 @@
         let now = Instant::now();
         let value = change(&mut state, now);
         let answers = self.answers(&mut state, now);
-        self.publish(&state.core);
+        self.publish(&state.core, now);
         self.wind(&mut state, now);
         drop(state);
         for answer in answers {
@@ -93,6 +93,32 @@
         value
     }
 
+    /// Has the core decide on a request, and waits if it says so.
+    async fn settle(
+        self: &Arc<Self>,
+        decide: impl FnOnce(&mut Core, Instant) -> Verdict,
+    ) -> Result<Permit, Refusal> {
+        let (waiter, answer) = oneshot::channel();
+        let verdict = self.with_state(|state, now| {
+            let verdict = decide(&mut state.core, now);
+            if let Verdict::Wait(id) = verdict {
+                state.waiters.insert(id, waiter);
+            }
+            verdict
+        });
+        match verdict {
+            Verdict::Start(id) => Ok(self.permit(id)),
+            Verdict::Refuse(refusal) => Err(refusal),
+            Verdict::Wait(id) => {
+                let inner = self.clone();
+                let place = Place { inner, id };
+                let result = answer.await;
+                drop(place);
+                result.expect("the gate answers each waiter before it forgets it")
+            }
+        }
+    }
+
     fn answers(self: &Arc<Self>, state: &mut State, now: Instant) -> Vec<Answer> {
         let events = state.core.poll(now);
         let mut answers = Vec::with_capacity(events.len());
@@ -122,11 +148,11 @@
         }
     }
 
-    fn publish(&self, core: &Core) {
+    fn publish(&self, core: &Core, now: Instant) {
         let hot = core.hot();
         self.hot
             .send_if_modified(|old| std::mem::replace(old, hot) != hot);
-        let mark = core.mark();
+        let mark = core.mark(now);
         self.mark
             .send_if_modified(|old| std::mem::replace(old, mark) != mark);
         let running = core.running();
@@ -213,25 +239,9 @@
     /// The [`Refusal`] says why the request does not run here, and is the proof that it has not
     /// been sent.
     pub async fn admit(&self, request: Request) -> Result<Permit, Refusal> {
-        let (waiter, answer) = oneshot::channel();
-        let verdict = self.inner.with_state(|state, now| {
-            let verdict = state.core.offer(now, request);
-            if let Verdict::Wait(id) = verdict {
-                state.waiters.insert(id, waiter);
-            }
-            verdict
-        });
-        match verdict {
-            Verdict::Start(id) => Ok(self.inner.permit(id)),
-            Verdict::Refuse(refusal) => Err(refusal),
-            Verdict::Wait(id) => {
-                let inner = self.inner.clone();
-                let place = Place { inner, id };
-                let result = answer.await;
-                drop(place);
-                result.expect("the gate answers each waiter before it forgets it")
-            }
-        }
+        self.inner
+            .settle(|core, now| core.offer(now, request))
+            .await
     }
 
     /// The load of this gate now.
@@ -287,6 +297,11 @@
         self.inner.with(|core, now| core.target_here(now, slots));
     }
 
+    /// The target has just started; see [`Core::target_cold`].
+    pub fn target_cold(&self) {
+        self.inner.with(|core, _| core.target_cold());
+    }
+
     /// The target tells how long work takes at it now; see [`Core::set_pace`].
     pub fn pace(&self, pace: u16) {
         self.inner.with(|core, now| core.set_pace(now, pace));
@@ -365,6 +380,32 @@
         Running { slot, since }
     }
 
+    /// Whether the target should tell its pace before the request leaves; see [`Core::wants_word`].
+    pub fn wants_word(&self) -> bool {
+        let Some(slot) = &self.slot else {
+            return false;
+        };
+        let state = slot.inner.state.lock();
+        state.core.wants_word(Instant::now(), slot.id)
+    }
+
+    /// Looks once more whether the request should start now, and waits again if not; see
+    /// [`Core::reconsider`].
+    ///
+    /// # Errors
+    ///
+    /// As [`Gate::admit`].
+    pub async fn reconsider(mut self) -> Result<Permit, Refusal> {
+        let slot = self
+            .slot
+            .take()
+            .expect("a permit holds its slot until it is consumed");
+        let id = slot.id;
+        slot.inner
+            .settle(|core, now| core.reconsider(now, id))
+            .await
+    }
+
     /// Gives the slot back undispatched, with the proof of it.
     pub fn refuse(mut self, cause: Cause) -> Refusal {
         let slot = self
--- a/crates/gate/src/spell.rs
+++ b/crates/gate/src/spell.rs
@@ -13,77 +13,139 @@
 use crate::core::Core;
 use crate::request::{Id, Request};
 use crate::shell::Mark;
-
-/// The pace of a target whose work takes as long as usual, in hundredths.
-pub(crate) const USUAL_PACE: u16 = 100;
-
-/// The pace from which the target counts as slow.
-const SLOW: u16 = 200;
-
-/// A target that is slow for longer than this is in no spell: one in fifty lasts so long.
-const SPELL_MOST: Duration = Duration::from_millis(600);
-
-/// How much longer a spell may be expected to last. Spells end by chance, on average after 150 ms,
-/// however long they have lasted; some of the wait is over when the target is asked.
-const SPELL_LEFT: Duration = Duration::from_millis(100);
+use crate::verdict::Verdict;
+
+/// What it costs a request to be handed to another gate: a round trip and the waking of two daemons
+/// with a fifth of a core each, 2 to 4 ms as measured from the refusals of a busy day.
+const HAND_OVER: Duration = Duration::from_millis(5);
+
+/// The expected loss from which the target is asked for its pace before a start. A question costs the
+/// request 1 to 2 ms, and the target a look at its health.
+const WORD: Duration = Duration::from_millis(5);
+
+/// What is made of a request that has a slot but should not start in it now.
+enum Mind {
+    /// It does not run here.
+    Refuse(Cause),
+    /// It waits for the end of a spell.
+    Wait,
+}
 
 impl Core {
-    /// Whether work takes much longer than usual at the target at this moment.
-    pub(crate) fn is_slow(&self) -> bool {
-        self.pace >= SLOW
-    }
-
-    /// Whether the slowness is a spell that is worth waiting out. A target that stays slow for longer
-    /// has become so, and work that waited for its end would wait for ever.
-    pub(crate) fn is_in_spell(&self, now: Instant) -> bool {
-        self.spell_ends().is_some_and(|end| now < end)
-    }
-
-    /// When a spell is taken for the target's new pace.
-    pub(crate) fn spell_ends(&self) -> Option<Instant> {
-        let since = self.slow_since.filter(|_| self.is_slow());
-        since.map(|since| since + SPELL_MOST)
-    }
-
     /// What entries should hear of at once.
-    pub(crate) fn mark(&self) -> Mark {
+    pub(crate) fn mark(&self, now: Instant) -> Mark {
         Mark {
             closed: self.down || self.leaving,
-            slow: self.is_slow(),
+            slow: self.pace.is_slow(now),
         }
     }
 
     /// Time that a request takes from the moment at which it has a slot: its run, and the rest of a
     /// spell if that is the sooner way.
     pub(crate) fn run_time(&self, now: Instant, request: &Request) -> Duration {
-        let run = self.latency.expected_of(now, request);
-        match (self.is_slow(), self.is_in_spell(now)) {
+        let run = self.run_between_spells(now, request);
+        match (self.pace.is_slow(now), self.pace.is_in_spell(now)) {
             (false, _) => run,
-            (true, true) => self.slowed(run).min(run + SPELL_LEFT),
-            (true, false) => self.slowed(run),
+            (true, true) => self.slowed(now, run).min(run + self.pace.spell_left()),
+            (true, false) => self.slowed(now, run),
         }
     }
 
+    /// Time that a request runs if it starts in no spell.
+    pub(crate) fn run_between_spells(&self, now: Instant, request: &Request) -> Duration {
+        let usual = self.latency.expected_of(now, request);
+        self.pace.between_spells(now, usual)
+    }
+
     /// Whether a request is worth starting now. In a spell it is if its run ends sooner than one
     /// that waits for the end of the spell.
     pub(crate) fn is_worth_starting(&self, now: Instant, request: &Request) -> bool {
-        if !self.is_in_spell(now) {
-            return true;
+        let run = self.run_between_spells(now, request);
+        !self.pace.is_in_spell(now) || self.slowed(now, run) <= run + self.pace.spell_left()
+    }
+
+    /// Whether a request had better run at the target that its entry knows to be quick.
+    ///
+    /// Hand-overs cost a few milliseconds and no target anything, while a look-up of 15 ms that starts
+    /// in a spell of seven times the usual holds up its caller for 90 ms more.
+    pub(crate) fn is_better_elsewhere(&self, now: Instant, request: &Request) -> bool {
+        if !request.elsewhere || !self.pace.is_slow(now) {
+            return false;
+        }
+        let run = self.run_between_spells(now, request);
+        let longer = self.slowed(now, run).saturating_sub(run);
+        longer.min(self.pace.spell_left()) > HAND_OVER
+    }
+
+    /// Whether a request that holds a slot should not start before the target has told its pace anew.
+    pub fn wants_word(&self, now: Instant, id: Id) -> bool {
+        let Some(held) = self.held.get(&id) else {
+            return false;
+        };
+        let run = self.run_between_spells(now, &held.request);
+        !self.solo.is_alone(now, id) && self.pace.expected_loss(now, run) > WORD
+    }
+
+    /// Looks once more at a request that holds a slot and is about to start, as what is known of the
+    /// target may have changed since it got the slot: it starts, waits again, or does not run here.
+    pub fn reconsider(&mut self, now: Instant, id: Id) -> Verdict {
+        let cause = match self.held.get(&id) {
+            Some(held) if !held.dispatched => self.change_of_mind(now, id, &held.request),
+            _ => None,
+        };
+        match cause {
+            None => Verdict::Start(id),
+            Some(Mind::Refuse(cause)) => match self.refuse(now, id, cause) {
+                Some(refusal) => Verdict::Refuse(refusal),
+                None => Verdict::Start(id),
+            },
+            Some(Mind::Wait) => {
+                if let Some(held) = self.release(now, id) {
+                    self.enqueue(now, id, held.request);
+                    self.advance(now);
+                }
+                self.verdict(id)
+            }
+        }
+    }
+
+    fn change_of_mind(&self, now: Instant, id: Id, request: &Request) -> Option<Mind> {
+        if self.leaving {
+            return Some(Mind::Refuse(Cause::Leaving));
+        }
+        if self.down {
+            return Some(Mind::Refuse(Cause::Down));
+        }
+        if self.solo.is_alone(now, id) {
+            return None;
+        }
+        if self.is_better_elsewhere(now, request) {
+            return Some(Mind::Refuse(Cause::Full));
         }
-        let run = self.latency.expected_of(now, request);
-        self.slowed(run) <= run + SPELL_LEFT
+        if request.nested || self.is_worth_starting(now, request) {
+            return None;
+        }
+        match self.misses_behind_spell(now, request) {
+            true => Some(Mind::Refuse(Cause::Full)),
+            false => Some(Mind::Wait),
+        }
+    }
+
+    /// Whether a request would miss its goal if it waited for the end of a spell that has just begun.
+    fn misses_behind_spell(&self, now: Instant, request: &Request) -> bool {
+        let run = self.run_between_spells(now, request);
+        request
+            .goal
+            .is_some_and(|goal| now + self.pace.spell_left() + run > goal)
     }
 
-    /// Refuses what waits for a goal that it would miss behind the spell that has just begun: it has
-    /// not run, and another target may be quick.
+    /// Refuses what waits for a goal that it would miss behind the spell that has just begun, or whose
+    /// entry knows of a quick target: it has not run.
     pub(crate) fn hand_back(&mut self, now: Instant) {
         let misses = |request: &Request| {
             let waits = !request.nested && !self.is_worth_starting(now, request);
-            let run = self.latency.expected_of(now, request);
-            waits
-                && request
-                    .goal
-                    .is_some_and(|goal| now + SPELL_LEFT + run > goal)
+            self.is_better_elsewhere(now, request)
+                || waits && self.misses_behind_spell(now, request)
         };
         let missing = self.waiting.iter().filter(|(_, request)| misses(request));
         let ids: Vec<Id> = missing.map(|(id, _)| *id).collect();
@@ -96,11 +158,11 @@
     pub(crate) fn spell_left(&self, now: Instant, request: &Request) -> Duration {
         match self.is_worth_starting(now, request) {
             true => Duration::ZERO,
-            false => SPELL_LEFT,
+            false => self.pace.spell_left(),
         }
     }
 
-    fn slowed(&self, run: Duration) -> Duration {
-        run.mul_f64(f64::from(self.pace) / f64::from(USUAL_PACE))
+    fn slowed(&self, now: Instant, run: Duration) -> Duration {
+        run.mul_f64(self.pace.slowdown(now))
     }
 }
--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -132,6 +132,7 @@
             goal: None,
             late: false,
             class: 0,
+            elsewhere: false,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
         *known = request.deadline.max(*known);
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -23,8 +23,6 @@
 const FAILING_PAUSE: Duration = Duration::from_secs(5);
 /// A target that has joined and had nothing to answer is tried again after this long.
 const NEWCOMER_AGAIN: Duration = Duration::from_millis(500);
-/// The pace, in hundredths of the usual time, that counts as much longer than usual.
-const SLOW_PACE: u16 = 200;
 /// The part of its fair share at which a new target gets its first call.
 const FIRST_CALL: f64 = 0.25;
 /// A difference of this share of the service time halves the chance of the worse target.
@@ -133,25 +131,29 @@
             .any(|place| !scale.is_hot(&self.records[place]))
     }
 
+    /// Whether some target that may serve the request has told that it is not slow, and was not hot
+    /// when last heard from.
+    pub fn has_quick(&self, now: Instant, need: &Need<'_>) -> bool {
+        let scale = self.scale(now);
+        let able = self.able(now, need);
+        able.into_iter().any(|place| {
+            let record = &self.records[place];
+            let told = record.heard.map(|heard| heard.report);
+            let quick = told.is_some_and(|report| report.pace > 0 && !report.slow);
+            quick && record.failures < FAILING && !scale.is_hot(record)
+        })
+    }
+
     /// What is known of `instance`.
     pub(crate) fn basis(&self, now: Instant, instance: &Instance) -> Basis {
         let place = self.place(instance).ok();
         let heard = place.and_then(|place| self.records[place].heard);
         Basis {
             age: heard.map(|heard| now.saturating_duration_since(heard.at)),
-            slow: heard.is_some_and(|heard| heard.report.pace >= SLOW_PACE),
+            slow: heard.is_some_and(|heard| heard.report.slow),
         }
     }
 
-    /// Whether `instance` has told since `began` that work takes much longer there than usual.
-    ///
-    /// A call that began then is likely to have met the slow spell that is told of now.
-    pub fn has_turned_slow(&self, instance: &Instance, began: Instant) -> bool {
-        let place = self.place(instance).ok();
-        let heard = place.and_then(|place| self.records[place].heard);
-        heard.is_some_and(|heard| heard.at >= began && heard.report.pace >= SLOW_PACE)
-    }
-
     /// Counts a call to `instance` that begins now.
     pub fn begin(&mut self, now: Instant, instance: &Instance) {
         if let Some(record) = self.find(instance) {
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -61,9 +61,9 @@
         self.pick.lock().has_room(now, need)
     }
 
-    /// See [`Pick::has_turned_slow`].
-    pub fn has_turned_slow(&self, instance: &Instance, began: Instant) -> bool {
-        self.pick.lock().has_turned_slow(instance, began)
+    /// See [`Pick::has_quick`].
+    pub fn has_quick(&self, now: Instant, need: &Need<'_>) -> bool {
+        self.pick.lock().has_quick(now, need)
     }
 
     /// See [`Pick::hear`].
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -85,7 +85,7 @@
         }
         let offered = Instant::now();
         let permit = tokio::select! {
-            permit = self.server.gate.admit(self.request()) => permit,
+            permit = self.admit() => permit,
             // Nobody waits for the answer any more: the request leaves the queue unsent.
             () = sender.stopped() => {
                 log::info!("gate: id={} gave-up waited_ms={}.", self.id(), millis(offered));
@@ -110,6 +110,16 @@
         }
     }
 
+    /// Waits for a slot, and for the target's word on its pace where a start on old news could cost
+    /// much more than that.
+    async fn admit(&self) -> Result<Permit, gate::Refusal> {
+        let permit = self.server.gate.admit(self.request()).await?;
+        if permit.wants_word() {
+            self.server.ask_pace().await;
+        }
+        permit.reconsider().await
+    }
+
     /// What the request is called in logs: by the caller's name for it, else by the token.
     fn id(&self) -> String {
         match self.attempt() {
@@ -145,6 +155,7 @@
             goal: self.call.goal.map(|left| Instant::now() + left),
             late: self.call.late,
             class: self.call.class,
+            elsewhere: self.call.elsewhere,
         }
     }
 
@@ -194,7 +205,6 @@
         };
         let start = self.server.gate.report();
         let running = permit.dispatch();
-        self.server.ask_at_start();
         let nest = self.nest();
         let hold = self
             .call
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -32,6 +32,9 @@
                     beat.sequence,
                     beat.cold.as_millis()
                 );
+                if beat.cold > Duration::ZERO {
+                    self.gate.target_cold();
+                }
                 self.apply();
             }
             Heard::Same => {}
@@ -123,6 +126,7 @@
         if let Some(figures) = self.dialect.figures(&head.headers) {
             *self.told.lock() = Some(Instant::now());
             self.gate.pace(figures.pace);
+            self.heard.notify_waiters();
         }
     }
 
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -42,6 +42,10 @@
     pub(crate) ask: Notify,
     /// The target has to be asked which life it is.
     pub(crate) doubted: AtomicBool,
+    /// Somebody waits for the target's word on its load.
+    pub(crate) wanted: AtomicBool,
+    /// Told whenever the target has told its load.
+    pub(crate) heard: Notify,
     measure: Mutex<Measure>,
     pub(crate) stats: Stats,
 }
@@ -70,6 +74,8 @@
             told: Mutex::new(None),
             ask: Notify::new(),
             doubted: AtomicBool::new(false),
+            wanted: AtomicBool::new(false),
+            heard: Notify::new(),
             stats: Stats::default(),
             service: builder.service,
             gate: builder.gate,
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -28,10 +28,13 @@
 /// nothing starts until the spell is known to be over.
 const FRESH: Duration = Duration::from_millis(20);
 
-/// The same of a target that is not slow, while it has work. Work takes five times as long for
-/// spells of some 150 ms, and the choice among targets is worth as much as its figures are fresh.
-/// One that has no work tells of a spell when some comes: each question has a price.
-const FRESH_QUICK: Duration = Duration::from_millis(40);
+/// The same where nothing waits for the end of the spell: entries send their work elsewhere, and hear
+/// of the end a little later.
+const FRESH_IDLE: Duration = Duration::from_millis(40);
+
+/// How long a start waits for the target's word on its pace. It comes within 2 ms; a target that is
+/// held up itself is not waited for.
+const WORD_WITHIN: Duration = Duration::from_millis(20);
 
 /// Watches the target of `server` until it is dropped.
 pub async fn watch(server: Arc<Server>) {
@@ -75,7 +78,12 @@
         let pause = pause(server);
         tokio::select! {
             () = sleep(pause) => {}
-            () = server.ask.notified() => sleep(Duration::from_millis(1)).await,
+            () = server.ask.notified() => {
+                // A target that can't be reached is not asked at once again.
+                if !server.wanted.load(Ordering::Acquire) {
+                    sleep(Duration::from_millis(1)).await;
+                }
+            }
         }
         if !is_due(server) {
             continue;
@@ -109,32 +117,33 @@
 /// How old the target's word on its load may be.
 fn fresh(server: &Server) -> Duration {
     let report = server.gate.report();
-    let slow = report.pace > 100;
-    match (slow, report.running) {
-        (true, _) => FRESH,
-        (false, 0) => SEARCH,
-        (false, _) => FRESH_QUICK,
+    let slow = report.slow;
+    let waiting = report.queued.iter().any(|queued| *queued > 0);
+    match (slow, waiting) {
+        (true, true) => FRESH,
+        (true, false) => FRESH_IDLE,
+        // Whoever starts asks, where that is worth it.
+        (false, _) => SEARCH,
     }
 }
 
 impl Server {
-    /// Has the target asked for its pace if what it said last is old, as after a pause without work.
-    ///
-    /// The run that starts now may have met a slow spell that nobody knows of. Waiting for the next
-    /// question of an idle target, up to 200 ms, its entry would hear of that too late to send a copy
-    /// elsewhere in time.
-    pub(crate) fn ask_at_start(&self) {
-        let told = *self.told.lock();
-        let is_old = told.is_some_and(|at| at.elapsed() >= FRESH_QUICK);
-        if is_old && self.announced.is_some() && self.gate.report().pace > 0 {
-            self.ask.notify_one();
-        }
+    /// Asks the target for its pace, and waits for the answer a moment at most. One question serves
+    /// all that wait for it.
+    pub(crate) async fn ask_pace(&self) {
+        let heard = self.heard.notified();
+        self.wanted.store(true, Ordering::Release);
+        self.ask.notify_one();
+        // Without an answer the request starts on what is known.
+        drop(timeout(WORD_WITHIN, heard).await);
     }
 }
 
 /// Whether there is anything to ask.
 fn is_due(server: &Server) -> bool {
-    if server.doubted.swap(false, Ordering::AcqRel) {
+    let doubted = server.doubted.swap(false, Ordering::AcqRel);
+    let wanted = server.wanted.swap(false, Ordering::AcqRel);
+    if doubted || wanted {
         return true;
     }
     match server.presence.lock().stage {
--- a/crates/unit/src/report.rs
+++ b/crates/unit/src/report.rs
@@ -22,6 +22,8 @@
     /// How long work takes at the target at this moment, in hundredths of what it usually takes;
     /// 0 where the target doesn't tell.
     pub pace: u16,
+    /// Work takes much longer at this moment than it lately did there.
+    pub slow: bool,
     /// The target takes no work: it can't be reached, leaves, or is not known yet.
     pub closed: bool,
     /// The gate has no free slot and a queue, and would rather be passed over.
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -28,6 +28,8 @@
     pub late: bool,
     /// The kind of work, for estimates of how long it runs; 0 where nothing is known of it.
     pub class: u32,
+    /// The entry knows of another target that is not slow, and may still ask it.
+    pub elsewhere: bool,
     /// How deep this call is nested.
     pub depth: Depth,
     /// Retries that the calls nested below may still ask for.
