Tell the starts of a target apart, and pass over what another writer has put

Cause: a life was known by its name alone. A target that started again under the name it had was held for late until its heartbeats' numbers had passed those of the start before, and stayed leaving if that one had said so.

Change: a life is its name and when it began (born). A later start begins anew at once: connections, limit, knee, pace and the count of answers are dropped, tokens and suspicions stay, as what the start before ran may have run. An earlier one changes nothing, but for a clock that was put back: it is believed when the known start is silent and this one goes on counting.

--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -92,6 +92,11 @@
         "Questions after the target's health and load",
         target.asked,
     );
+    registry.register(
+        "malformed_heartbeats",
+        "Heartbeats and leaves that could not be read, or were another writer's",
+        target.malformed,
+    );
 }
 
 #[derive(Debug)]
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -123,8 +123,16 @@
     key.strip_prefix(&inner.prefix)?.parse().ok()
 }
 
+/// The announcement in an object. One that can't be read, or that speaks of another instance than its
+/// key, is another writer's and names nobody.
 pub(crate) fn record(object: &Object) -> Option<Record> {
     let parsed = serde_json::from_slice(&object.value);
     let parsed = parsed.inspect_err(|e| log::warn!("feed: object {}: {e}.", object.key));
-    parsed.ok()
+    let record: Record = parsed.ok()?;
+    let name = object.key.rsplit('/').next().unwrap_or_default();
+    if record.instance.as_str() != name {
+        log::warn!("feed: object {} speaks of {}.", object.key, record.instance);
+        return None;
+    }
+    Some(record)
 }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -360,6 +360,19 @@
         self.pace.chill();
     }
 
+    /// The target has started anew: what was learnt of its speed and its slots is of the start before.
+    ///
+    /// Its answers count from nothing, so that entries send it little at first. Tokens stay, for what
+    /// the start before was sent may have run; so do suspicions, for what has crashed it will again.
+    pub fn target_began(&mut self, now: Instant) {
+        self.answered = 0;
+        self.knee = Knee::new(now, self.limit.slots());
+        self.limit.chill();
+        self.limit.settle(self.knee.best());
+        self.pause = None;
+        self.advance(now);
+    }
+
     /// The target is there and takes work, with so many slots; a new life of it perhaps.
     pub fn target_here(&mut self, now: Instant, slots: u16) {
         self.leaving = false;
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -302,6 +302,11 @@
         self.inner.with(|core, _| core.target_cold());
     }
 
+    /// The target has started anew; see [`Core::target_began`].
+    pub fn target_began(&self) {
+        self.inner.with(Core::target_began);
+    }
+
     /// The target tells how long work takes at it now; see [`Core::set_pace`].
     pub fn pace(&self, pace: u16) {
         self.inner.with(|core, now| core.set_pace(now, pace));
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -3,12 +3,18 @@
 //! Heartbeats may come late: one that was held up on its way may arrive when its sender has crashed
 //! and another life has announced itself, and must not bring the former one back. A target that
 //! has said that it leaves gets no new work, whatever comes late.
+//!
+//! A target may also start again under the name that it had. It then knows nothing of before and its
+//! heartbeats are numbered anew, so that a name alone would make each of them look late until the
+//! numbers have caught up, and a drain of the start before would last for ever. What tells the starts
+//! apart is when they began.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use serde::Serialize;
 use tokio::time::Instant;
+use unit::Incarnation;
 
 /// Former lives that are remembered, so that their late heartbeats change nothing.
 const FORMER: usize = 32;
@@ -18,6 +24,8 @@
 pub struct Beat {
     /// The life of the target.
     pub life: String,
+    /// When that life began, by the target's own clock; `None` where it doesn't tell.
+    pub born: Option<Incarnation>,
     /// Whether it takes new work.
     pub ready: bool,
     /// Requests that it runs at once at most.
@@ -51,10 +59,14 @@
 pub enum Heard {
     /// Something that the gate has to be told.
     Changed,
+    /// The target has started anew; what was known of the start before is worth nothing.
+    Began,
     /// Nothing.
     Same,
     /// It came late, and is passed over.
     Late,
+    /// It doesn't say when its life began, though that life has said so before: another writer's.
+    Unsigned,
     /// It names another life, while the known one was heard a moment ago: the target itself has to
     /// be asked which of them it is.
     Doubtful,
@@ -65,6 +77,8 @@
 pub struct Life {
     /// Its name.
     pub name: Option<String>,
+    /// When it began, where it tells.
+    pub born: Option<Incarnation>,
     /// Where it is.
     pub stage: Stage,
     /// Requests that it runs at once.
@@ -76,17 +90,33 @@
     pub warm: Instant,
     #[serde(skip)]
     heard: Option<Instant>,
-    former: VecDeque<String>,
+    former: VecDeque<Former>,
     /// A life that has announced itself while another was known.
     #[serde(skip)]
     claimant: Option<Beat>,
 }
 
+/// A life that was at the address before.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct Former {
+    name: String,
+    born: Option<Incarnation>,
+}
+
+impl Former {
+    /// Whether a word of a life `name` that began at `born` is of this one, or of one before it.
+    fn covers(&self, name: &str, born: Option<Incarnation>) -> bool {
+        let later = born.is_some() && born > self.born;
+        self.name == name && !later
+    }
+}
+
 impl Life {
     /// Nothing is known; `slots` are assumed until a heartbeat or an answer tells.
     pub fn unknown(now: Instant, slots: u16) -> Life {
         Life {
             name: None,
+            born: None,
             stage: Stage::Unknown,
             slots,
             sequence: 0,
@@ -99,19 +129,45 @@
 
     /// Takes in a heartbeat; one known life counts as alive for `fresh` after its last.
     pub fn beat(&mut self, now: Instant, beat: &Beat, fresh: Duration) -> Heard {
-        if self.former.contains(&beat.life) {
+        if self.name.as_deref() == Some(&beat.life) {
+            return match (self.born, beat.born) {
+                (Some(_), None) => Heard::Unsigned,
+                (Some(known), Some(told)) if told < known => self.beat_older(now, beat, fresh),
+                (Some(known), Some(told)) if told > known => self.begin(now, beat),
+                // Its heartbeats did not tell before, and are numbered anew: another start.
+                (None, Some(_)) if beat.sequence < self.sequence => self.begin(now, beat),
+                _ => self.beat_again(now, beat),
+            };
+        }
+        if self.is_former(&beat.life, beat.born) {
             return Heard::Late;
         }
-        match &self.name {
-            Some(name) if *name == beat.life => self.beat_again(now, beat),
-            Some(_) if self.is_alive(now, fresh) => {
-                self.claimant = Some(beat.clone());
-                Heard::Doubtful
-            }
-            _ => {
-                self.adopt(now, beat);
-                Heard::Changed
-            }
+        if self.name.is_some() && self.is_alive(now, fresh) {
+            self.claimant = Some(beat.clone());
+            return Heard::Doubtful;
+        }
+        self.begin(now, beat)
+    }
+
+    fn is_former(&self, name: &str, born: Option<Incarnation>) -> bool {
+        self.former.iter().any(|former| former.covers(name, born))
+    }
+
+    /// Takes in a heartbeat of a start that began before the known one.
+    ///
+    /// It is late, but for one case: the target's clock was put back between the two starts. Then the
+    /// known one is silent, and this one goes on counting.
+    fn beat_older(&mut self, now: Instant, beat: &Beat, fresh: Duration) -> Heard {
+        if self.is_alive(now, fresh) {
+            return Heard::Late;
+        }
+        let before = self.claimant.replace(beat.clone());
+        let goes_on = before.is_some_and(|before| {
+            before.life == beat.life && before.born == beat.born && before.sequence < beat.sequence
+        });
+        match goes_on {
+            true => self.begin(now, beat),
+            false => Heard::Late,
         }
     }
 
@@ -125,6 +181,7 @@
         if beat.sequence <= self.sequence && self.sequence > 0 {
             return Heard::Late;
         }
+        self.born = self.born.or(beat.born);
         self.sequence = beat.sequence;
         self.heard = Some(now);
         self.warm = now + beat.cold;
@@ -142,8 +199,13 @@
         }
     }
 
-    fn adopt(&mut self, now: Instant, beat: &Beat) {
-        self.rename(&beat.life);
+    /// Takes the life of a heartbeat for the one at the address.
+    fn begin(&mut self, now: Instant, beat: &Beat) -> Heard {
+        let heard = match self.name {
+            Some(_) => Heard::Began,
+            None => Heard::Changed,
+        };
+        self.rename(&beat.life, beat.born);
         self.stage = match beat.ready {
             true => Stage::Ready,
             false => Stage::Leaving,
@@ -152,39 +214,49 @@
         self.heard = Some(now);
         self.slots = beat.slots.max(1);
         self.warm = now + beat.cold;
+        heard
     }
 
-    fn rename(&mut self, life: &str) {
-        if self.name.as_deref() == Some(life) {
-            return;
-        }
-        if let Some(old) = self.name.replace(life.to_string()) {
-            self.forget(old);
+    fn rename(&mut self, name: &str, born: Option<Incarnation>) {
+        if let Some(old) = self.name.replace(name.to_string()) {
+            self.forget(old, self.born);
         }
+        self.born = born;
+        // A start whose clock was put back is a former one no more.
+        self.former.retain(|former| !former.covers(name, born));
         self.claimant = None;
         self.sequence = 0;
     }
 
-    /// The life `name` has said that it leaves; true if it is the one at the address.
-    pub fn left(&mut self, name: &str) -> bool {
+    /// The life `name` that began at `born` has said that it leaves; true if it is the one at the
+    /// address.
+    pub fn left(&mut self, name: &str, born: Option<Incarnation>) -> bool {
         if self.name.as_deref() == Some(name) {
+            if born.is_some() && born < self.born {
+                return false;
+            }
+            if born > self.born {
+                // It has started again, and leaves before a heartbeat of it was heard.
+                self.rename(name, born);
+            }
             self.stage = Stage::Leaving;
             return true;
         }
         if self.name.is_none() {
             // It must not be taken for a new one when the target is asked.
             self.name = Some(name.to_string());
+            self.born = born;
             self.stage = Stage::Leaving;
             return true;
         }
-        if !self.former.iter().any(|former| former == name) {
-            self.forget(name.to_string());
+        if !self.is_former(name, born) {
+            self.forget(name.to_string(), born);
         }
         false
     }
 
-    fn forget(&mut self, name: String) {
-        self.former.push_back(name);
+    fn forget(&mut self, name: String, born: Option<Incarnation>) {
+        self.former.push_back(Former { name, born });
         if self.former.len() > FORMER {
             self.former.pop_front();
         }
@@ -195,11 +267,11 @@
     /// Of a life that no heartbeat has told of, its word is taken on whether it is well: a daemon
     /// that has started anew must not send to a target that leaves.
     pub fn answered(&mut self, now: Instant, name: &str, well: bool, slots: Option<u16>) -> bool {
-        if self.former.iter().any(|former| former == name) {
+        let known = self.name.as_deref() == Some(name);
+        if !known && self.is_former(name, None) {
             return false;
         }
-        let same = self.name.as_deref() == Some(name);
-        match (same, self.stage) {
+        match (known, self.stage) {
             // What it says of its health may be false; heartbeats and answers tell.
             (true, Stage::Leaving | Stage::Ready) => false,
             (true, Stage::Unknown | Stage::Down) if !well => false,
@@ -214,13 +286,13 @@
     fn succeeded(&mut self, now: Instant, name: &str, well: bool, slots: Option<u16>) -> bool {
         let claim = self.claimant.take().filter(|claim| claim.life == name);
         if let Some(beat) = claim {
-            self.adopt(now, &beat);
+            self.begin(now, &beat);
             return true;
         }
         if !well {
             return false;
         }
-        self.rename(name);
+        self.rename(name, None);
         self.stage = Stage::Ready;
         self.slots = slots.unwrap_or(self.slots).max(1);
         true
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -7,6 +7,7 @@
 use http::HeaderMap;
 use http1::response;
 use tokio::time::Instant;
+use unit::Incarnation;
 
 use crate::connection::Connection;
 use crate::life::{Beat, Heard, Life, Stage};
@@ -37,6 +38,27 @@
                 }
                 self.apply();
             }
+            Heard::Began => {
+                let born = beat.born.map_or("untold".into(), |born| born.to_string());
+                log::warn!(
+                    "target: life={} born={born} has begun, ready={} slots={} sequence={} cold_ms={}.",
+                    beat.life,
+                    beat.ready,
+                    beat.slots,
+                    beat.sequence,
+                    beat.cold.as_millis()
+                );
+                self.began();
+                self.apply();
+            }
+            Heard::Unsigned => {
+                self.stats().malformed.inc();
+                log::warn!(
+                    "target: a heartbeat of life={} sequence={} tells no start and is passed over.",
+                    beat.life,
+                    beat.sequence
+                );
+            }
             Heard::Same => {}
             Heard::Late => log::info!(
                 "target: a heartbeat of life={} sequence={} came late and is passed over.",
@@ -54,14 +76,24 @@
         heard
     }
 
-    /// The life `name` of the target has said that it ends.
-    pub fn left(&self, name: &str) {
+    /// The life `name` of the target has said that it ends; `born` is when it began, if it tells.
+    pub fn left(&self, name: &str, born: Option<Incarnation>) {
         log::info!("target: life={name} leaves.");
-        if self.presence.lock().left(name) {
+        if self.presence.lock().left(name, born) {
             self.apply();
         }
     }
 
+    /// The target has started anew: its connections are gone, and it holds and knows nothing.
+    ///
+    /// What ran at the start before may have run, and which requests crash targets is still true, so
+    /// tokens and suspicions stay.
+    fn began(&self) {
+        self.pool.distrust();
+        self.gate.target_cold();
+        self.gate.target_began();
+    }
+
     /// What is known of the target's life.
     pub fn presence(&self) -> Life {
         self.presence.lock().clone()
@@ -145,9 +177,17 @@
     /// The target itself has answered as the life `name`.
     pub(crate) fn answered(&self, name: &str, well: bool, slots: Option<u16>) {
         let now = Instant::now();
-        let news = self.presence.lock().answered(now, name, well, slots);
+        let (news, replaced) = {
+            let mut life = self.presence.lock();
+            let before = life.name.clone();
+            let news = life.answered(now, name, well, slots);
+            (news, before.is_some() && before != life.name)
+        };
         if news {
             log::info!("target: life={name} answers for itself.");
+            if replaced {
+                self.began();
+            }
             self.apply();
         }
     }
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// The service of the target.
+    pub fn service(&self) -> &Service {
+        &self.service
+    }
+
     /// The gate before the target.
     pub fn gate(&self) -> &Gate {
         &self.gate
--- a/crates/target/src/stats.rs
+++ b/crates/target/src/stats.rs
@@ -18,6 +18,8 @@
     pub declined: Counter,
     /// Questions after the target's health and load.
     pub asked: Counter,
+    /// Heartbeats and leaves that could not be read, or were another writer's; they change nothing.
+    pub malformed: Counter,
 }
 
 impl Default for Stats {
@@ -30,6 +32,7 @@
             unfit: Counter::default(),
             declined: Counter::default(),
             asked: Counter::default(),
+            malformed: Counter::default(),
         }
     }
 }
--- a/crates/target/tests/life.rs
+++ b/crates/target/tests/life.rs
@@ -4,12 +4,14 @@
 
 use target::{Beat, Heard, Life, Stage};
 use tokio::time::Instant;
+use unit::Incarnation;
 
 const FRESH: Duration = Duration::from_secs(3);
 
 fn beat(life: &str, sequence: u64, ready: bool) -> Beat {
     Beat {
         life: life.to_string(),
+        born: None,
         ready,
         slots: 8,
         cold: Duration::ZERO,
@@ -38,7 +40,7 @@
     let mut life = Life::unknown(now, 1);
     life.beat(now, &beat("a", 5, true), FRESH);
     let later = now + FRESH * 2;
-    assert_eq!(life.beat(later, &beat("b", 1, true), FRESH), Heard::Changed);
+    assert_eq!(life.beat(later, &beat("b", 1, true), FRESH), Heard::Began);
     assert_eq!(life.beat(later, &beat("a", 6, true), FRESH), Heard::Late);
     assert_eq!(life.name.as_deref(), Some("b"));
 }
@@ -76,13 +78,16 @@
 fn life_that_has_left_stays_away() {
     let now = Instant::now();
     let mut life = Life::unknown(now, 1);
-    life.left("a");
+    life.left("a", None);
     assert!(!life.answered(now, "a", true, None));
     life.beat(now, &beat("a", 3, true), FRESH);
     assert!(life.is_leaving());
     let mut other = Life::unknown(now, 1);
     other.beat(now, &beat("b", 1, true), FRESH);
-    assert!(!other.left("a"), "a former life's leave is none of b's");
+    assert!(
+        !other.left("a", None),
+        "a former life's leave is none of b's"
+    );
     assert_eq!(other.stage, Stage::Ready);
 }
 
@@ -99,3 +104,113 @@
     assert_eq!(life.stage, Stage::Down);
     assert!(life.answered(now, "a", true, None), "it is back");
 }
+
+fn born(life: &str, born: u64, sequence: u64, ready: bool) -> Beat {
+    Beat {
+        born: Some(Incarnation(born)),
+        ..beat(life, sequence, ready)
+    }
+}
+
+/// The target has crashed and started again under the same name. Its heartbeats are numbered from one,
+/// and looked late until they had passed the number of the start before: for as long as that had lived,
+/// a target that was well got no work.
+#[test]
+fn a_start_under_the_same_name_begins_anew() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.beat(now, &born("a", 1_000, 40, true), FRESH);
+    assert!(life.lost());
+    assert_eq!(
+        life.beat(now, &born("a", 2_000, 1, true), FRESH),
+        Heard::Began
+    );
+    assert_eq!((life.stage, life.sequence), (Stage::Ready, 1));
+    let more = Beat {
+        slots: 3,
+        ..born("a", 2_000, 2, true)
+    };
+    assert_eq!(life.beat(now, &more, FRESH), Heard::Changed);
+    assert_eq!(life.slots, 3);
+}
+
+/// The target had said that it leaves, and starts again instead. What it said binds for the start that
+/// said it, and is none of the new one's.
+#[test]
+fn a_start_is_not_bound_by_the_leave_of_the_one_before() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.beat(now, &born("a", 1_000, 40, false), FRESH);
+    assert!(life.is_leaving());
+    life.beat(now, &born("a", 2_000, 1, true), FRESH);
+    assert_eq!(life.stage, Stage::Ready);
+    // The leave of the start before was held up, and comes now.
+    assert!(!life.left("a", Some(Incarnation(1_000))));
+    assert_eq!(life.stage, Stage::Ready);
+    assert!(life.left("a", Some(Incarnation(2_000))));
+    assert!(life.is_leaving());
+    // One that has started and leaves before it was heard.
+    assert!(life.left("a", Some(Incarnation(3_000))));
+    assert_eq!(
+        life.beat(now, &born("a", 2_000, 9, true), FRESH),
+        Heard::Late
+    );
+    assert!(life.is_leaving());
+}
+
+/// A heartbeat of the start before was held up by a partition, and arrives when the target has started
+/// again under its name; also one with a high number, and one that says that it leaves.
+#[test]
+fn a_late_heartbeat_of_the_start_before_changes_nothing() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.beat(now, &born("a", 2_000, 3, true), FRESH);
+    for (sequence, ready) in [(2, true), (90, true), (91, false)] {
+        let late = born("a", 1_000, sequence, ready);
+        assert_eq!(life.beat(now, &late, FRESH), Heard::Late);
+        assert_eq!((life.stage, life.sequence), (Stage::Ready, 3));
+    }
+}
+
+/// A heartbeat that doesn't tell its start, of a target that has told it before, is another writer's.
+/// Where the target never tells, its heartbeats count as they are.
+#[test]
+fn a_heartbeat_without_its_start_is_none_of_a_target_that_tells_it() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.beat(now, &born("a", 2_000, 3, true), FRESH);
+    assert_eq!(life.beat(now, &beat("a", 4, false), FRESH), Heard::Unsigned);
+    assert_eq!((life.stage, life.sequence), (Stage::Ready, 3));
+    let mut quiet = Life::unknown(now, 1);
+    quiet.beat(now, &beat("a", 3, true), FRESH);
+    assert_eq!(quiet.beat(now, &beat("a", 4, false), FRESH), Heard::Changed);
+    assert!(quiet.is_leaving());
+}
+
+/// The target's clock was put back by an hour before it started again, so that its start looks older
+/// than the one before. One late heartbeat looks the same; but the start before is silent, and this one
+/// goes on counting.
+#[test]
+fn a_start_with_its_clock_put_back_is_believed_when_it_goes_on() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.beat(now, &born("a", 9_000, 40, true), FRESH);
+    assert_eq!(
+        life.beat(now, &born("a", 5_000, 1, true), FRESH),
+        Heard::Late
+    );
+    let later = now + FRESH * 2;
+    assert_eq!(
+        life.beat(later, &born("a", 5_000, 3, true), FRESH),
+        Heard::Late
+    );
+    assert_eq!(
+        life.beat(later, &born("a", 5_000, 3, true), FRESH),
+        Heard::Late
+    );
+    assert_eq!(
+        life.beat(later, &born("a", 5_000, 4, true), FRESH),
+        Heard::Began
+    );
+    assert_eq!(life.sequence, 4);
+}
