--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -35,6 +35,11 @@
         "From a request's head to that of its answer",
         entry.took,
     );
+    registry.register(
+        "refused_seconds",
+        "From a request's head to its refusal, of requests that reached no target",
+        entry.refused,
+    );
     registry.register(
         "choice_age_seconds",
         "Age of the report behind a choice",
@@ -72,6 +77,11 @@
         "From a start to the head of the answer",
         target.ran,
     );
+    registry.register(
+        "slow_starts",
+        "Requests started in a slow spell of the target",
+        target.slow_starts,
+    );
     registry.register(
         "lost",
         "Runs here that ended without a whole answer",
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -16,6 +16,8 @@
 pub struct Stats {
     /// Seconds from a request's head to that of its answer, for requests that were sent to a gate.
     pub took: Histogram,
+    /// Seconds from a request's head to its refusal, for requests that reached no target.
+    pub refused: Histogram,
     /// Age in seconds of the report by which a target was chosen.
     pub age: Histogram,
     /// Targets chosen without any report.
@@ -34,6 +36,7 @@
     fn default() -> Stats {
         Stats {
             took: times(),
+            refused: times(),
             age: times(),
             blind: Counter::default(),
             slow: Counter::default(),
@@ -64,4 +67,8 @@
             self.repeated.inc();
         }
     }
+
+    pub(crate) fn refused(&self, took: Duration) {
+        self.refused.observe(took.as_secs_f64());
+    }
 }
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -73,6 +73,9 @@
         let ended = self.try_on(intake).await;
         let stats = self.job.entry.stats();
         stats.ended(began.elapsed(), self.handed, self.sent);
+        if ended.is_err() && self.sent == 0 {
+            stats.refused(began.elapsed());
+        }
         let (status, reason) = match &ended {
             Ok(answer) => (answer.reply.status, "answered".to_string()),
             Err(refusal) => (refusal.status_code(), refusal.reason().to_string()),
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -204,6 +204,9 @@
             }
         };
         let start = self.server.gate.report();
+        if start.slow {
+            self.server.stats().slow_starts.inc();
+        }
         let running = permit.dispatch();
         let nest = self.nest();
         let hold = self
--- a/crates/target/src/stats.rs
+++ b/crates/target/src/stats.rs
@@ -10,6 +10,8 @@
     pub waited: Histogram,
     /// Seconds from the start of a request to the head of its answer.
     pub ran: Histogram,
+    /// Requests that were started while work took much longer than usual at the target.
+    pub slow_starts: Counter,
     /// Requests that ended without a whole answer, and may have run.
     pub lost: Counter,
     /// Answers that could not be given to a caller.
@@ -28,6 +30,7 @@
         Stats {
             waited: times(),
             ran: times(),
+            slow_starts: Counter::default(),
             lost: Counter::default(),
             unfit: Counter::default(),
             declined: Counter::default(),
