--- a/bin/appleshore/src/error.rs
+++ b/bin/appleshore/src/error.rs
@@ -93,6 +93,10 @@
         Daemon(step: &'static str, peer: SocketAddr, cause: String) {
             display("{step} at {peer}: {cause}")
         }
+        /// No log has a line about the request.
+        NoTrace(id: String) {
+            display("trace: no line is about the request {id:?}")
+        }
         /// A daemon has no claim of the key.
         NoClaim(peer: SocketAddr) {
             display("claim at {peer}: no claim of this key is on record for this caller and service")
--- a/bin/appleshore/src/main.rs
+++ b/bin/appleshore/src/main.rs
@@ -13,6 +13,7 @@
 mod file;
 mod output;
 mod rules;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -46,6 +47,8 @@
     Drain(drain::Arguments),
     /// Prints the record of a request that runs at most once.
     Claim(claim::Arguments),
+    /// Prints what the logs of all daemons say of one request and of the calls below it.
+    Trace(trace::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -66,5 +69,6 @@
         Command::Dump(arguments) => dump::run(&arguments),
         Command::Drain(arguments) => drain::run(&arguments),
         Command::Claim(arguments) => claim::run(&arguments),
+        Command::Trace(arguments) => trace::run(&arguments),
     }
 }
--- a/bin/appleshore/tests/it/main.rs
+++ b/bin/appleshore/tests/it/main.rs
@@ -4,3 +4,4 @@
 mod document;
 mod kit;
 mod race;
+mod trace;
