--- a/bin/appleshore/src/main.rs
+++ b/bin/appleshore/src/main.rs
@@ -13,11 +13,12 @@
 mod file;
 mod output;
 mod rules;
+mod shell;
 mod trace;
 
 use std::process::ExitCode;
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
 
 use crate::error::Error;
 
@@ -47,6 +48,10 @@
     Drain(drain::Arguments),
     /// Prints the record of a request that runs at most once.
     Claim(claim::Arguments),
+    /// Prints the completions of this command line for a shell.
+    Completions(shell::Completions),
+    /// Prints the manual page of this command line, or of one of its commands.
+    Manual(shell::Manual),
     /// Prints what the logs of all daemons say of one request and of the calls below it.
     Trace(trace::Arguments),
 }
@@ -69,6 +74,8 @@
         Command::Dump(arguments) => dump::run(&arguments),
         Command::Drain(arguments) => drain::run(&arguments),
         Command::Claim(arguments) => claim::run(&arguments),
+        Command::Completions(arguments) => shell::completions(&arguments, Arguments::command()),
+        Command::Manual(arguments) => shell::manual(&arguments, Arguments::command()),
         Command::Trace(arguments) => trace::run(&arguments),
     }
 }
--- a/bin/appleshore/tests/it/document.rs
+++ b/bin/appleshore/tests/it/document.rs
@@ -117,3 +117,32 @@
         "{zone:?}"
     );
 }
+
+/// An operator sets a shell and the manual pages up. Both come from the command line itself, so that a
+/// command which is added later is in them.
+#[tokio::test]
+async fn shells_and_manuals_know_each_command() {
+    let bash = run(&["completions", "bash"]).await;
+    assert_eq!(bash.code, Some(0), "{}", bash.err);
+    let whole = run(&["manual"]).await;
+    assert_eq!(whole.code, Some(0), "{}", whole.err);
+    assert!(whole.out.contains(".TH"), "{}", whole.out);
+    let commands = [
+        "check", "explain", "rules", "dump", "drain", "claim", "trace",
+    ];
+    for command in commands {
+        assert!(bash.out.contains(command), "completions of {command}");
+        assert!(whole.out.contains(command), "manual of {command}");
+        let page = run(&["manual", command]).await;
+        assert!(
+            page.out.contains(&format!("appleshore\\-{command}")),
+            "{}",
+            page.out
+        );
+    }
+    let put = run(&["manual", "rules", "put"]).await;
+    assert!(put.out.contains("if\\-version"), "{}", put.out);
+    let none = run(&["manual", "nothing"]).await;
+    assert_eq!(none.code, Some(2));
+    assert!(none.err.contains("no command \"nothing\""), "{}", none.err);
+}
