--- a/crates/gate/src/spell.rs
+++ b/crates/gate/src/spell.rs
@@ -15,20 +15,21 @@
 use crate::shell::Mark;
 use crate::verdict::Verdict;
 
-/// What it costs a request to be handed to another gate: a round trip and the waking of two daemons
-/// with a fifth of a core each, 2 to 4 ms as measured from the refusals of a busy day.
+/// More than a request loses by being handed to another gate: a round trip and the waking of two daemons
+/// with a fifth of a core each. Four hand-overs in a row took 5 ms in the middle of 7,850 refusals.
 const HAND_OVER: Duration = Duration::from_millis(5);
 
 /// The expected loss from which the target is asked for its pace before a start. A question costs the
-/// request 1 to 2 ms, and the target a look at its health.
+/// request 0.3 ms in the middle of 1,756, 1.4 ms at p99, and the target a look at its health, which its
+/// owners pay for; so this is well above the former.
 const WORD: Duration = Duration::from_millis(5);
 
-/// What is made of a request that has a slot but should not start in it now.
-enum Mind {
+/// Why a request that has a slot does not start in it after all.
+enum Reversal {
     /// It does not run here.
     Refuse(Cause),
     /// It waits for the end of a spell.
-    Wait,
+    WaitAgain,
 }
 
 impl Core {
@@ -89,17 +90,17 @@
     /// Looks once more at a request that holds a slot and is about to start, as what is known of the
     /// target may have changed since it got the slot: it starts, waits again, or does not run here.
     pub fn reconsider(&mut self, now: Instant, id: Id) -> Verdict {
-        let cause = match self.held.get(&id) {
-            Some(held) if !held.dispatched => self.change_of_mind(now, id, &held.request),
+        let reversal = match self.held.get(&id) {
+            Some(held) if !held.dispatched => self.reversal(now, id, &held.request),
             _ => None,
         };
-        match cause {
+        match reversal {
             None => Verdict::Start(id),
-            Some(Mind::Refuse(cause)) => match self.refuse(now, id, cause) {
+            Some(Reversal::Refuse(cause)) => match self.refuse(now, id, cause) {
                 Some(refusal) => Verdict::Refuse(refusal),
                 None => Verdict::Start(id),
             },
-            Some(Mind::Wait) => {
+            Some(Reversal::WaitAgain) => {
                 if let Some(held) = self.release(now, id) {
                     self.enqueue(now, id, held.request);
                     self.advance(now);
@@ -109,25 +110,25 @@
         }
     }
 
-    fn change_of_mind(&self, now: Instant, id: Id, request: &Request) -> Option<Mind> {
+    fn reversal(&self, now: Instant, id: Id, request: &Request) -> Option<Reversal> {
         if self.leaving {
-            return Some(Mind::Refuse(Cause::Leaving));
+            return Some(Reversal::Refuse(Cause::Leaving));
         }
         if self.down {
-            return Some(Mind::Refuse(Cause::Down));
+            return Some(Reversal::Refuse(Cause::Down));
         }
         if self.solo.is_alone(now, id) {
             return None;
         }
         if self.is_better_elsewhere(now, request) {
-            return Some(Mind::Refuse(Cause::Full));
+            return Some(Reversal::Refuse(Cause::Full));
         }
         if request.nested || self.is_worth_starting(now, request) {
             return None;
         }
         match self.misses_behind_spell(now, request) {
-            true => Some(Mind::Refuse(Cause::Full)),
-            false => Some(Mind::Wait),
+            true => Some(Reversal::Refuse(Cause::Full)),
+            false => Some(Reversal::WaitAgain),
         }
     }
 
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -32,8 +32,8 @@
 /// of the end a little later.
 const FRESH_IDLE: Duration = Duration::from_millis(40);
 
-/// How long a start waits for the target's word on its pace. It comes within 2 ms; a target that is
-/// held up itself is not waited for.
+/// How long a start waits for the target's word on its pace. Of 1,756 answers 99 in 100 came within
+/// 1.4 ms; a target that is held up itself is not waited for.
 const WORD_WITHIN: Duration = Duration::from_millis(20);
 
 /// Watches the target of `server` until it is dropped.
