--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -1,10 +1,11 @@
 //! One call, from its head on the link to the end of its answer.
 
+mod deliver;
+
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use gate::{End, Permit, Running};
-use held::Answer;
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use http1::response;
 use nest::Context;
@@ -14,10 +15,8 @@
     Accepted, Call, Cause, Error, Frame, Header, Payload, Receiver, Refusal, Reply, Sender, Stream,
 };
 
-use crate::answer::{self, Ended, Relay};
 use crate::connection::{self, Connection, Content, Outgoing};
 use crate::server::Server;
-use crate::verdict::{self, Verdict};
 
 /// A deadline beyond this is cut, so that an entry with a wrong clock or setting can't make the
 /// gate remember a token for ever.
@@ -40,6 +39,18 @@
     connection: Connection,
 }
 
+/// A request that may run at the target.
+struct Run {
+    running: Running,
+    /// What the calls that the target makes for it inherit.
+    nest: nest::Running,
+    /// Where its answer is kept if it may not be repeated.
+    hold: Option<held::Running>,
+    /// The gate's load as it started.
+    load: Report,
+    began: Instant,
+}
+
 /// What came of the request at the target.
 #[expect(
     clippy::large_enum_variant,
@@ -185,113 +196,50 @@
         self,
         dispatch: Dispatch,
         mut sender: Sender,
-        mut receiver: Receiver,
+        receiver: Receiver,
     ) -> Result<(), Error> {
         let Dispatch { permit, connection } = dispatch;
-        let content = match self.call.body {
-            Payload::Empty => Content::Empty,
-            Payload::Whole => match collect(&mut receiver).await {
-                Ok(body) => Content::Whole(body),
-                Err(error) => {
-                    drop(permit);
-                    return Err(error);
-                }
-            },
+        let content = match self.content(&mut sender, receiver).await {
+            Ok(content) => content,
+            Err(error) => {
+                drop(permit);
+                return Err(error);
+            }
+        };
+        let run = self.start(permit);
+        match self.send(connection, content, &mut sender).await {
+            Sent::Answer(head, connection) => self.deliver(run, head, connection, sender).await,
+            failed => self.fail(failed, run, sender).await,
+        }
+    }
+
+    /// The body as it will be sent, with the leave to send it where the entry waits for that.
+    async fn content(&self, sender: &mut Sender, mut receiver: Receiver) -> Result<Content, Error> {
+        match self.call.body {
+            Payload::Empty => Ok(Content::Empty),
+            Payload::Whole => collect(&mut receiver).await.map(Content::Whole),
             Payload::Streamed => {
                 let token = self.call.token;
                 sender.send(&Frame::Accepted(Accepted { token })).await?;
-                Content::Streamed(receiver)
+                Ok(Content::Streamed(receiver))
             }
-        };
-        let start = self.server.gate.report();
-        if start.slow {
+        }
+    }
+
+    /// From here on the request may run.
+    fn start(&self, permit: Permit) -> Run {
+        let load = self.server.gate.report();
+        if load.slow {
             self.server.stats().slow_starts.inc();
         }
         let running = permit.dispatch();
-        let nest = self.nest();
-        let hold = self
-            .call
-            .once
-            .then(|| self.server.held.begin(self.call.token));
-        let began = Instant::now();
-        let sent = self.send(connection, content, &mut sender).await;
-        let (head, mut connection) = match sent {
-            Sent::Answer(head, connection) => (head, connection),
-            failed => return self.fail(failed, running, sender, began).await,
-        };
-        let latency = began.elapsed();
-        let stats = self.server.stats();
-        stats.waited.observe(self.waited.as_secs_f64());
-        stats.ran.observe(latency.as_secs_f64());
-        self.server.learn(&head);
-        match Verdict::of(&self.server.dialect, &head) {
-            Verdict::Pass => {}
-            Verdict::Declined => {
-                stats.declined.inc();
-                running.finish(End::Declined);
-                self.declined(&head, connection);
-                return self.refuse(sender, Cause::Declined, Duration::ZERO).await;
-            }
-            Verdict::Unfit(cause) => {
-                stats.unfit.inc();
-                running.finish(End::Failed { latency });
-                return abort(sender, cause.to_string()).await;
-            }
-        }
-        let shed = answer::shed(head.status, &head.headers);
-        let reply = self.reply(&head, nest.left());
-        // For a request that may not be repeated we go on although the entry is gone: its answer
-        // is kept for whoever asks after the token.
-        let relay = Relay {
-            sender: &mut sender,
-            idle: self.server.body_idle,
-            keep: self.call.once,
-            whole_first: self.server.announced.is_some(),
-        };
-        let ended = match relay.run(&reply, &mut connection).await {
-            Ok(ended) => ended,
-            Err(error) => {
-                running.finish(End::Cancelled);
-                return Err(error);
-            }
-        };
-        match ended {
-            Ended::Whole { copy, taken } => {
-                if let (Some(hold), Some(body)) = (hold, copy) {
-                    hold.done(Answer { reply, body });
-                }
-                self.free(connection);
-                log::info!(
-                    "gate: id={} status={} urgency={} goal_ms={} late={} waited_ms={} ran_ms={} class={} {}.",
-                    self.id(),
-                    head.status.as_u16(),
-                    self.call.urgency,
-                    self.call.goal.map_or(-1, |goal| goal.as_millis() as i64),
-                    self.call.late,
-                    self.waited.as_millis(),
-                    millis(began),
-                    self.call.class,
-                    load(&start)
-                );
-                if head.status.is_success()
-                    && let Some(work) = latency.checked_sub(nest.away())
-                {
-                    running.worked(work);
-                }
-                running.finish(verdict::end(shed, head.status, latency));
-                if taken { sender.finish().await } else { Ok(()) }
-            }
-            Ended::Unwanted => {
-                running.finish(End::Cancelled);
-                Ok(())
-            }
-            Ended::Cut(cause) => {
-                self.server.pool.be_wary();
-                running.finish(End::Failed {
-                    latency: began.elapsed(),
-                });
-                abort(sender, cause).await
-            }
+        let once = self.call.once;
+        Run {
+            running,
+            nest: self.nest(),
+            hold: once.then(|| self.server.held.begin(self.call.token)),
+            load,
+            began: Instant::now(),
         }
     }
 
@@ -395,14 +343,9 @@
     }
 
     /// Ends a dispatched call that has no answer. It may have run, so this is never a refusal.
-    async fn fail(
-        &self,
-        sent: Sent,
-        running: Running,
-        sender: Sender,
-        began: Instant,
-    ) -> Result<(), Error> {
-        let latency = began.elapsed();
+    async fn fail(&self, sent: Sent, run: Run, sender: Sender) -> Result<(), Error> {
+        let latency = run.began.elapsed();
+        let running = run.running;
         self.server.stats().lost.inc();
         let cause = match sent {
             Sent::Answer(..) | Sent::Cancelled => {
