--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -18,6 +18,9 @@
     deadline: u64,
     kind: u8,
     again: Option<usize>,
+    goal: Option<u64>,
+    late: bool,
+    elsewhere: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -26,6 +29,9 @@
     Dispatch(usize),
     Finish(usize, u8),
     GiveBack(usize),
+    Reconsider(usize),
+    Pace(u16),
+    Began,
     Cancel(usize),
     Fence(usize),
     Sleep(u64),
@@ -36,19 +42,28 @@
 
 fn op() -> impl Strategy<Value = Op> {
     let again = proptest::option::weighted(0.1, any::<usize>());
-    let offer = (0usize..3, 0u8..6, 1u64..400, 0u8..30, again);
-    let offer = offer.prop_map(|(rank, caller, deadline, kind, again)| Offer {
+    let goal = proptest::option::of(1u64..300);
+    let aims = (goal, proptest::bool::weighted(0.1), any::<bool>());
+    let offer = (0usize..3, 0u8..6, 1u64..400, 0u8..30, again, aims);
+    let offer = offer.prop_map(|(rank, caller, deadline, kind, again, aims)| Offer {
         rank,
         caller,
         deadline,
         kind,
         again,
+        goal: aims.0,
+        late: aims.1,
+        elsewhere: aims.2,
     });
+    let paces = prop_oneof![Just(0_u16), Just(100), Just(200), Just(700), Just(1_400)];
     prop_oneof![
         12 => offer.prop_map(Op::Offer),
         10 => any::<usize>().prop_map(Op::Dispatch),
         10 => (any::<usize>(), any::<u8>()).prop_map(|(at, end)| Op::Finish(at, end)),
         1 => any::<usize>().prop_map(Op::GiveBack),
+        6 => any::<usize>().prop_map(Op::Reconsider),
+        4 => paces.prop_map(Op::Pace),
+        1 => Just(Op::Began),
         2 => any::<usize>().prop_map(Op::Cancel),
         2 => any::<usize>().prop_map(Op::Fence),
         6 => (0u64..60).prop_map(Op::Sleep),
@@ -100,6 +115,12 @@
             Op::Dispatch(at) => self.dispatch(at).unwrap_or_default(),
             Op::Finish(at, end) => self.finish(at, end).unwrap_or_default(),
             Op::GiveBack(at) => self.give_back(at).unwrap_or_default(),
+            Op::Reconsider(at) => self.reconsider(at).unwrap_or_default(),
+            Op::Pace(pace) => self.core.set_pace(now, pace),
+            Op::Began => {
+                self.core.target_cold();
+                self.core.target_began(now);
+            }
             Op::Cancel(at) => self.cancel(at).unwrap_or_default(),
             Op::Fence(at) => self.fence(at).unwrap_or_default(),
             Op::Sleep(length) => self.sleep(length),
@@ -129,10 +150,10 @@
             deadline: self.now + ms(offer.deadline),
             kind: Digest(offer.kind.into()),
             nested: false,
-            goal: None,
-            late: false,
-            class: 0,
-            elsewhere: false,
+            goal: offer.goal.map(|goal| self.now + ms(goal)),
+            late: offer.late,
+            class: u32::from(offer.kind % 3),
+            elsewhere: offer.elsewhere,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
         *known = request.deadline.max(*known);
@@ -208,6 +229,27 @@
         Some(())
     }
 
+    /// Looks once more at a request before it leaves: it keeps its slot, waits again, or has not run.
+    fn reconsider(&mut self, at: usize) -> Option<()> {
+        let id = pick(self.held.keys().copied(), at)?;
+        let token = self.held[&id];
+        let left = self.dispatched.contains(&token);
+        match self.core.reconsider(self.now, id) {
+            Verdict::Start(same) => assert_eq!(same, id),
+            Verdict::Wait(same) => {
+                assert!(same == id && !left, "one that has left waits");
+                self.held.remove(&id);
+                self.waiting.insert(id, token);
+            }
+            Verdict::Refuse(refusal) => {
+                assert!(!left, "one that has left is refused");
+                self.ended(id);
+                self.refused(token, &refusal);
+            }
+        }
+        Some(())
+    }
+
     fn cancel(&mut self, at: usize) -> Option<()> {
         let id = pick(self.waiting.keys().copied(), at)?;
         assert!(self.core.cancel(self.now, id));
