--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -120,12 +120,17 @@
     /// slowed down though no answer has said so yet.
     pub(crate) fn service_now(&self, now: Instant) -> Duration {
         let mean = self.pace.between_spells(now, self.latency.mean());
-        self.stuck(now).map_or(mean, |age| age.max(mean))
+        self.or_stuck(now, mean)
+    }
+
+    /// A service time, or the age of the running requests where they look stuck for longer.
+    fn or_stuck(&self, now: Instant, service: Duration) -> Duration {
+        self.stuck(now).map_or(service, |age| age.max(service))
     }
 
     fn service(&self, now: Instant, urgency: Urgency) -> Duration {
         let expected = self.latency.expected(now, urgency);
-        self.stuck(now).map_or(expected, |age| age.max(expected))
+        self.or_stuck(now, expected)
     }
 
     /// Since when the target has let at least half of its running requests wait and has answered
@@ -233,9 +238,8 @@
     pub fn report(&self, now: Instant) -> Report {
         let narrow = |count: usize| u16::try_from(count).unwrap_or(u16::MAX);
         let queued = Urgency::ALL.map(|u| narrow(self.deadlines[u.rank()].len()));
-        let service = self.latency.mean();
-        let service = self.stuck(now).map_or(service, |age| age.max(service));
-        let service = service.as_micros();
+        // At the usual pace: the present one stands beside it.
+        let service = self.or_stuck(now, self.latency.mean()).as_micros();
         Report {
             running: narrow(self.held.len()),
             queued,
