Ask in one place whether work in time waits, and drop what nobody reads

The check of the queues stood in three places; a ping's answer was read by nobody since the link is looked after in another way; the comment of the bound on copies spoke of copies that are gone. No change of behaviour.

--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -41,8 +41,9 @@
             Some(until) if until > now => Cause::Shed,
             _ => cause,
         };
-        let crowded = self.lanes.iter().any(|lane| lane.len() > 0);
-        if request.late && (crowded || self.late.len() >= self.limit.now().div_ceil(LATE_PART)) {
+        if request.late
+            && (self.has_work_in_time() || self.late.len() >= self.limit.now().div_ceil(LATE_PART))
+        {
             return Some(blame(Cause::Full));
         }
         if let Some(goal) = request.goal {
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Whether requests wait that are not late already.
+    pub(crate) fn has_work_in_time(&self) -> bool {
+        self.lanes.iter().any(|lane| lane.len() > 0)
+    }
+
     /// Whether a slot is free for a request that another waits for.
     pub(crate) fn has_nested_room(&self) -> bool {
         self.pause.is_none() && self.held.len() < self.limit.slots()
@@ -113,7 +118,7 @@
             return false;
         }
         self.recheck_suspects(now);
-        let others = self.lanes.iter().any(|lane| lane.len() > 0) || !self.late.is_empty();
+        let others = self.has_work_in_time() || !self.late.is_empty();
         let service = self.latency.mean();
         match self.solo.step(now, self.held.len(), others, service) {
             Step::Hold => false,
@@ -188,7 +193,7 @@
             return false;
         };
         if self.is_too_late(now, id) {
-            match self.lanes.iter().any(|lane| lane.len() > 0) {
+            match self.has_work_in_time() {
                 true => self.refuse_waiting(now, id, Cause::Full),
                 false => drop(self.late.insert(id)),
             }
--- a/crates/pick/src/retry.rs
+++ b/crates/pick/src/retry.rs
@@ -22,7 +22,7 @@
 ///
 /// A copy's nested calls are repeats too, of other services, whose budgets don't see them: with two calls
 /// a run a quarter of a fifth here is a tenth there. And what copies take is not there when targets
-/// fail. Where spells are told of, copies came to 4 % of the first tries.
+/// fail.
 const HEDGE_PART: f64 = 0.25;
 /// Copies that are saved up at least, where the budget itself holds so many: a turn of one target
 /// meets several calls at once, and many entries have a small budget each.
--- a/crates/wire/src/tcp/mux.rs
+++ b/crates/wire/src/tcp/mux.rs
@@ -253,15 +253,16 @@
         state.cause.clone().unwrap_or_default()
     }
 
-    /// Sends a ping, if none is unanswered; answers since when one is.
-    pub(crate) fn ping(&self) -> Option<Instant> {
-        let pinged = self.shared.state.lock().count.pinged;
-        if pinged.is_none() {
-            self.shared.state.lock().count.pinged = Some(Instant::now());
-            // A link that has ended is seen by all who wait for it.
-            drop(self.say(0, &Record::Ping));
+    /// Sends a ping, if none is unanswered.
+    pub(crate) fn ping(&self) {
+        let mut state = self.shared.state.lock();
+        if state.count.pinged.is_some() {
+            return;
         }
-        pinged
+        state.count.pinged = Some(Instant::now());
+        drop(state);
+        // A link that has ended is seen by all who wait for it.
+        drop(self.say(0, &Record::Ping));
     }
 
     /// Resolves when all that was written has gone to the socket, or the connection has ended.
