Read each number of the platform as the number it is

Budgets and cores that are not told are the defaults. Negative numbers are refused with place and cause.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -20,6 +20,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
+use unit::Decimal;
 
 /// Longest time that a caller may say it waits; more is most likely a unit mistaken for another.
 const MAX_LEFT: Duration = Duration::from_secs(86_400);
@@ -71,7 +72,7 @@
     pub pace: u16,
 }
 
-/// The header holds no whole number of milliseconds, or more than a day.
+/// The header holds no number of milliseconds, or more than a day.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BadTime;
 
@@ -86,7 +87,9 @@
             return Ok(None);
         };
         let text = value.to_str().map_err(|_| BadTime)?;
-        let millis: u64 = text.trim().parse().map_err(|_| BadTime)?;
+        let millis: Decimal = text.trim().parse().map_err(|_| BadTime)?;
+        // Never more than is left, so a fraction is cut off.
+        let millis = millis.down().ok_or(BadTime)?;
         let left = Duration::from_millis(millis);
         (left <= MAX_LEFT).then_some(Some(left)).ok_or(BadTime)
     }
--- a/crates/jsonc/src/reader.rs
+++ b/crates/jsonc/src/reader.rs
@@ -226,6 +226,19 @@
         u32::try_from(found).ok()
     }
 
+    /// The text of a number, which may stand in quotes. Where another system fills the quotes in, they
+    /// are empty if it has no such number.
+    pub fn numeral<'v>(&mut self, value: &'v Value<'t>) -> Option<&'v str> {
+        match value {
+            Value::NumberLit(number) => Some(number.value),
+            Value::StringLit(text) => Some(&text.value),
+            _ => {
+                self.mismatch(value, "a number");
+                None
+            }
+        }
+    }
+
     /// `true` or `false`.
     pub fn flag(&mut self, value: &Value<'t>) -> Option<bool> {
         let Value::BooleanLit(flag) = value else {
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -5,7 +5,7 @@
 
 use jsonc::{Error, Fields, Reader, Value};
 use log::LevelFilter;
-use unit::Span;
+use unit::{Decimal, Span};
 
 use crate::address::{self, Place};
 use crate::{Limits, Links, Setting, check, limits, retry};
@@ -109,7 +109,7 @@
     let log = fields.get("log");
     let log = log.and_then(|value| reader.choice(value, &LEVELS));
     let threads = fields.get("threads");
-    let threads = threads.and_then(|value| reader.count(value, 1..=MAX_THREADS));
+    let threads = threads.and_then(|value| threads_of(reader, value));
     Some(Setting {
         instance: instance?,
         zone: zone?,
@@ -164,6 +164,20 @@
     Some(period)
 }
 
+/// Threads for as many cores as there are: a part of a core needs a whole thread.
+fn threads_of<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<u32> {
+    let text = reader.numeral(value).filter(|text| !text.is_empty())?;
+    let cores = text.parse::<Decimal>().ok().and_then(Decimal::up);
+    let threads = cores.and_then(|cores| u32::try_from(cores).ok());
+    let threads = threads.filter(|threads| (1..=MAX_THREADS).contains(threads));
+    if threads.is_none() {
+        let cause =
+            format!("{text} is out of range: expected a whole number from 1 to {MAX_THREADS}");
+        reader.fault_at(value, cause);
+    }
+    threads
+}
+
 /// A region is spelled as a zone is.
 fn region<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> String {
     let default = || "local".to_string();
--- a/crates/setting/src/retry.rs
+++ b/crates/setting/src/retry.rs
@@ -1,9 +1,12 @@
 //! What the entries of the fleet may send again.
 
 use jsonc::{Reader, Value};
+use unit::Decimal;
 
 const FIELDS: [&str; 2] = ["share", "saved"];
-const MAX_SAVED: u32 = 1_000_000;
+/// Above these a budget bounds nothing.
+const MAX_SAVED: u64 = 1_000_000;
+const MAX_SHARE: f64 = 1.0;
 
 /// What all entries together may send again to one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -25,25 +28,27 @@
 
 pub(crate) fn read<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Retry> {
     let fields = reader.object(value, &FIELDS)?;
-    let share = fields.get("share").and_then(|value| share(reader, value));
-    let saved = fields
-        .get("saved")
-        .and_then(|value| reader.count(value, 0..=MAX_SAVED));
+    let share = fields.get("share");
+    let share = share.and_then(|value| budget(reader, value));
+    let saved = fields.get("saved");
+    let saved = saved.and_then(|value| budget(reader, value));
     Some(Retry {
-        share: share.unwrap_or(Retry::default().share),
-        saved,
+        share: share.map_or(Retry::default().share, |share| share.get().min(MAX_SHARE)),
+        // Rounded down, and cut at the most that is kept: less than is allowed breaks no budget.
+        saved: saved
+            .and_then(Decimal::down)
+            .map(|saved| saved.min(MAX_SAVED) as u32),
     })
 }
 
-fn share<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<f64> {
-    let text = reader.text(value)?;
-    let share = text.parse::<f64>().ok();
-    let share = share.filter(|share| (0.0..=1.0).contains(share));
-    if share.is_none() {
-        reader.fault_at(
-            value,
-            format!("{text:?} is no share: expected a text from \"0\" to \"1\""),
-        );
+/// A part of the budget, as the platform may have worked it out; an empty text tells none.
+fn budget<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Decimal> {
+    let text = reader.numeral(value).filter(|text| !text.is_empty())?;
+    let found = text.parse::<Decimal>();
+    let found = found.ok().filter(|found| found.get() >= 0.0);
+    if found.is_none() {
+        let cause = format!("{text:?} is no budget: expected a number that is not negative");
+        reader.fault_at(value, cause);
     }
-    share
+    found
 }
--- a/crates/target/src/answer.rs
+++ b/crates/target/src/answer.rs
@@ -7,6 +7,7 @@
 use held::MAX_BODY;
 use http::{HeaderMap, StatusCode};
 use tokio::time::{Instant, timeout, timeout_at};
+use unit::Decimal;
 use wire::{Error, Frame, Reply, Sender};
 
 use crate::connection::{self, Connection};
@@ -183,8 +184,8 @@
         return None;
     }
     let after = headers.get(http::header::RETRY_AFTER)?;
-    let seconds: u64 = after.to_str().ok()?.trim().parse().ok()?;
-    Some(Duration::from_secs(seconds))
+    let seconds: Decimal = after.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds.get()).ok()
 }
 
 /// Statuses by which a caller is promised that its request has not run.
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -15,6 +15,7 @@
 //! ```
 
 mod cause;
+mod decimal;
 mod error;
 mod name;
 mod number;
@@ -25,6 +26,7 @@
 mod urgency;
 
 pub use cause::Cause;
+pub use decimal::Decimal;
 pub use error::Error;
 pub use name::{Caller, Instance, Member, Service, Zone};
 pub use number::{Depth, Digest, Fingerprint, Incarnation, Token, Version};
--- a/crates/unit/tests/text.rs
+++ b/crates/unit/tests/text.rs
@@ -36,3 +36,19 @@
     assert!("é".repeat(32).parse::<Fingerprint>().is_err());
     assert!("18446744073709551615GB".parse::<Size>().is_err());
 }
+
+#[test]
+fn times_take_fractions_and_exponents_of_one_unit() {
+    for (text, micros) in [
+        ("1500.5ms", 1_500_500),
+        ("1.5e3ms", 1_500_000),
+        ("0.25s", 250_000),
+        ("10.0s", 10_000_000),
+    ] {
+        let Span(span) = text.parse().expect("a time");
+        assert_eq!(span.as_micros(), micros, "{text}");
+    }
+    for text in ["-1ms", "1e400s", "ms", "NaNs"] {
+        assert!(text.parse::<Span>().is_err(), "{text}");
+    }
+}
