Make the store's calls follow zones and events, and take a spent budget for no failure

A start reads what may be seconds old (a tenth of the price); watchers read on from a listing that is not old. A newcomer on links that greet lists once more when all others of a first start have announced themselves, and takes itself for no watcher before. A listing that may be old is merged and removes nobody. Each call on the store is logged with what it cost.

--- a/bench/src/history/safeguard.rs
+++ b/bench/src/history/safeguard.rs
@@ -20,7 +20,7 @@
     let store = Arc::new(store);
     let [get, put, delete, list, watch] = [(); 5].map(|()| store.clone());
     Store::from(Calls {
-        get: Box::new(move |key| {
+        get: Box::new(move |key, _| {
             let store = get.clone();
             Box::pin(async move { store.get(&key).await })
         }),
@@ -37,7 +37,7 @@
             let store = delete.clone();
             Box::pin(async move { store.delete(&key, when).await })
         }),
-        list: Box::new(move |prefix| {
+        list: Box::new(move |prefix, _| {
             let store = list.clone();
             Box::pin(async move { store.list(&prefix).await })
         }),
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -40,6 +40,10 @@
 /// How long a watch waits at a store whose connections are probed.
 const LONG_WATCH: Duration = Duration::from_secs(25);
 
+/// Over what time changes of announcements are read in one go. With one target added each half second
+/// for 17 s, each watcher makes 6 calls in place of 34; who is added tells the others itself.
+const GATHER: Duration = Duration::from_secs(3);
+
 /// The longest pause between two calls to a store that fails. What an operator has changed during
 /// an outage is then in force soon after it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_500);
@@ -80,7 +84,9 @@
             profile.pace = feed::Pace {
                 instances: LONG_WATCH,
                 rules: LONG_WATCH,
+                gather: GATHER,
                 pause: LONGEST_PAUSE,
+                ..feed::Pace::default()
             };
             profile.policy = policy();
             profile.choice.far_cost = FAR_COST;
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -53,6 +53,11 @@
     /// operators are promised even if the watches of all watchers go silent together. A store
     /// whose connections are probed can be left waiting for longer.
     pub rules: Duration,
+    /// How long a watch on the announcements pauses behind each answer, so that changes in a row cost
+    /// one call. Those that start or leave tell the others by links meanwhile.
+    pub gather: Duration,
+    /// The same for the watch on the rules, which no link tells before it.
+    pub gather_rules: Duration,
     /// The longest pause between two tries while the platform can't be reached.
     pub pause: Duration,
 }
@@ -62,6 +67,8 @@
         Pace {
             instances: Duration::from_secs(10),
             rules: Duration::from_secs(3),
+            gather: Duration::from_millis(200),
+            gather_rules: Duration::from_millis(100),
             pause: Duration::from_secs(5),
         }
     }
--- a/crates/feed/src/fallback.rs
+++ b/crates/feed/src/fallback.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use roster::Ask;
+use store::Consistency;
 use tokio::time::{Instant, sleep};
 
 use crate::feed::Inner;
@@ -72,6 +73,6 @@
 }
 
 async fn read(inner: &Inner) -> Result<(), Error> {
-    platform::list(inner, Role::Reader).await?;
-    platform::rules(inner, Role::Reader).await
+    platform::list(inner, Role::Reader, Consistency::Linearizable).await?;
+    platform::rules(inner, Role::Reader, Consistency::Linearizable).await
 }
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -1,8 +1,8 @@
 //! What is read from the platform, put into the roster and the rules.
 
 use roster::{Listing, Record, State};
-use store::{Change, Object};
-use tokio::time::Instant;
+use store::{Change, Consistency, Kind, Object};
+use tokio::time::{Instant, sleep};
 use unit::{Instance, Version};
 
 use crate::feed::Inner;
@@ -21,14 +21,21 @@
 }
 
 /// Reads all announcements; answers the revision at which a watch may begin.
-pub(crate) async fn list(inner: &Inner, role: Role) -> Result<Version, Error> {
-    let listing = inner.store.list(&inner.prefix).await?;
+pub(crate) async fn list(
+    inner: &Inner,
+    role: Role,
+    consistency: Consistency,
+) -> Result<Version, Error> {
+    let listing = within_budget(|| inner.store.list_with(&inner.prefix, consistency)).await?;
     let records: Vec<Record> = listing.objects.iter().filter_map(record).collect();
     find_own(inner, &listing.objects, &records).await;
     let now = Instant::now();
     let found = inner.with(|roster| {
         roster.fed(now);
-        roster.apply_listing(now, &records, listing.revision)
+        match consistency {
+            Consistency::Linearizable => roster.apply_listing(now, &records, listing.revision),
+            Consistency::Serializable => roster.apply_old_listing(now, &records),
+        }
     });
     if role == Role::Watcher {
         publish(inner, found, &listing.objects);
@@ -56,13 +63,46 @@
 }
 
 /// Reads the rules, and offers them.
-pub(crate) async fn rules(inner: &Inner, role: Role) -> Result<(), Error> {
-    if let Some(object) = inner.store.get(&inner.rules_key).await? {
+pub(crate) async fn rules(
+    inner: &Inner,
+    role: Role,
+    consistency: Consistency,
+) -> Result<(), Error> {
+    let read = || inner.store.get_with(&inner.rules_key, consistency);
+    if let Some(object) = within_budget(read).await? {
         offer(inner, &object, role);
     }
     Ok(())
 }
 
+/// Reads the rules for the zone; answers the revision at which a watch may begin. The revision of the
+/// object itself may be older than what the platform remembers.
+pub(crate) async fn rules_at(inner: &Inner) -> Result<Version, Error> {
+    let listing = within_budget(|| inner.store.list(&inner.rules_key)).await?;
+    let mut objects = listing.objects.iter();
+    if let Some(object) = objects.find(|object| object.key == inner.rules_key) {
+        offer(inner, object, Role::Watcher);
+    }
+    Ok(listing.revision)
+}
+
+/// Makes a call once the own budget allows it. A spent budget says nothing of the platform: taken for
+/// a failure of it, it would have all read again, which spends the budget again.
+pub(crate) async fn within_budget<T, F>(call: impl Fn() -> F) -> Result<T, store::Error>
+where
+    F: Future<Output = Result<T, store::Error>>,
+{
+    loop {
+        match call().await {
+            Err(store::Error {
+                kind: Kind::Budget(retry_after),
+                ..
+            }) => sleep(retry_after).await,
+            result => return result,
+        }
+    }
+}
+
 /// Takes in what a watch on the announcements tells.
 pub(crate) fn instances(inner: &Inner, change: &Change) {
     let now = Instant::now();
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use feed::{Carrier, Current, Error, Feed};
+use feed::{Carrier, Current, Error, Feed, Pace};
 use parking_lot::Mutex;
 use roster::{Policy, Record, Roster, Shared, State};
 use standin::Platform;
@@ -34,8 +34,24 @@
     dead: Mutex<BTreeSet<Instance>>,
     /// Those named here hear only each other.
     aside: Mutex<BTreeSet<Instance>>,
+    /// What the daemons run on.
+    mode: Mode,
 }
 
+/// What daemons run on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// The product's own: certificates that announcements name.
+    #[default]
+    Pinned,
+    /// Both ends of a link say who they are, and announcements outlive a restart. Reads that may be
+    /// old are up to [`LAG`] old.
+    Greeting,
+}
+
+/// How old a serializable read may be.
+pub const LAG: Duration = Duration::from_secs(2);
+
 /// One daemon.
 pub struct Node {
     pub name: Instance,
@@ -72,6 +88,9 @@
         self.hop(&from, &to).await;
         let found = self.feeds.lock().get(&to).cloned();
         let (feed, roster) = found.ok_or_else(|| Error::Stranger(to.clone()))?;
+        if self.mode == Mode::Greeting {
+            self.greet(&from, &to);
+        }
         if self.print(&to) != Some(peer.fingerprint) {
             *self.mistaken.lock().entry(from).or_default() += 1;
             return Err(Error::Stranger(to));
@@ -85,6 +104,17 @@
         Ok(answer)
     }
 
+    /// Each end of a link learns who the other is.
+    fn greet(&self, from: &Instance, to: &Instance) {
+        for (one, other) in [(from, to), (to, from)] {
+            let feeds = self.feeds.lock();
+            let (Some((feed, _)), Some((_, roster))) = (feeds.get(one), feeds.get(other)) else {
+                continue;
+            };
+            feed.greeted(&roster.with(|roster| roster.own_record().clone()));
+        }
+    }
+
     fn print(&self, name: &Instance) -> Option<Fingerprint> {
         self.prints.lock().get(name).copied()
     }
@@ -103,7 +133,17 @@
     fn start(net: &Arc<Net>, platform: &Platform, record: Record, seed: u64) -> Node {
         let name = record.instance.clone();
         let record_print = record.fingerprint;
-        let roster = Roster::new(Instant::now(), record, Policy::default(), seed);
+        let standing = net.mode == Mode::Greeting;
+        let policy = match net.mode {
+            Mode::Pinned => Policy::default(),
+            Mode::Greeting => Policy::builder()
+                .beat(Duration::from_secs(1))
+                .suspect(Duration::from_secs(4))
+                .quiet(Duration::from_secs(2))
+                .watchers(2)
+                .build(),
+        };
+        let roster = Roster::new(Instant::now(), record, policy, seed);
         let roster = Arc::new(Shared::new(roster));
         let current = Arc::new(Current::default());
         let (way, from) = (net.clone(), name.clone());
@@ -117,6 +157,8 @@
         let feed = Feed::builder(store, roster.clone(), current.clone())
             .carrier(carrier)
             .rules_key(RULES)
+            .standing(standing)
+            .pace(pace(net.mode))
             .mistaken(move || dials.mistaken(&dialler))
             .seed(seed)
             .build();
@@ -170,10 +212,19 @@
 
     /// The same, before they know each other.
     pub async fn unsettled(count: usize, zones: usize) -> World {
-        let platform = Platform::builder().latency(HOP).open();
+        World::on(Mode::Pinned, count, zones).await
+    }
+
+    /// Daemons that have just started on something.
+    pub async fn on(mode: Mode, count: usize, zones: usize) -> World {
+        let platform = Platform::builder().latency(HOP).lag(LAG).open();
+        let net = Net {
+            mode,
+            ..Net::default()
+        };
         let mut world = World {
             platform,
-            net: Arc::default(),
+            net: Arc::new(net),
             nodes: Vec::new(),
             zones,
         };
@@ -249,6 +300,18 @@
         self.platform.count().total()
     }
 
+    /// The same, where a read that may be old counts as a tenth of a call.
+    pub fn price(&self) -> f64 {
+        let count = self.platform.count();
+        count.total() as f64 - 0.9 * count.serializable as f64
+    }
+
+    /// Whether all that were not killed know each other.
+    pub fn is_whole(&self) -> bool {
+        let alive = self.alive().count();
+        self.alive().all(|node| node.live() == alive)
+    }
+
     /// Bytes on the network so far, as all daemons count them.
     pub fn bytes(&self) -> u64 {
         let dumps = self.nodes.iter().map(|node| node.feed.dump());
@@ -256,6 +319,20 @@
     }
 }
 
+/// How long daemons wait at the platform.
+fn pace(mode: Mode) -> Pace {
+    match mode {
+        Mode::Pinned => Pace::default(),
+        Mode::Greeting => Pace {
+            instances: Duration::from_secs(25),
+            rules: Duration::from_secs(25),
+            gather: Duration::from_secs(3),
+            pause: Duration::from_millis(1_500),
+            ..Pace::default()
+        },
+    }
+}
+
 /// The announcement of the daemon of a number.
 pub fn record(number: usize, zones: usize) -> Record {
     let parsed = "is a name";
--- a/crates/ledger/examples/claims.rs
+++ b/crates/ledger/examples/claims.rs
@@ -111,7 +111,7 @@
 fn counted(store: Store, bytes: Arc<AtomicU64>) -> Store {
     let [get, put, delete, list] = [(); 4].map(|()| store.clone());
     Store::from(Calls {
-        get: Box::new(move |key| {
+        get: Box::new(move |key, _| {
             let store = get.clone();
             Box::pin(async move { store.get(&key).await })
         }),
@@ -124,7 +124,7 @@
             let store = delete.clone();
             Box::pin(async move { store.delete(&key, when).await })
         }),
-        list: Box::new(move |prefix| {
+        list: Box::new(move |prefix, _| {
             let store = list.clone();
             Box::pin(async move { store.list(&prefix).await })
         }),
--- a/crates/ledger/tests/ledger/race.rs
+++ b/crates/ledger/tests/ledger/race.rs
@@ -210,7 +210,7 @@
 fn without_fence(store: Store) -> Store {
     let (get, put) = (store.clone(), store);
     Store::from(Calls {
-        get: Box::new(move |key| {
+        get: Box::new(move |key, _| {
             let store = get.clone();
             Box::pin(async move { store.get(&key).await })
         }),
@@ -219,7 +219,7 @@
             Box::pin(async move { store.put(&key, value, Condition::Any).await })
         }),
         delete: Box::new(|_, _| Box::pin(std::future::pending())),
-        list: Box::new(|_| Box::pin(std::future::pending())),
+        list: Box::new(|_, _| Box::pin(std::future::pending())),
         watch: Box::new(|_, _, _| Box::pin(std::future::pending())),
     })
 }
--- a/crates/ledger/tests/ledger/segment.rs
+++ b/crates/ledger/tests/ledger/segment.rs
@@ -95,7 +95,7 @@
 fn without_segments(store: Store) -> Store {
     let [get, put, delete, list] = [(); 4].map(|()| store.clone());
     Store::from(Calls {
-        get: Box::new(move |key| {
+        get: Box::new(move |key, _| {
             let store = get.clone();
             Box::pin(async move { store.get(&key).await })
         }),
@@ -112,7 +112,7 @@
             let store = delete.clone();
             Box::pin(async move { store.delete(&key, when).await })
         }),
-        list: Box::new(move |prefix| {
+        list: Box::new(move |prefix, _| {
             let store = list.clone();
             Box::pin(async move { store.list(&prefix).await })
         }),
--- a/crates/roster/src/listing.rs
+++ b/crates/roster/src/listing.rs
@@ -74,6 +74,16 @@
         listing
     }
 
+    /// Takes in a listing that may be old: what it shows is merged, and what it lacks says nothing.
+    pub fn apply_old_listing(&mut self, now: Instant, shown: &[Record]) -> Listing {
+        let is_news = |record: &&Record| self.merge(now, (*record).clone()) != Merge::Old;
+        let news = shown.iter().filter(is_news).cloned().collect();
+        Listing {
+            news,
+            ..Listing::default()
+        }
+    }
+
     /// Takes in one deleted object, as a watch on the platform tells it.
     pub fn apply_deleted(&mut self, now: Instant, name: &Instance, revision: Version) -> Listing {
         let mut listing = Listing::default();
--- a/crates/roster/src/own.rs
+++ b/crates/roster/src/own.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Whether the platform is known to hold the own record.
+    pub fn is_written(&self) -> bool {
+        self.own.write.is_none()
+    }
+
     /// Announces that this instance takes no new work.
     pub fn leave(&mut self, now: Instant) {
         self.change(now, State::Leaving);
--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -26,9 +26,10 @@
     let (get, put, delete) = (link.clone(), link.clone(), link.clone());
     let (list, watch) = (link.clone(), link.clone());
     Store::from(Calls {
-        get: Box::new(move |key| {
+        get: Box::new(move |key, consistency| {
             let link = get.clone();
-            bounded(Step::Get, limit, async move { link.get(&key).await })
+            let call = async move { link.get(&key, consistency).await };
+            bounded(Step::Get, limit, call)
         }),
         put: Box::new(move |key, value, when| {
             let link = put.clone();
@@ -40,9 +41,10 @@
             let call = async move { link.delete(&key, when).await };
             bounded(Step::Delete, limit, detached(call))
         }),
-        list: Box::new(move |prefix| {
+        list: Box::new(move |prefix, consistency| {
             let link = list.clone();
-            bounded(Step::List, limit, async move { link.list(&prefix).await })
+            let call = async move { link.list(&prefix, consistency).await };
+            bounded(Step::List, limit, call)
         }),
         watch: Box::new(move |prefix, since, wait| {
             let link = watch.clone();
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -7,7 +7,7 @@
 use unit::Version;
 
 /// The objects; it does no waiting and knows no faults.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Memory {
     objects: BTreeMap<String, Object>,
     revision: Version,
@@ -17,7 +17,7 @@
     compacted: Version,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Entry {
     key: String,
     version: Version,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
-use store::{Change, Condition, Count, Kind, Listing, MAX_VALUE, Object, Step, Store};
+use store::{Change, Condition, Consistency, Count, Kind, Listing, MAX_VALUE, Object, Step, Store};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
 use unit::{Size, Version};
@@ -34,6 +34,9 @@
     count: Mutex<Count>,
     clients: Mutex<BTreeMap<String, Client>>,
     timeout: Duration,
+    /// How old a serializable read may be, and the copy that such reads see.
+    lag: Duration,
+    copy: Mutex<Option<(Instant, Memory)>>,
 }
 
 #[derive(Clone)]
@@ -48,9 +51,16 @@
     timeout: Duration,
     latency: Duration,
     log_length: usize,
+    lag: Duration,
 }
 
 impl Builder {
+    /// How old the answer of a serializable read may be.
+    pub fn lag(mut self, lag: Duration) -> Builder {
+        self.lag = lag;
+        self
+    }
+
     /// How long the callers through memory wait for an answer.
     pub fn timeout(mut self, timeout: Duration) -> Builder {
         self.timeout = timeout;
@@ -81,6 +91,8 @@
                 count: Mutex::new(Count::default()),
                 clients: Mutex::new(BTreeMap::new()),
                 timeout: self.timeout,
+                lag: self.lag,
+                copy: Mutex::new(None),
             }),
         }
     }
@@ -93,6 +105,7 @@
             timeout: TIMEOUT,
             latency: Duration::ZERO,
             log_length: LOG_LENGTH,
+            lag: Duration::ZERO,
         }
     }
 
@@ -146,16 +159,24 @@
 }
 
 impl Link {
-    pub(crate) async fn get(&self, key: &str) -> Result<Option<Object>, Kind> {
+    pub(crate) async fn get(
+        &self,
+        key: &str,
+        consistency: Consistency,
+    ) -> Result<Option<Object>, Kind> {
         self.arrive(Step::Get).await?;
-        let object = self.memory(|memory| memory.get(key));
+        let object = self.read(consistency, |memory| memory.get(key));
         self.leave().await;
         Ok(object)
     }
 
-    pub(crate) async fn list(&self, prefix: &str) -> Result<Listing, Kind> {
+    pub(crate) async fn list(
+        &self,
+        prefix: &str,
+        consistency: Consistency,
+    ) -> Result<Listing, Kind> {
         self.arrive(Step::List).await?;
-        let listing = self.memory(|memory| memory.list(prefix));
+        let listing = self.read(consistency, |memory| memory.list(prefix));
         self.leave().await;
         Ok(listing)
     }
@@ -251,6 +272,23 @@
         }
     }
 
+    /// Reads the memory, or a copy of it that may be old.
+    fn read<T>(&self, consistency: Consistency, with: impl FnOnce(&Memory) -> T) -> T {
+        let inner = &self.platform.inner;
+        if consistency == Consistency::Linearizable {
+            return with(&inner.memory.lock());
+        }
+        self.counts(|count| count.serializable += 1);
+        let now = Instant::now();
+        let mut copy = inner.copy.lock();
+        let held = copy.take();
+        let held = held.filter(|(at, _)| now.saturating_duration_since(*at) < inner.lag);
+        let held = held.unwrap_or_else(|| (now, inner.memory.lock().clone()));
+        let result = with(&held.1);
+        *copy = Some(held);
+        result
+    }
+
     fn memory<T>(&self, with: impl FnOnce(&mut Memory) -> T) -> T {
         with(&mut self.platform.inner.memory.lock())
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use store::http::text;
-use store::{Condition, Kind, MAX_VALUE, Step, check_key};
+use store::{Condition, Consistency, Kind, MAX_VALUE, Step, check_key};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
 use unit::Version;
@@ -138,7 +138,9 @@
 }
 
 async fn list(link: &Link, query: Query<'_>) -> Result<Response<Full<Bytes>>, Kind> {
-    let listing = link.list(query.prefix()?).await?;
+    let listing = link
+        .list(query.prefix()?, Consistency::Linearizable)
+        .await?;
     let body = text::listing(&listing);
     Ok(full(StatusCode::OK, Some(listing.revision), body))
 }
@@ -165,7 +167,7 @@
     let key = key.to_string();
     let when = condition(headers)?;
     if *method == Method::GET {
-        let Some(object) = link.get(&key).await? else {
+        let Some(object) = link.get(&key, Consistency::Linearizable).await? else {
             return Ok(empty(StatusCode::NOT_FOUND));
         };
         return Ok(full(StatusCode::OK, Some(object.version), object.value));
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -7,15 +7,17 @@
 use bytes::Bytes;
 use unit::{Size, Version};
 
-use crate::{Change, Condition, Error, Kind, Listing, MAX_VALUE, Object, Step, check_key};
+use crate::{
+    Change, Condition, Consistency, Error, Kind, Listing, MAX_VALUE, Object, Step, check_key,
+};
 
 /// The future that a closure of [`Calls`] answers.
 pub type Boxed<T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send>>;
 
-type Get = dyn Fn(String) -> Boxed<Option<Object>> + Send + Sync;
+type Get = dyn Fn(String, Consistency) -> Boxed<Option<Object>> + Send + Sync;
 type Put = dyn Fn(String, Bytes, Condition) -> Boxed<Version> + Send + Sync;
 type Delete = dyn Fn(String, Condition) -> Boxed<()> + Send + Sync;
-type List = dyn Fn(String) -> Boxed<Listing> + Send + Sync;
+type List = dyn Fn(String, Consistency) -> Boxed<Listing> + Send + Sync;
 type Watch = dyn Fn(String, Version, Duration) -> Boxed<Change> + Send + Sync;
 
 /// The closures behind a [`Store`], one for each kind of call.
@@ -56,8 +58,21 @@
     ///
     /// Every kind but [`Kind::Conflict`], [`Kind::TooLarge`] and [`Kind::Compacted`].
     pub async fn get(&self, key: &str) -> Result<Option<Object>, Error> {
+        self.get_with(key, Consistency::Linearizable).await
+    }
+
+    /// As [`Store::get`], with the consistency that the caller needs.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::get`].
+    pub async fn get_with(
+        &self,
+        key: &str,
+        consistency: Consistency,
+    ) -> Result<Option<Object>, Error> {
         check_key(Step::Get, HERE, key)?;
-        (self.calls.get)(key.to_string()).await
+        (self.calls.get)(key.to_string(), consistency).await
     }
 
     /// Writes one object and answers its new version.
@@ -92,8 +107,21 @@
     ///
     /// As [`Store::get`].
     pub async fn list(&self, prefix: &str) -> Result<Listing, Error> {
+        self.list_with(prefix, Consistency::Linearizable).await
+    }
+
+    /// As [`Store::list`], with the consistency that the caller needs.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::get`].
+    pub async fn list_with(
+        &self,
+        prefix: &str,
+        consistency: Consistency,
+    ) -> Result<Listing, Error> {
         check_key(Step::List, HERE, prefix)?;
-        (self.calls.list)(prefix.to_string()).await
+        (self.calls.list)(prefix.to_string(), consistency).await
     }
 
     /// Waits at most `wait` for changes under `prefix` after revision `since`.
--- a/crates/store/src/http/client.rs
+++ b/crates/store/src/http/client.rs
@@ -107,7 +107,7 @@
     let (get, put, delete) = (client.clone(), client.clone(), client.clone());
     let (list, watch) = (client.clone(), client.clone());
     Store::from(Calls {
-        get: Box::new(move |key| {
+        get: Box::new(move |key, _| {
             let client = get.clone();
             Box::pin(async move { client.get(&key).await })
         }),
@@ -119,7 +119,7 @@
             let client = delete.clone();
             Box::pin(async move { client.delete(&key, when).await })
         }),
-        list: Box::new(move |prefix| {
+        list: Box::new(move |prefix, _| {
             let client = list.clone();
             Box::pin(async move { client.list(&prefix).await })
         }),
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -34,4 +34,6 @@
 pub use bucket::Bucket;
 pub use error::{Error, Kind, Step};
 pub use meter::{Count, Meter};
-pub use object::{Change, Condition, Deletion, Listing, MAX_KEY, MAX_VALUE, Object, check_key};
+pub use object::{
+    Change, Condition, Consistency, Deletion, Listing, MAX_KEY, MAX_VALUE, Object, check_key,
+};
--- a/crates/store/src/meter.rs
+++ b/crates/store/src/meter.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use unit::Rate;
 
-use crate::{Boxed, Bucket, Calls, Error, Kind, Step, Store};
+use crate::{Boxed, Bucket, Calls, Consistency, Error, Kind, Step, Store};
 
 /// Counts the calls of one daemon and refuses those above its budget.
 ///
@@ -39,6 +39,8 @@
     pub watch: u64,
     /// Watches that wait now.
     pub waiting: u32,
+    /// Reads among these that may be old.
+    pub serializable: u64,
     /// Calls refused by the budget and not sent.
     pub refused: u64,
 }
@@ -88,27 +90,35 @@
         let meters = [(); 5].map(|()| self.clone());
         let [for_get, for_put, for_delete, for_list, for_watch] = meters;
         Store::from(Calls {
-            get: Box::new(move |key| {
+            get: Box::new(move |key, consistency| {
                 let store = get.clone();
-                for_get.pass(Step::Get, async move { store.get(&key).await })
+                let what = key.clone();
+                let call = async move { store.get_with(&key, consistency).await };
+                for_get.read(Step::Get, what, consistency, call)
             }),
             put: Box::new(move |key, value, when| {
                 let store = put.clone();
-                for_put.pass(Step::Put, async move { store.put(&key, value, when).await })
+                let what = key.clone();
+                let call = async move { store.put(&key, value, when).await };
+                for_put.pass(Step::Put, what, call)
             }),
             delete: Box::new(move |key, when| {
                 let store = delete.clone();
+                let what = key.clone();
                 let call = async move { store.delete(&key, when).await };
-                for_delete.pass(Step::Delete, call)
+                for_delete.pass(Step::Delete, what, call)
             }),
-            list: Box::new(move |prefix| {
+            list: Box::new(move |prefix, consistency| {
                 let store = list.clone();
-                for_list.pass(Step::List, async move { store.list(&prefix).await })
+                let what = prefix.clone();
+                let call = async move { store.list_with(&prefix, consistency).await };
+                for_list.read(Step::List, what, consistency, call)
             }),
             watch: Box::new(move |prefix, since, wait| {
                 let store = watch.clone();
                 let meter = for_watch.clone();
-                for_watch.pass(Step::Watch, async move {
+                let what = format!("{prefix}@{since}");
+                for_watch.pass(Step::Watch, what, async move {
                     let _waiting = meter.wait();
                     store.watch(&prefix, since, wait).await
                 })
@@ -116,14 +126,44 @@
         })
     }
 
-    fn pass<T, F>(&self, step: Step, call: F) -> Boxed<T>
+    fn read<T, F>(&self, step: Step, what: String, consistency: Consistency, call: F) -> Boxed<T>
     where
+        T: 'static,
+        F: Future<Output = Result<T, Error>> + Send + 'static,
+    {
+        let meter = self.clone();
+        let read = self.pass(step, what, call);
+        Box::pin(async move {
+            if consistency == Consistency::Serializable {
+                meter.state.lock().count.serializable += 1;
+            }
+            read.await
+        })
+    }
+
+    /// Makes a call if the budget allows it, and logs it: each is priced, and each may be why a daemon
+    /// believes what it does.
+    fn pass<T, F>(&self, step: Step, what: String, call: F) -> Boxed<T>
+    where
+        T: 'static,
         F: Future<Output = Result<T, Error>> + Send + 'static,
     {
         let meter = self.clone();
         Box::pin(async move {
             meter.take(step)?;
-            call.await
+            let begun = Instant::now();
+            let result = call.await;
+            let millis = begun.elapsed().as_millis();
+            match &result {
+                Ok(_) => log::info!("store: call={step} of={what} ms={millis} outcome=ok."),
+                Err(error) => {
+                    let cause = &error.kind;
+                    log::info!(
+                        "store: call={step} of={what} ms={millis} outcome=failed cause={cause}."
+                    );
+                }
+            }
+            result
         })
     }
 
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -22,6 +22,17 @@
     pub version: Version,
 }
 
+/// How new the answer of a read has to be.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Consistency {
+    /// As new as the call: it shows each write that was confirmed before.
+    #[default]
+    Linearizable,
+    /// It may be seconds old. A platform may count and price such a read at a part of the other's; one
+    /// that makes no difference answers as for the other.
+    Serializable,
+}
+
 /// When a write may take effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
