Expect a third of the goal of a run of which nothing is known

Cause: a gate that has just started took an unknown run for one of no time. The first word of a target that started anew was taken for its usual pace, also where it was a spell of 1000.

Change: before its runs have told, a class is expected to take a third of the longest goal that one of it came with; until the mean over all is sound, slots are expected back by what runs in them; a cold target that tells more than 500 is in a spell; a target that told its pace before it started anew is asked before the first start.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -165,6 +165,10 @@
         if request.urgency == Urgency::Urgent {
             self.last_urgent = Some(now);
         }
+        if let Some(goal) = request.goal {
+            let left = goal.saturating_duration_since(now);
+            self.latency.aim(request.class, left);
+        }
         if let Some(cause) = self.objection(now, &request) {
             return Verdict::Refuse(self.refuse_new(now, &request, cause));
         }
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 use unit::{Cause, Report, Urgency};
 
-use crate::core::Core;
+use crate::core::{Core, Held};
+use crate::pace::USUAL;
 use crate::refusal::Refusal;
 use crate::request::Request;
 use crate::suspect::Standing;
@@ -121,9 +122,29 @@
     /// slowed down though no answer has said so yet.
     pub(crate) fn service_now(&self, now: Instant) -> Duration {
         let mean = self.pace.between_spells(now, self.latency.mean());
+        let mean = match self.latency.is_learnt() {
+            true => mean,
+            false => self.held_time(now).unwrap_or(mean),
+        };
         self.or_stuck(now, mean)
     }
 
+    /// The service time by what is expected of the running requests: the mean by which their slots
+    /// are given back, in which short runs count more than long ones. None if nothing is known of them.
+    fn held_time(&self, now: Instant) -> Option<Duration> {
+        let time = |held: &Held| {
+            let pace = f64::from(held.pace.max(USUAL)) / f64::from(USUAL);
+            let time = self.latency.expected_of(now, &held.request).as_secs_f64() * pace;
+            (time > 0.0).then_some(time)
+        };
+        let times: Vec<f64> = self.held.values().filter_map(time).collect();
+        if times.is_empty() {
+            return None;
+        }
+        let ends_a_second: f64 = times.iter().map(|time| 1.0 / time).sum();
+        Some(Duration::from_secs_f64(times.len() as f64 / ends_a_second))
+    }
+
     /// A service time, or the age of the running requests where they look stuck for longer.
     fn or_stuck(&self, now: Instant, service: Duration) -> Duration {
         self.stuck(now).map_or(service, |age| age.max(service))
--- a/crates/gate/src/latency.rs
+++ b/crates/gate/src/latency.rs
@@ -37,6 +37,10 @@
 /// Mean deviations that a request let in must have to spare before its goal. Let in to the last
 /// moment, half of them end too late.
 const SPREAD: f64 = 1.5;
+/// The part of its goal that a run takes, before runs of its class have told. A goal leaves room for some
+/// wait and for work that takes longer than most; of a third, one that starts in a spell of five times
+/// the usual misses it, and one at a target that is cold and half as quick does not.
+const GOAL_PART: u32 = 3;
 /// Age from which a smoothed time no longer refuses anything.
 ///
 /// An estimate that refuses all its requests is never corrected by an answer; without this the
@@ -136,6 +140,8 @@
     all: Estimate,
     by_urgency: [Estimate; 3],
     by_class: BTreeMap<u32, Estimate>,
+    /// The longest time to its goal that a request of each class came with.
+    goals: BTreeMap<u32, Duration>,
     /// The work of runs that few others ran beside, by class.
     quiet: BTreeMap<u32, Quiet>,
 }
@@ -166,6 +172,16 @@
         sample_into(&mut self.by_class, now, class, latency);
     }
 
+    /// Notes how long before its goal a request came.
+    pub(crate) fn aim(&mut self, class: u32, left: Duration) {
+        let goals = &mut self.goals;
+        if class == 0 || goals.len() >= CLASSES && !goals.contains_key(&class) {
+            return;
+        }
+        let longest = goals.entry(class).or_default();
+        *longest = left.max(*longest);
+    }
+
     /// Takes the time of a run that few others ran beside.
     pub(crate) fn sample_quiet(&mut self, now: Instant, class: u32, latency: Duration) {
         if class == 0 {
@@ -211,13 +227,27 @@
     /// Time that this request will likely run at the usual pace; zero when nothing is known.
     ///
     /// The time of a class, free of the target's pace, holds for long: a class that is rare must not
-    /// be taken for one that takes no time at all.
+    /// be taken for one that takes no time at all. Before its runs have told, its goal does: a gate
+    /// that took an unknown run for one of no time filled its slots with runs that began in slow
+    /// spells, and let in behind them whoever came.
     pub(crate) fn expected_of(&self, now: Instant, request: &Request) -> Duration {
         let class = self.by_class.get(&request.class);
-        match class.filter(|class| class.count >= TRUSTED) {
-            Some(class) => Duration::from_secs_f64(class.mean),
-            None => self.expected(now, request.urgency),
+        let (mean, count) = class.map_or((0.0, 0), |class| (class.mean, class.count));
+        if count >= TRUSTED {
+            return Duration::from_secs_f64(mean);
         }
+        let Some(goal) = self.goals.get(&request.class) else {
+            return self.expected(now, request.urgency);
+        };
+        let assumed = (*goal / GOAL_PART).as_secs_f64();
+        let told = f64::from(count) / f64::from(TRUSTED);
+        Duration::from_secs_f64(assumed + (mean - assumed) * told)
+    }
+
+    /// Whether the mean over all is sound. The first answers are those of the shortest runs, and tell
+    /// nothing of the long ones that fill the slots meanwhile.
+    pub(crate) fn is_learnt(&self) -> bool {
+        self.all.count >= FIRST_ANSWERS
     }
 
     /// By how much the time of such a request varies; zero when little is known.
--- a/crates/gate/src/pace.rs
+++ b/crates/gate/src/pace.rs
@@ -17,6 +17,10 @@
 /// spells fit in; a target that was slow for all of it has become so.
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// The pace at most of a target that has just started, in hundredths, outside spells. What it tells first
+/// may be a spell: taken for its usual pace, runs began that took ten times as long as they usually do.
+const COLD: u16 = 250;
+
 /// What the target has told of its pace.
 #[derive(Debug)]
 pub(crate) struct Pace {
@@ -27,6 +31,8 @@
     /// Since when it has been slow.
     slow_since: Option<Instant>,
     turns: Turns,
+    /// It used to tell its pace, and has told none since it started anew.
+    is_owed: bool,
 }
 
 /// A pace that was in force for a time.
@@ -48,17 +54,22 @@
             }]),
             slow_since: None,
             turns: Turns::default(),
+            is_owed: false,
         }
     }
 }
 
 impl Pace {
-    /// The target is cold, and what it tells next is as quick as it can be for now. To wait for the
-    /// end of a spell there would leave it idle just when all targets have started and are few.
+    /// The target is cold. What it tells next is as quick as it can be for now, unless it is far slower
+    /// than cold targets are.
     pub(crate) fn chill(&mut self) {
+        self.is_owed = self.told > 0;
         self.told = 0;
         self.slow_since = None;
-        self.least.clear();
+        self.least = VecDeque::from([Word {
+            pace: COLD,
+            until: None,
+        }]);
     }
 
     /// Takes in what the target tells; true if it has turned slow.
@@ -70,6 +81,7 @@
             .retain(|word| word.pace < pace && word.lasts_to(now));
         self.least.push_back(Word { pace, until: None });
         self.told = pace;
+        self.is_owed = false;
         let slow = self.is_slow(now);
         self.turns.note(now, slow, self.slowdown(now));
         let turned = slow && self.slow_since.is_none();
@@ -123,6 +135,7 @@
     /// See [`Turns::expected_loss`].
     pub(crate) fn expected_loss(&self, now: Instant, run: Duration) -> Duration {
         match self.told {
+            0 if self.is_owed => run,
             0 => Duration::ZERO,
             _ => self.turns.expected_loss(now, run),
         }
