Ask a target that has joined at its fair share, not by each entry at once

Cause: each entry sent its next request to each target that had joined. On the large site some 40 entries use a target, so a new one, cold and with seven slots, had 40 requests at once; 387 were refused as down and 1,449 as full in the four seconds of a scale-out.

Change: each choice asks a target of which nothing is known with the chance of its fair share.

Test: pick/tests/decisions/join.rs; 40 of 40 entries asked one new target before.

--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -317,7 +317,11 @@
     /// Where there is little to do, the estimates keep requests in their zone, and one that joins in
     /// another zone would never be asked: nobody would know how quick it is when it is needed. One
     /// request of each entry tells.
-    fn newcomer(&self, now: Instant, need: &Need<'_>, able: &[usize]) -> Option<usize> {
+    ///
+    /// Each choice asks it at its fair share, so that all entries together send it what one target is
+    /// meant to have. Asked by each at once, a new target among 99 had the first requests of some 40
+    /// entries in the moment in which it was slowest.
+    fn newcomer(&mut self, now: Instant, need: &Need<'_>, able: &[usize]) -> Option<usize> {
         if need.urgency == Urgency::Urgent || need.zone == Preference::Only {
             return None;
         }
@@ -328,7 +332,10 @@
             let idle = record.flying.is_empty() && record.tried_at.is_none_or(rested);
             idle && record.answered == 0 && record.failures == 0 && !record.settled
         };
-        able.iter().copied().find(untried)
+        let untried: Vec<usize> = able.iter().copied().filter(untried).collect();
+        let share = 1.0 / able.len().max(1) as f64;
+        let random = &mut self.random;
+        untried.into_iter().find(|_| random.random_bool(share))
     }
 
     /// The failing target whose turn it is to show that it is well again.
--- a/crates/pick/tests/decisions/join.rs
+++ b/crates/pick/tests/decisions/join.rs
@@ -110,3 +110,43 @@
         "it is asked again: {asked:?}"
     );
 }
+
+/// Thirty targets join a service of 66, and 40 entries use each of them. If each entry asked each new
+/// one with its next requests, a new target would have 40 requests in the moment in which it is cold, and
+/// runs seven. Together the entries send it its fair share, and each has asked it soon.
+#[test]
+fn targets_that_join_are_not_asked_by_all_at_once() {
+    const ENTRIES: u64 = 40;
+    let mut now = Instant::now();
+    let name = |number: usize| format!("t-{number}");
+    let old: Vec<Target> = (0..66)
+        .map(|number| target(&name(number), "near"))
+        .collect();
+    let all: Vec<Target> = (0..96)
+        .map(|number| target(&name(number), "near"))
+        .collect();
+    let zone: Zone = "near".parse().expect("a zone");
+    let mut entries: Vec<Pick> = (0..ENTRIES)
+        .map(|seed| Pick::builder(zone.clone()).seed(seed).build())
+        .collect();
+    for pick in &mut entries {
+        pick.set(now, &old);
+        chosen(pick, &mut now, 100);
+        pick.set(now, &all);
+    }
+    let need = Need::of(Urgency::Routine);
+    let mut asked = std::collections::BTreeMap::new();
+    for pick in &mut entries {
+        for _ in 0..10 {
+            let instance = pick.choose(now, &need).expect("a target");
+            pick.begin(now, &instance);
+            *asked.entry(instance).or_insert(0) += 1;
+        }
+    }
+    let newest = |number: usize| asked.get(&name(number).parse().expect("a name"));
+    let most = (66..96).filter_map(newest).max().copied().unwrap_or(0);
+    // 400 requests over 96 targets are 4 for each.
+    assert!(most <= 14, "{most} for one new target");
+    let first = (66..96).filter(|number| newest(*number).is_some()).count();
+    assert!(first >= 20, "{first} of 30 new targets were asked");
+}
