Expect a nested call to start next, as it does

Change: the wait of a nested call counts nested calls before it and the slots of the target.

Test: gate/tests/all/admission.rs, a_nested_call_is_expected_to_start_next, fails without it.

--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -71,6 +71,9 @@
     /// Expected wait of a request that comes now: for the pause, for a suspect's turn, and for
     /// the requests that run over the limit or start before it.
     pub(crate) fn wait(&self, now: Instant, request: &Request) -> Duration {
+        if request.nested {
+            return self.wait_of_nested(now);
+        }
         let rank = match request.late {
             true => self.lanes.len(),
             false => request.urgency.rank(),
@@ -88,12 +91,27 @@
         self.wait(now, request) + self.spell_left(now, request)
     }
 
-    fn wait_behind(&self, now: Instant, urgency: Urgency, ahead: usize) -> Duration {
+    /// As [`Core::wait`] for a request that another waits for: it is the next to start, in any slot, behind
+    /// those like it. Taken for one that waits its turn, it was refused for want of time at four gates
+    /// in a row, and the run that waited for it was lost.
+    fn wait_of_nested(&self, now: Instant) -> Duration {
         let service = self.service_now(now);
+        let slots = self.limit.slots();
+        let starts = (self.held.len() + self.nested.len() + 1).saturating_sub(slots);
+        self.hold(now, service) + service.mul_f64(starts as f64 / slots as f64)
+    }
+
+    /// How long nothing at all starts.
+    fn hold(&self, now: Instant, service: Duration) -> Duration {
         let pause = self
             .pause
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        let hold = pause + self.solo.hold(now, service);
+        pause + self.solo.hold(now, service)
+    }
+
+    fn wait_behind(&self, now: Instant, urgency: Urgency, ahead: usize) -> Duration {
+        let service = self.service_now(now);
+        let hold = self.hold(now, service);
         let (limit, busy) = match urgency {
             Urgency::Urgent => (self.limit.now(), self.held.len()),
             _ => (self.lower_limit(now), self.lower_busy(now)),
--- a/crates/gate/tests/all/admission.rs
+++ b/crates/gate/tests/all/admission.rs
@@ -382,3 +382,29 @@
     now += ms(1);
     assert_eq!(core.report(now).running, 10);
 }
+
+#[test]
+fn a_nested_call_is_expected_to_start_next() {
+    // A run at another target waits for a call with 180 ms left. Here all six slots are taken for 100 ms
+    // each and six requests wait; the call starts before them. Told that it would wait behind them it was
+    // refused, at four gates in a row, and the run that waited for it failed.
+    let mut now = Instant::now();
+    let builder = Builder::new(6).law(gate::Law::Knee).reserve(0.0);
+    let mut core = builder.alone(false).core(now);
+    warm(&mut core, &mut now, 80, ms(100));
+    let running: Vec<_> = (0..6)
+        .map(|token| start(&mut core, now, request(now, token, "desk")))
+        .collect();
+    for token in 10..16 {
+        wait(&mut core, now, request(now, token, "desk"));
+    }
+    let call = gate::Request {
+        nested: true,
+        deadline: now + ms(180),
+        ..request(now, 20, "desk")
+    };
+    let call = wait(&mut core, now, call);
+    now += ms(20);
+    let events = answer(&mut core, now, running[0], ms(100));
+    assert_eq!(events, [gate::Event::Start { id: call }]);
+}
