--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -214,6 +214,24 @@
             "Calls on the platform's store, watches included",
             store.total(),
         )?;
+        let of_store = [
+            ("store_lists", "Listings read from the store", store.list),
+            ("store_watches", "Watches begun at the store", store.watch),
+            ("store_writes", "Writes to the store", store.writes()),
+            (
+                "store_old_reads",
+                "Reads of the store that may be old, among the others",
+                store.serializable,
+            ),
+            (
+                "store_budget_waits",
+                "Calls on the store that waited for the own budget",
+                store.refused,
+            ),
+        ];
+        for (name, help, value) in of_store {
+            counter(&mut encoder, name, help, value)?;
+        }
         counter(
             &mut encoder,
             "log_left_out",
