--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -225,7 +225,7 @@
             ),
             (
                 "store_budget_waits",
-                "Calls on the store that waited for the own budget",
+                "Calls on the store that the own budget held back",
                 store.refused,
             ),
         ];
--- a/crates/gate/src/latency.rs
+++ b/crates/gate/src/latency.rs
@@ -175,9 +175,13 @@
     /// Notes how long before its goal a request came.
     pub(crate) fn aim(&mut self, class: u32, left: Duration) {
         let goals = &mut self.goals;
-        if class == 0 || goals.len() >= CLASSES && !goals.contains_key(&class) {
+        if class == 0 {
             return;
         }
+        if goals.len() >= CLASSES && !goals.contains_key(&class) {
+            // Those that are still there say so with their next request.
+            goals.clear();
+        }
         let longest = goals.entry(class).or_default();
         *longest = left.max(*longest);
     }
--- a/crates/store/src/meter.rs
+++ b/crates/store/src/meter.rs
@@ -9,6 +9,9 @@
 
 use crate::{Boxed, Bucket, Calls, Consistency, Error, Kind, Step, Store};
 
+/// Writes and watches are never of what is old.
+const LATEST: Consistency = Consistency::Linearizable;
+
 /// Counts the calls of one daemon and refuses those above its budget.
 ///
 /// The daemons share the platform's rate without talking about it: each keeps to its own part. A
@@ -94,31 +97,31 @@
                 let store = get.clone();
                 let what = key.clone();
                 let call = async move { store.get_with(&key, consistency).await };
-                for_get.read(Step::Get, what, consistency, call)
+                for_get.pass(Step::Get, what, consistency, call)
             }),
             put: Box::new(move |key, value, when| {
                 let store = put.clone();
                 let what = key.clone();
                 let call = async move { store.put(&key, value, when).await };
-                for_put.pass(Step::Put, what, call)
+                for_put.pass(Step::Put, what, LATEST, call)
             }),
             delete: Box::new(move |key, when| {
                 let store = delete.clone();
                 let what = key.clone();
                 let call = async move { store.delete(&key, when).await };
-                for_delete.pass(Step::Delete, what, call)
+                for_delete.pass(Step::Delete, what, LATEST, call)
             }),
             list: Box::new(move |prefix, consistency| {
                 let store = list.clone();
                 let what = prefix.clone();
                 let call = async move { store.list_with(&prefix, consistency).await };
-                for_list.read(Step::List, what, consistency, call)
+                for_list.pass(Step::List, what, consistency, call)
             }),
             watch: Box::new(move |prefix, since, wait| {
                 let store = watch.clone();
                 let meter = for_watch.clone();
                 let what = format!("{prefix}@{since}");
-                for_watch.pass(Step::Watch, what, async move {
+                for_watch.pass(Step::Watch, what, LATEST, async move {
                     let _waiting = meter.wait();
                     store.watch(&prefix, since, wait).await
                 })
@@ -126,31 +129,16 @@
         })
     }
 
-    fn read<T, F>(&self, step: Step, what: String, consistency: Consistency, call: F) -> Boxed<T>
-    where
-        T: 'static,
-        F: Future<Output = Result<T, Error>> + Send + 'static,
-    {
-        let meter = self.clone();
-        let read = self.pass(step, what, call);
-        Box::pin(async move {
-            if consistency == Consistency::Serializable {
-                meter.state.lock().count.serializable += 1;
-            }
-            read.await
-        })
-    }
-
     /// Makes a call if the budget allows it, and logs it: each is priced, and each may be why a daemon
     /// believes what it does.
-    fn pass<T, F>(&self, step: Step, what: String, call: F) -> Boxed<T>
+    fn pass<T, F>(&self, step: Step, what: String, consistency: Consistency, call: F) -> Boxed<T>
     where
         T: 'static,
         F: Future<Output = Result<T, Error>> + Send + 'static,
     {
         let meter = self.clone();
         Box::pin(async move {
-            meter.take(step)?;
+            meter.take(step, consistency)?;
             let begun = Instant::now();
             let result = call.await;
             let millis = begun.elapsed().as_millis();
@@ -167,11 +155,13 @@
         })
     }
 
-    fn take(&self, step: Step) -> Result<(), Error> {
+    fn take(&self, step: Step, consistency: Consistency) -> Result<(), Error> {
         let mut state = self.state.lock();
         match state.bucket.take(Instant::now()) {
             Ok(()) => {
                 state.count.add(step);
+                let is_old = consistency == Consistency::Serializable;
+                state.count.serializable += u64::from(is_old);
                 Ok(())
             }
             Err(retry_after) => {
--- a/crates/store/tests/store/budget.rs
+++ b/crates/store/tests/store/budget.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use standin::Platform;
-use store::{Backoff, Bucket, Condition, Kind, Meter};
+use store::{Backoff, Bucket, Condition, Consistency, Kind, Meter};
 use tokio::time::{Instant, sleep};
 use unit::{Rate, Version};
 
@@ -93,3 +93,31 @@
     assert_eq!(first, pauses(1));
     assert_ne!(first, pauses(2));
 }
+
+#[tokio::test(start_paused = true)]
+async fn reads_that_may_be_old_are_counted_apart_and_only_if_sent() {
+    let platform = Platform::builder().lag(Duration::from_secs(2)).open();
+    let meter = Meter::new(Rate::of(1.0), 3);
+    let store = meter.over(&platform.store());
+    let put = |value: &'static str| store.put("a", Bytes::from(value), Condition::Any);
+    put("1").await.unwrap();
+    let old = store.get_with("a", Consistency::Serializable).await;
+    assert_eq!(old.unwrap().unwrap().value, "1");
+    put("2").await.unwrap();
+    // The budget of three is spent, and nothing is sent.
+    let spent = store.get_with("a", Consistency::Serializable).await;
+    assert!(matches!(spent.unwrap_err().kind, Kind::Budget(_)));
+    let count = meter.count();
+    assert_eq!(
+        (count.total(), count.serializable, count.refused),
+        (3, 1, 1)
+    );
+    assert_eq!(platform.count().serializable, 1);
+    // What is read so is up to two seconds old, and no older.
+    let plain = platform.store();
+    let old = plain.get_with("a", Consistency::Serializable).await;
+    assert_eq!(old.unwrap().unwrap().value, "1");
+    sleep(Duration::from_secs(2)).await;
+    let new = plain.get_with("a", Consistency::Serializable).await;
+    assert_eq!(new.unwrap().unwrap().value, "2");
+}
