Begin the pauses of a watch anew once it has answered

Since each part is watched by itself, the pauses behind failed watches began anew only when a daemon stopped being a watcher. Grown to the longest in one outage (5 s, 1.5 s on the platform), they stayed so: each short failure after it kept rules away as long.

Change: they begin anew with the first answer of a watch, not with a listing: a store that answers reads and refuses watches would else be asked each 50 ms.

--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -103,12 +103,9 @@
     loop {
         sleep(LOOK).await;
         while is_watcher(inner, part) {
-            match serve(inner, part).await {
-                Ok(()) => backoff.reset(),
-                Err(error) => {
-                    log::warn!("feed: {error}.");
-                    sleep(backoff.pause()).await;
-                }
+            if let Err(error) = serve(inner, part, &mut backoff).await {
+                log::warn!("feed: {error}.");
+                sleep(backoff.pause()).await;
             }
         }
     }
@@ -125,14 +122,14 @@
 }
 
 /// Reads one part, then watches it until this daemon is no watcher, or the watch can't go on.
-async fn serve(inner: &Inner, part: Part) -> Result<(), Error> {
+async fn serve(inner: &Inner, part: Part, backoff: &mut Backoff) -> Result<(), Error> {
     let since = match part {
         Part::Instances => platform::list(inner, Role::Watcher, Consistency::Linearizable).await?,
         Part::Rules => platform::rules_at(inner).await?,
     };
     log::info!("feed: watches {part:?} on the platform from {since}.");
     tokio::select! {
-        result = follow(inner, part, since) => result,
+        result = follow(inner, part, since, backoff) => result,
         () = relieved(inner, part) => {
             log::info!("feed: others watch {part:?} on the platform.");
             Ok(())
@@ -160,7 +157,15 @@
 ///
 /// Behind an answer that tells something it waits for what comes in a row with it, to read that in one
 /// go: a watch costs a call each time that it answers. So it does behind one that comes early and empty.
-async fn follow(inner: &Inner, part: Part, mut since: Version) -> Result<(), Error> {
+///
+/// The pauses behind failures begin anew once a watch has answered: left as they had grown in one outage,
+/// each failure for the rest of the process's life would keep news away for the longest of them.
+async fn follow(
+    inner: &Inner,
+    part: Part,
+    mut since: Version,
+    backoff: &mut Backoff,
+) -> Result<(), Error> {
     let (key, wait, gather) = match part {
         Part::Instances => (&inner.prefix, inner.pace.instances, inner.pace.gather),
         Part::Rules => (&inner.rules_key, inner.pace.rules, inner.pace.gather_rules),
@@ -168,6 +173,7 @@
     loop {
         let begun = Instant::now();
         let change = platform::within_budget(|| inner.store.watch(key, since, wait)).await?;
+        backoff.reset();
         since = change.revision;
         take(inner, part, &change);
         let is_empty = change.changed.is_empty() && change.deleted.is_empty();
--- a/crates/feed/tests/it/fault.rs
+++ b/crates/feed/tests/it/fault.rs
@@ -256,3 +256,24 @@
     let object = store.get(&format!("instances/{}", leaver.name)).await;
     assert_eq!(object.unwrap(), None);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_short_failure_behind_a_long_one_costs_little() {
+    // The platform was down for a minute, and the watchers tried ever more rarely. It is back, and their
+    // watches have answered. Later it fails for 300 ms, just when the watches begin anew, and rules are
+    // written behind it. With pauses as long as at the end of the outage they came up to 5 s late.
+    let world = World::start(30, 2).await;
+    sleep(Duration::from_secs(10)).await;
+    world.platform.fault().down(true);
+    sleep(Duration::from_secs(60)).await;
+    world.platform.fault().down(false);
+    sleep(Duration::from_secs(20)).await;
+    world.put_rules(&text("second")).await;
+    sleep(Duration::from_millis(50)).await;
+    world.platform.fault().down(true);
+    sleep(Duration::from_millis(300)).await;
+    world.platform.fault().down(false);
+    let version = world.put_rules(&text("third")).await;
+    let took = world.in_force(version, 10).await.unwrap();
+    assert!(took < Duration::from_secs(2), "{took:?}");
+}
