Say in one place how much longer work takes at a pace, and above the first slots

The factor of a pace stood three times; the mean above the first slots was divided and multiplied back.

--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -6,7 +6,7 @@
 
 use crate::core::{Core, Held};
 use crate::limit::{self, Turn};
-use crate::pace::USUAL;
+use crate::pace;
 use crate::request::{End, Id};
 use crate::suspect;
 
@@ -78,8 +78,7 @@
     fn sample(&mut self, now: Instant, held: &Held, latency: Duration) -> f64 {
         // A run that began in a slow spell takes its time from there, and says nothing of how long
         // such work usually takes.
-        let pace = f64::from(held.pace.max(USUAL)) / f64::from(USUAL);
-        let latency = latency.div_f64(pace);
+        let latency = latency.div_f64(pace::factor(held.pace));
         let ratio = self.latency.sample(now, &held.request, latency);
         self.limit.answer(ratio, held.turn, self.next_turn);
         ratio
@@ -91,8 +90,7 @@
         if self.pace.is_slow_at(now, pace) {
             return;
         }
-        let pace = f64::from(pace.max(USUAL)) / f64::from(USUAL);
-        let work = work.div_f64(pace);
+        let work = work.div_f64(pace::factor(pace));
         if self.knee.is_quiet(among) {
             self.latency.sample_quiet(now, class, work);
         }
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -6,7 +6,7 @@
 use unit::{Cause, Report, Urgency};
 
 use crate::core::{Core, Held};
-use crate::pace::USUAL;
+use crate::pace;
 use crate::refusal::Refusal;
 use crate::request::Request;
 use crate::suspect::Standing;
@@ -154,8 +154,8 @@
     /// are given back, in which short runs count more than long ones. None if nothing is known of them.
     fn held_time(&self, now: Instant) -> Option<Duration> {
         let time = |held: &Held| {
-            let pace = f64::from(held.pace.max(USUAL)) / f64::from(USUAL);
-            let time = self.latency.expected_of(now, &held.request).as_secs_f64() * pace;
+            let usual = self.latency.expected_of(now, &held.request);
+            let time = usual.as_secs_f64() * pace::factor(held.pace);
             (time > 0.0).then_some(time)
         };
         let times: Vec<f64> = self.held.values().filter_map(time).collect();
--- a/crates/gate/src/knee.rs
+++ b/crates/gate/src/knee.rs
@@ -92,15 +92,13 @@
         among > self.best && level.is_some_and(|level| level.count < TRUSTED)
     }
 
-    /// What is known of all runs above the slots that are used first.
-    fn above(&self) -> Level {
-        let levels = &self.levels[Knee::nearly_full(self.levels.len())..];
-        let count: u32 = levels.iter().map(|level| level.count).sum();
-        let sum: f64 = levels.iter().map(Level::sum).sum();
-        Level {
-            ratio: sum / f64::from(count.max(1)),
-            count,
-        }
+    /// How many times as long work takes above the first `first` slots, by what all runs there have told
+    /// against what is assumed of them.
+    fn above(&self, first: usize) -> f64 {
+        let levels = &self.levels[first..];
+        let runs: u32 = levels.iter().map(|level| level.count).sum();
+        let told: f64 = levels.iter().map(Level::sum).sum();
+        (ASSUMED * ASSUMED_RUNS + told) / (ASSUMED_RUNS + f64::from(runs))
     }
 
     /// The slots that are worth using.
@@ -152,15 +150,13 @@
         let mut most = 0.0;
         let mut ratio: f64 = 1.0;
         let first = Knee::nearly_full(self.levels.len());
-        let above = self.above();
-        let weight = ASSUMED_RUNS + f64::from(above.count);
-        let assumed = (ASSUMED * ASSUMED_RUNS + above.sum()) / weight;
+        let above = self.above(first);
         let mut done = Vec::with_capacity(self.levels.len());
         for (at, level) in self.levels.iter().enumerate() {
             if level.count >= TRUSTED {
                 ratio = level.ratio.max(1.0);
             } else if at >= first {
-                ratio = ratio.max(assumed);
+                ratio = ratio.max(above);
             }
             done.push((at + 1) as f64 / ratio);
         }
--- a/crates/gate/src/pace.rs
+++ b/crates/gate/src/pace.rs
@@ -10,6 +10,11 @@
 /// The pace of a target whose work takes as long as usual, in hundredths.
 pub(crate) const USUAL: u16 = 100;
 
+/// How many times as long as usual work takes at `pace`; a target that doesn't tell works at the usual one.
+pub(crate) fn factor(pace: u16) -> f64 {
+    f64::from(pace.max(USUAL)) / f64::from(USUAL)
+}
+
 /// Work that takes so many times longer than it lately did at its quickest makes a slow spell.
 const SLOW: u16 = 2;
 
