--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -107,6 +107,22 @@
         "Heartbeats and leaves that could not be read, or were another writer's",
         target.malformed,
     );
+    let feed = state.feed.stats().clone();
+    registry.register(
+        "rules_fetch_seconds",
+        "Fetches of rules from another daemon",
+        feed.fetched,
+    );
+    registry.register(
+        "rules_fetches_failed",
+        "Fetches of rules from another daemon that failed",
+        feed.fetches_failed,
+    );
+    registry.register(
+        "rules_read_seconds",
+        "Reading of rules before they are in force",
+        feed.read,
+    );
 }
 
 #[derive(Debug)]
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -16,6 +16,7 @@
 use crate::count::Count;
 use crate::feed::{Feed, Inner};
 use crate::relay::Passed;
+use crate::stats::Stats;
 use crate::{Current, Error};
 
 /// Calls on the store that one daemon may make each second for rules and roster. The two waiting
@@ -171,6 +172,7 @@
             jobs,
             queue: Mutex::new(Some(queue)),
             count: Count::default(),
+            stats: Stats::default(),
             passed: Mutex::new(Passed::default()),
             object: tokio::sync::Mutex::new(None),
             syncing: tokio::sync::Mutex::new(()),
--- a/crates/feed/src/current.rs
+++ b/crates/feed/src/current.rs
@@ -80,7 +80,6 @@
             return Ok(Offer::Old);
         }
         *current = Some(rules);
-        log::info!("feed: rules {version} are in force.");
         Ok(Offer::Taken)
     }
 
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -23,6 +23,7 @@
 use crate::job::{self, Job};
 use crate::message::{Answer, Kind, Message};
 use crate::relay::Passed;
+use crate::stats::Stats;
 use crate::{Current, Error, announce, fallback, leave, note, pulse, watch};
 
 /// How long an answer may take.
@@ -52,6 +53,7 @@
     /// Taken by the one run.
     pub(crate) queue: Mutex<Option<mpsc::Receiver<Job>>>,
     pub(crate) count: Count,
+    pub(crate) stats: Stats,
     pub(crate) passed: Mutex<Passed>,
     /// The version of the own object, as far as it is known; held while it is written.
     pub(crate) object: tokio::sync::Mutex<Option<Version>>,
@@ -168,6 +170,11 @@
         leave::depart(&self.inner, true).await;
     }
 
+    /// What is measured of the rules on their way.
+    pub fn stats(&self) -> &Stats {
+        &self.inner.stats
+    }
+
     /// The state of the feed.
     pub fn dump(&self) -> Dump {
         Dump {
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -39,6 +39,7 @@
 mod relay;
 mod repair;
 mod rules;
+mod stats;
 mod sync;
 mod watch;
 
@@ -50,3 +51,4 @@
 pub use feed::{Dump, Feed};
 pub use message::{Answer, Kind, LOT, Message, News, Page, Push, Text};
 pub use rules::SHORT;
+pub use stats::Stats;
--- a/crates/feed/src/note.rs
+++ b/crates/feed/src/note.rs
@@ -1,5 +1,7 @@
 //! Answers to the messages of other daemons.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use roster::{Beat, Finding, Vote};
 use tokio::time::Instant;
@@ -8,7 +10,7 @@
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Answer, Message, News, Push};
-use crate::rules::Origin;
+use crate::rules::{Arrival, Origin};
 use crate::{Error, rules, sync};
 
 pub(crate) fn answer(inner: &Inner, from: &Instance, payload: &[u8]) -> Result<Bytes, Error> {
@@ -65,8 +67,15 @@
     let version = push.version;
     match push.text {
         Some(text) => {
+            let arrival = Arrival {
+                version,
+                text: &text,
+                origin: Origin::Tree,
+                from: Some(from),
+                fetched: Duration::ZERO,
+            };
             // A refusal is logged where it arises, and the last good rules stay.
-            drop(rules::offer(inner, version, &text, Origin::Tree));
+            drop(rules::offer(inner, arrival));
         }
         None if inner.current.wants(version) => inner.later(Job::Pull(from.clone(), version)),
         None if inner.current.version() == version => rules::pass_on(inner, version),
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -1,5 +1,7 @@
 //! What is read from the platform, put into the roster and the rules.
 
+use std::time::Duration;
+
 use roster::{Listing, Record, State};
 use store::{Change, Consistency, Kind, Object};
 use tokio::time::{Instant, sleep};
@@ -8,7 +10,7 @@
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::repair::Stale;
-use crate::rules::{self, Origin};
+use crate::rules::{self, Arrival, Origin};
 use crate::{Error, relay};
 
 /// What this daemon does with what it reads.
@@ -155,8 +157,15 @@
         Role::Reader => Origin::Asked,
         Role::Watcher => Origin::Tree,
     };
+    let arrival = Arrival {
+        version,
+        text,
+        origin,
+        from: None,
+        fetched: Duration::ZERO,
+    };
     // A refusal is logged where it arises, and the last good rules stay.
-    drop(rules::offer(inner, version, text, origin));
+    drop(rules::offer(inner, arrival));
 }
 
 fn name(inner: &Inner, key: &str) -> Option<Instance> {
--- a/crates/feed/src/rules.rs
+++ b/crates/feed/src/rules.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use unit::{Instance, Version};
 
 use crate::feed::Inner;
@@ -26,18 +26,35 @@
     Asked,
 }
 
+/// Rules as they have come to this daemon.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Arrival<'a> {
+    pub(crate) version: Version,
+    pub(crate) text: &'a str,
+    pub(crate) origin: Origin,
+    /// Who has sent them; `None` if they were read from the store.
+    pub(crate) from: Option<&'a Instance>,
+    /// How long they were fetched for.
+    pub(crate) fetched: Duration,
+}
+
 /// Puts rules in force if they are newer, and has them passed on once.
 ///
 /// Rules that don't parse here go no further: those below would refuse them too. They leave no
 /// trace but their version, so that the next good ones pass.
-pub(crate) fn offer(
-    inner: &Inner,
-    version: Version,
-    text: &str,
-    origin: Origin,
-) -> Result<Offer, Error> {
+pub(crate) fn offer(inner: &Inner, arrival: Arrival<'_>) -> Result<Offer, Error> {
+    let Arrival {
+        version,
+        text,
+        origin,
+        ..
+    } = arrival;
     let first = inner.current.version() == Version(0);
+    let began = Instant::now();
     let offer = inner.current.offer(version, text)?;
+    if offer == Offer::Taken {
+        report(inner, &arrival, began.elapsed());
+    }
     // A newcomer that fetches its first rules fetches what the others have.
     let news = origin == Origin::Tree || (offer == Offer::Taken && !first);
     if news && inner.current.version() == version {
@@ -46,6 +63,19 @@
     Ok(offer)
 }
 
+/// Logs and measures how rules came into force.
+fn report(inner: &Inner, arrival: &Arrival<'_>, read: Duration) {
+    let from = arrival.from.map_or("store", Instance::as_str);
+    log::info!(
+        "feed: rules {} are in force: from={from} bytes={} fetch_ms={} read_ms={}.",
+        arrival.version,
+        arrival.text.len(),
+        arrival.fetched.as_millis(),
+        read.as_millis(),
+    );
+    inner.stats.read.observe(read.as_secs_f64());
+}
+
 /// Has the rules in force passed on, once.
 pub(crate) fn pass_on(inner: &Inner, version: Version) {
     if inner.passed.lock().rules(version) {
@@ -87,15 +117,29 @@
         return;
     }
     let pulling = Pulling(inner, version);
+    let began = Instant::now();
     let pulled = fetch(inner, from).await;
+    let fetched = began.elapsed();
     drop(pulling);
     match pulled {
         Ok(Some(Text { version, text })) => {
+            inner.stats.fetched.observe(fetched.as_secs_f64());
+            let arrival = Arrival {
+                version,
+                text: &text,
+                origin: Origin::Asked,
+                from: Some(from),
+                fetched,
+            };
             // A refusal is logged where it arises, and the last good rules stay.
-            drop(offer(inner, version, &text, Origin::Asked));
+            drop(offer(inner, arrival));
         }
         Ok(None) => (),
-        Err(error) => log::debug!("feed: rules not fetched: {error}."),
+        Err(error) => {
+            inner.stats.fetches_failed.inc();
+            let took = fetched.as_millis();
+            log::warn!("feed: rules {version} not fetched from {from} in {took} ms: {error}.");
+        }
     }
 }
 
