Show a large document that is late over thin links, as known red

Callers saw a change 2.7 s and more after its acknowledgement handled as the version before it. The bound is 2 s, the strictest that a deployment states.

--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Feeds in a network and on a platform that fail.
 
+mod bulk;
 mod cost;
 mod fault;
 mod parted;
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use feed::{Carrier, Current, Error, Feed, Pace};
 use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use roster::{Policy, Record, Roster, Shared, State};
 use standin::Platform;
 use store::Condition;
@@ -36,8 +38,15 @@
     aside: Mutex<BTreeSet<Instance>>,
     /// What the daemons run on.
     mode: Mode,
+    /// Bytes a second that each daemon can send; no bound if it is `None`.
+    bandwidth: Mutex<Option<u64>>,
+    /// Held by a daemon while one slice of one message leaves it.
+    senders: Mutex<BTreeMap<Instance, Arc<tokio::sync::Mutex<()>>>>,
 }
 
+/// Messages that leave a daemon at the same time take turns by slices of this time.
+const SLICE: Duration = Duration::from_millis(10);
+
 /// What daemons run on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -83,8 +92,29 @@
         }
     }
 
+    /// Bounds what each daemon can send, in bytes a second.
+    pub fn limit(&self, bandwidth: u64) {
+        *self.bandwidth.lock() = Some(bandwidth);
+    }
+
+    /// Waits until `bytes` have left `from`.
+    async fn send(&self, from: &Instance, bytes: usize) {
+        let Some(bandwidth) = *self.bandwidth.lock() else {
+            return;
+        };
+        let sender = self.senders.lock().entry(from.clone()).or_default().clone();
+        let mut rest = Duration::from_secs_f64(bytes as f64 / bandwidth as f64);
+        while !rest.is_zero() {
+            let _turn = sender.lock().await;
+            let slice = rest.min(SLICE);
+            sleep(slice).await;
+            rest -= slice;
+        }
+    }
+
     async fn carry(&self, from: Instance, peer: Peer, payload: Bytes) -> Result<Bytes, Error> {
         let to = peer.instance;
+        self.send(&from, payload.len()).await;
         self.hop(&from, &to).await;
         let found = self.feeds.lock().get(&to).cloned();
         let (feed, roster) = found.ok_or_else(|| Error::Stranger(to.clone()))?;
@@ -100,6 +130,7 @@
             return Err(Error::Stranger(from));
         }
         let answer = feed.note(&from, &payload)?;
+        self.send(&to, answer.len()).await;
         self.hop(&to, &from).await;
         Ok(answer)
     }
@@ -355,6 +386,24 @@
     format!(r#"{{ "rules": [{{ "name": "{name}", "then": {{ "service": "vault-desk" }} }}] }}"#)
 }
 
+/// A document of as many rules as said, with names and prefixes that nothing repeats.
+pub fn many_rules(name: &str, rules: usize) -> String {
+    let mut rng = Pcg64Mcg::seed_from_u64(rules as u64);
+    let mut word = |length: usize| -> String {
+        let letters = (0..length).map(|_| char::from(rng.random_range(b'a'..=b'z')));
+        letters.collect()
+    };
+    let rule = |_| {
+        let (name, prefix) = (word(6), word(8));
+        format!(
+            r#"{{"name":"{name}","then":{{"attempts":2,"objective":"800ms","priority":1,"repeat":true,"service":"vault-desk","timeout":"1500ms"}},"when":{{"host":"bade94.example","prefix":"/{prefix}/"}}}}"#
+        )
+    };
+    let rules: Vec<String> = (0..rules).map(rule).collect();
+    let last = format!(r#"{{"name":"{name}","then":{{"service":"vault-desk"}}}}"#);
+    format!(r#"{{"rules":[{},{last}]}}"#, rules.join(","))
+}
+
 /// A document of at least `bytes` bytes.
 pub fn long_text(name: &str, bytes: usize) -> String {
     let pad = " ".repeat(bytes);
