Bound the silence of an answer of the store, not the time of its transfer

A call on the store had a second for head and body together, so that an object that takes longer over its link than that is never read: each watch that tells of it fails, and all is read again, which fails as well. 1 MiB takes 0.84 s of a link of 10 Mbit/s with nothing beside it.

The head now has the call's time, each further part of the body a second of its own, and the whole 10 s more. Test an_answer_that_still_comes_is_not_given_up failed before (no answer within 1000 ms), a silent answer is still given up.

--- a/crates/store/src/http/peer.rs
+++ b/crates/store/src/http/peer.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Frame;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use parking_lot::Mutex;
+use tokio::time::timeout;
 
 /// Bytes of an answer that we are ready to read: a list of many objects.
 const MAX_ANSWER: usize = 64_000_000;
@@ -19,6 +21,12 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 const KEEPALIVE_RETRIES: u32 = 2;
 
+/// How long the next part of a body may take.
+const PART: Duration = Duration::from_secs(1);
+
+/// How long an answer may take from the end of the time for its head to its last byte.
+const LONGEST: Duration = Duration::from_secs(10);
+
 /// Idle connections that we keep for one peer.
 const MAX_IDLE: usize = 4;
 
@@ -54,7 +62,10 @@
         }
     }
 
-    /// Sends a request and reads its whole answer, both within `limit`.
+    /// Sends a request and reads its whole answer.
+    ///
+    /// The head has to come within `limit`, and each further part of the body within a second: how
+    /// long the whole may take depends on its length and on the link.
     ///
     /// A connection can go silent for good while new ones work. The symptom is that every call on
     /// it times out. We then drop the whole pool of this peer, since its idle connections may have
@@ -70,15 +81,24 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
         let pool = self.pool.lock().clone();
-        match tokio::time::timeout(limit, exchange(pool, request)).await {
-            Ok(result) => result,
+        match timeout(limit + LONGEST, exchange(pool, request, limit)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(Silent(within))) => {
+                let cause = format!("no answer within {} ms", within.as_millis());
+                Err(self.cut(cause))
+            }
             Err(_) => {
-                *self.pool.lock() = self::pool(self.connect, self.idle);
-                let cause = format!("no answer within {} ms", limit.as_millis());
-                Err(Failure::Cut(cause))
+                let cause = format!("no whole answer within {} ms", LONGEST.as_millis());
+                Err(self.cut(cause))
             }
         }
     }
+
+    /// Drops the connections to this peer.
+    fn cut(&self, cause: String) -> Failure {
+        *self.pool.lock() = pool(self.connect, self.idle);
+        Failure::Cut(cause)
+    }
 }
 
 fn pool(connect: Duration, idle: Duration) -> Pool {
@@ -97,19 +117,44 @@
         .build(connector)
 }
 
-async fn exchange(pool: Pool, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Failure> {
-    let response = pool.request(request).await.map_err(|error| {
-        let cause = chain(&error);
-        if error.is_connect() {
-            Failure::Unsent(cause)
-        } else {
-            Failure::Cut(cause)
-        }
-    })?;
+/// Nothing has come for this time.
+struct Silent(Duration);
+
+/// One exchange, whose head comes within `limit`.
+async fn exchange(
+    pool: Pool,
+    request: Request<Full<Bytes>>,
+    limit: Duration,
+) -> Result<Result<Response<Bytes>, Failure>, Silent> {
+    let head = timeout(limit, pool.request(request)).await;
+    let response = match head.map_err(|_| Silent(limit))? {
+        Ok(response) => response,
+        Err(error) => return Ok(Err(failure(&error))),
+    };
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, MAX_ANSWER).collect().await;
-    let body = body.map_err(|error| Failure::Cut(error.to_string()))?;
-    Ok(Response::from_parts(parts, body.to_bytes()))
+    let mut body = Limited::new(body, MAX_ANSWER);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = timeout(PART, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| Silent(PART))? else {
+            return Ok(Ok(Response::from_parts(parts, bytes.freeze())));
+        };
+        match frame.map(Frame::into_data) {
+            Ok(Ok(data)) => bytes.extend_from_slice(&data),
+            // Trailers say nothing that is used.
+            Ok(Err(_)) => {}
+            Err(error) => return Ok(Err(Failure::Cut(error.to_string()))),
+        }
+    }
+}
+
+fn failure(error: &hyper_util::client::legacy::Error) -> Failure {
+    let cause = chain(error);
+    if error.is_connect() {
+        Failure::Unsent(cause)
+    } else {
+        Failure::Cut(cause)
+    }
 }
 
 fn chain(error: &dyn std::error::Error) -> String {
--- a/crates/store/tests/store/main.rs
+++ b/crates/store/tests/store/main.rs
@@ -2,3 +2,4 @@
 
 mod budget;
 mod http;
+mod transfer;
