Know a store that comes back from an older copy by its era

What callers would have seen: the store gives revisions out again, and entries, rules and watches of the time before were taken for those of the time after. Entries that were lost were never written again (their owners thought them written), rules written again were "older" until their revision had passed the one in force, a watch could go on from a revision that means something else.

An era is a type of its own beside the revision, and orders before it: unit::Version is both. Adapters judge each answer by the era that it names: one that was under way when a newer era became known is dropped, a condition or watch of another era is not sent, and one that was answered in a later era is read back. Our own store names the era in each answer and keeps with each object the era in which it was written, so that what a copy holds stays older.

Each daemon learns of a new era by any answer or by its peers' heartbeats; it looks its own entry up within 1.5 s and writes it if it is missing (at once if it was written in the last 10 s). Watchers end their watches and list again. The roster removes nobody for what the first listing of an era lacks; objects of the gone are deleted once it has settled.

--- a/bench/src/capacity/roster.rs
+++ b/bench/src/capacity/roster.rs
@@ -144,7 +144,7 @@
         })
     };
     let changed = shortest(ROUNDS, &mut change);
-    let version = Version(u64::MAX / 2);
+    let version = Version::of(u64::MAX / 2);
     let me = &records[0].instance;
     [
         shortest(ROUNDS, || shared.with(|roster| roster.review(now))),
--- a/bin/appleshore/tests/it/race.rs
+++ b/bin/appleshore/tests/it/race.rs
@@ -77,7 +77,7 @@
         lost.err.ends_with("put again with --if-version 2.\n"),
         "{lost:?}"
     );
-    assert_eq!(served.read().await, Some((winner, Version(2))));
+    assert_eq!(served.read().await, Some((winner, Version::of(2))));
     let forced = served.put(&loser_path, &["--force"]).await;
     assert_eq!((forced.code, forced.out.as_str()), (Some(0), "version 3\n"));
 }
@@ -98,7 +98,7 @@
         "{run:?}"
     );
     assert!(run.err.contains("an answer was lost"), "{run:?}");
-    assert_eq!(served.read().await, Some((text, Version(1))));
+    assert_eq!(served.read().await, Some((text, Version::of(1))));
     assert_eq!(served.platform.count_of("appleshore-rules").put, 1);
 }
 
@@ -125,7 +125,7 @@
     let since = document(&[("b", "x")]);
     served.write(&since).await;
     tokio::time::sleep(delay).await;
-    assert_eq!(served.read().await, Some((since, Version(2))));
+    assert_eq!(served.read().await, Some((since, Version::of(2))));
 }
 
 #[tokio::test]
--- a/crates/appleshore/src/measuring.rs
+++ b/crates/appleshore/src/measuring.rs
@@ -14,7 +14,7 @@
 
 /// Sets the budget of `server` whenever the rules change, for ever.
 pub(crate) async fn run(current: Arc<Current>, server: Arc<Server>, service: Service) {
-    let mut seen = Version(0);
+    let mut seen = Version::NONE;
     loop {
         if let Some(rules) = current.get().filter(|rules| rules.version != seen) {
             seen = rules.version;
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -123,6 +123,16 @@
         "Reading of rules before they are in force",
         feed.read,
     );
+    registry.register(
+        "store_returns",
+        "Times that the store has come back from an older copy",
+        feed.returns,
+    );
+    registry.register(
+        "store_rewritten",
+        "Own entries written again after the store has come back",
+        feed.rewritten,
+    );
 }
 
 #[derive(Debug)]
@@ -136,6 +146,7 @@
     links: u64,
     connections: u64,
     store: store::Count,
+    era: u64,
     left_out: u64,
 }
 
@@ -144,10 +155,11 @@
         Values {
             count: state.entry.count(),
             report: state.server.gate().report(),
-            rules: state.current.version().0,
+            rules: state.current.version().revision,
             links: state.dialer.links().len() as u64,
             connections: state.server.connections(),
             store: state.feed.dump().store,
+            era: state.feed.dump().era.unwrap_or_default().0,
             left_out: crate::logging::left_out(),
         }
     }
@@ -162,6 +174,7 @@
             links,
             connections,
             store,
+            era,
             left_out,
         } = &self.0;
         counter(
@@ -248,6 +261,12 @@
         for (name, help, value) in of_store {
             counter(&mut encoder, name, help, value)?;
         }
+        gauge(
+            &mut encoder,
+            "store_era",
+            "Newest era of the store that is known",
+            *era,
+        )?;
         counter(
             &mut encoder,
             "log_left_out",
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -59,7 +59,7 @@
         let rules = self.current.get()?;
         let names = rules.document.rules().iter().map(|rule| rule.name.clone());
         Some(RulesState {
-            version: rules.version.0,
+            version: rules.version.revision,
             rules: rules.document.rules().len(),
             names: names.collect(),
         })
--- a/crates/feed/examples/link.rs
+++ b/crates/feed/examples/link.rs
@@ -8,7 +8,7 @@
 
 use feed::{Message, Packed, Push, over};
 use roster::Beat;
-use unit::{Incarnation, Version};
+use unit::{Era, Incarnation, Version};
 use wire::codec::pack;
 use wire::{Dialer, Frame, Identity, Listener, Note, Peer, Topic, Trust};
 
@@ -36,11 +36,12 @@
     let beat = Beat {
         incarnation: Incarnation(1_700_000_000_000),
         total: u64::MAX / 3,
-        rules: Version(70_000),
+        rules: Version::of(70_000),
+        era: Some(Era(1)),
     };
     let rules = |length: usize| {
         Message::Rules(Push {
-            version: Version(70_000),
+            version: Version::of(70_000),
             text: Packed::of(&" ".repeat(length)).ok(),
         })
     };
--- a/crates/feed/src/announce.rs
+++ b/crates/feed/src/announce.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::era::Held;
+use crate::feed::Inner;
+use crate::platform;
+use crate::{Error, relay};
 use bytes::Bytes;
 use roster::Record;
 use store::{Backoff, Condition};
 use tokio::time::{Instant, sleep};
-use unit::Version;
-
-use crate::feed::Inner;
-use crate::platform;
-use crate::{Error, relay};
 
 /// How often a daemon looks whether something is due.
 const LOOK: Duration = Duration::from_millis(200);
@@ -79,17 +78,23 @@
 ///
 /// The write names what it replaces. So a copy that was delayed on its way can't land on top of a
 /// later one, and two processes under one name find each other out.
-async fn write(
-    inner: &Inner,
-    object: &mut Option<Version>,
-    record: &Record,
-) -> Result<bool, Error> {
+async fn write(inner: &Inner, object: &mut Held, record: &Record) -> Result<bool, Error> {
+    let is_lost = inner.returned.lock().is_some();
+    if *object == Held::Doubted && read_back(inner, object, record).await? {
+        return Ok(true);
+    }
     let key = inner.key(&record.instance);
     let json = serde_json::to_vec(record).map_err(|e| Error::Object(key.clone(), e.to_string()))?;
-    let when = object.map_or(Condition::Absent, Condition::Match);
+    let when = match *object {
+        Held::At { version, .. } => Condition::Match(version),
+        Held::Nothing | Held::Doubted => Condition::Absent,
+    };
     match inner.store.put(&key, Bytes::from(json), when).await {
         Ok(version) => {
-            *object = Some(version);
+            *object = Held::at(version);
+            if is_lost {
+                inner.stats.rewritten.inc();
+            }
             Ok(true)
         }
         Err(error) if error.is_conflict() || error.may_have_written() => {
@@ -100,13 +105,11 @@
 }
 
 /// Finds out what stands in the store: this record after all, an earlier life, or another's.
-async fn read_back(
-    inner: &Inner,
-    object: &mut Option<Version>,
-    record: &Record,
-) -> Result<bool, Error> {
+async fn read_back(inner: &Inner, object: &mut Held, record: &Record) -> Result<bool, Error> {
     let found = inner.store.get(&inner.key(&record.instance)).await?;
-    *object = found.as_ref().map(|found| found.version);
+    *object = found
+        .as_ref()
+        .map_or(Held::Nothing, |found| Held::at(found.version));
     let Some(found) = found.as_ref().and_then(platform::record) else {
         return Ok(false);
     };
@@ -123,13 +126,13 @@
     let mut object = inner.object.lock().await;
     let key = inner.key(&record.instance);
     let version = match *object {
-        Some(version) => version,
-        None => match inner.store.get(&key).await? {
+        Held::At { version, .. } => version,
+        Held::Nothing | Held::Doubted => match inner.store.get(&key).await? {
             Some(found) if is_own(&found, record) => found.version,
             _ => return Ok(()),
         },
     };
-    *object = None;
+    *object = Held::Nothing;
     match inner.store.delete(&key, Condition::Match(version)).await {
         Err(error) if !error.is_conflict() => Err(error.into()),
         _ => Ok(()),
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -14,6 +14,7 @@
 
 use crate::carry::Carrier;
 use crate::count::Count;
+use crate::era::Held;
 use crate::feed::{Feed, Inner};
 use crate::relay::Passed;
 use crate::stats::Stats;
@@ -174,7 +175,8 @@
             count: Count::default(),
             stats: Stats::default(),
             passed: Mutex::new(Passed::default()),
-            object: tokio::sync::Mutex::new(None),
+            object: tokio::sync::Mutex::new(Held::Nothing),
+            returned: Mutex::default(),
             syncing: tokio::sync::Mutex::new(()),
             repairing: tokio::sync::Mutex::new(()),
             fetch: Mutex::default(),
--- a/crates/feed/src/current.rs
+++ b/crates/feed/src/current.rs
@@ -73,7 +73,7 @@
     /// The version in force; 0 before the first.
     pub fn version(&self) -> Version {
         let rules = self.rules.read();
-        rules.as_ref().map_or(Version(0), |rules| rules.version)
+        rules.as_ref().map_or(Version::NONE, |rules| rules.version)
     }
 
     /// Whether `version` is worth fetching: newer than what is in force, and not yet refused.
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -15,17 +15,18 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
-use unit::{Instance, Version};
+use unit::{Era, Instance, Version};
 
 use crate::builder::{Builder, Pace};
 use crate::carry::{self, Carrier};
 use crate::count::{Count, Flow};
+use crate::era::Held;
 use crate::fetch::Fetch;
 use crate::job::{self, Job};
 use crate::message::{Answer, Kind, Message};
 use crate::relay::Passed;
 use crate::stats::Stats;
-use crate::{Current, Error, announce, fallback, leave, note, pulse, watch};
+use crate::{Current, Error, announce, era, fallback, leave, note, pulse, watch};
 
 /// How long an answer may take.
 pub(crate) const WAIT: Duration = Duration::from_secs(2);
@@ -56,8 +57,10 @@
     pub(crate) count: Count,
     pub(crate) stats: Stats,
     pub(crate) passed: Mutex<Passed>,
-    /// The version of the own object, as far as it is known; held while it is written.
-    pub(crate) object: tokio::sync::Mutex<Option<Version>>,
+    /// The own object, as far as it is known; held while it is written.
+    pub(crate) object: tokio::sync::Mutex<Held>,
+    /// When the store was last known to have come back from an older copy.
+    pub(crate) returned: Mutex<Option<Instant>>,
     /// Held while rosters are compared, which is done with one neighbour at a time.
     pub(crate) syncing: tokio::sync::Mutex<()>,
     /// Held while objects of others are written or deleted.
@@ -74,6 +77,8 @@
 pub struct Dump {
     /// The version of the rules in force.
     pub rules: Version,
+    /// The newest era of the store that is known.
+    pub era: Option<Era>,
     /// Whether this daemon watches the platform for its zone.
     pub watcher: bool,
     /// The calls on the store.
@@ -108,6 +113,7 @@
         tasks.spawn(pulse::beats(self.inner.clone()));
         tasks.spawn(pulse::reviews(self.inner.clone()));
         tasks.spawn(fallback::run(self.inner.clone()));
+        tasks.spawn(era::run(self.inner.clone()));
         loop {
             tokio::select! {
                 Some(job) = queue.recv() => {
@@ -145,7 +151,7 @@
         }
         let merged = self.inner.with(|roster| roster.merge(now, record.clone()));
         self.inner.roster.heard(now, &record.instance);
-        let lacks = self.inner.current.version() == Version(0);
+        let lacks = self.inner.current.version() == Version::NONE;
         if merged != roster::Merge::Old || lacks {
             self.inner.later(Job::Probe(record.instance.clone()));
         }
@@ -179,6 +185,7 @@
     pub fn dump(&self) -> Dump {
         Dump {
             rules: self.inner.current.version(),
+            era: self.inner.store.eras().newest(),
             watcher: self.inner.with(|roster| roster.is_watcher()),
             store: self.inner.meter.count(),
             flows: self.inner.count.flows(),
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -16,9 +16,9 @@
 //!
 //! let current = Current::default();
 //! let text = r#"{ "rules": [{ "name": "all", "then": { "service": "desk" } }] }"#;
-//! current.offer(Version(7), text)?;
-//! assert!(current.offer(Version(8), "{ broken").is_err());
-//! assert_eq!(current.get().map(|rules| rules.version), Some(Version(7)));
+//! current.offer(Version::of(7), text)?;
+//! assert!(current.offer(Version::of(8), "{ broken").is_err());
+//! assert_eq!(current.get().map(|rules| rules.version), Some(Version::of(7)));
 //! # Ok::<(), feed::Error>(())
 //! ```
 
@@ -27,6 +27,7 @@
 mod carry;
 mod count;
 mod current;
+mod era;
 mod error;
 mod fallback;
 mod feed;
--- a/crates/feed/src/note.rs
+++ b/crates/feed/src/note.rs
@@ -11,7 +11,7 @@
 use crate::job::Job;
 use crate::message::{Answer, Message, News, Push};
 use crate::rules::{Arrival, Origin};
-use crate::{Error, fetch, rules, sync};
+use crate::{Error, fetch, pulse, rules, sync};
 
 pub(crate) fn answer(inner: &Inner, from: &Instance, payload: &[u8]) -> Result<Bytes, Error> {
     // Links know their peers by certificate; a name that isn't in the roster has none.
@@ -42,11 +42,13 @@
 fn beaten(inner: &Inner, from: &Instance, beat: &Beat) -> Beat {
     let now = Instant::now();
     fetch::heard(inner, from, beat.rules);
+    pulse::learn(inner, beat);
     let rules = inner.current.version();
+    let era = inner.store.eras().newest();
     inner.with(|roster| {
         // The sender gets our digest with the answer, and compares.
         roster.beaten(now, from, beat);
-        roster.beat(rules)
+        roster.beat(rules, era)
     })
 }
 
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -7,6 +7,7 @@
 use tokio::time::{Instant, sleep};
 use unit::{Instance, Version};
 
+use crate::era::Held;
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::repair::Stale;
@@ -57,7 +58,11 @@
         .iter()
         .find(|record| record.instance == own.instance);
     if let (Some(version), Some(found)) = (version, found) {
-        inner.object.lock().await.get_or_insert(version.version);
+        let mut object = inner.object.lock().await;
+        if *object == Held::Nothing {
+            *object = Held::at(version.version);
+        }
+        drop(object);
         if found.same_place(&own) && found.state == State::Live {
             inner.with(|roster| roster.written(&own));
         }
@@ -167,7 +172,7 @@
     drop(rules::offer(inner, arrival, text, None));
 }
 
-fn name(inner: &Inner, key: &str) -> Option<Instance> {
+pub(crate) fn name(inner: &Inner, key: &str) -> Option<Instance> {
     key.strip_prefix(&inner.prefix)?.parse().ok()
 }
 
--- a/crates/feed/src/pulse.rs
+++ b/crates/feed/src/pulse.rs
@@ -70,13 +70,21 @@
 
 async fn beat(inner: &Inner, to: &Instance) -> Result<Beat, Error> {
     let rules = inner.current.version();
-    let beat = inner.with(|roster| roster.beat(rules));
+    let era = inner.store.eras().newest();
+    let beat = inner.with(|roster| roster.beat(rules, era));
     match inner.ask(to, &Message::Beat(beat)).await? {
         Answer::Beat(theirs) => Ok(theirs),
         _ => Err(carry::improper(to)),
     }
 }
 
+/// Takes in the era of the store that a beat names.
+pub(crate) fn learn(inner: &Inner, beat: &Beat) {
+    if let Some(era) = beat.era {
+        inner.store.eras().learn(era);
+    }
+}
+
 /// Follows up what the answer to a beat says.
 ///
 /// A live instance that was removed by mistake learns of it here: the digests differ, and the
@@ -85,6 +93,7 @@
     let now = Instant::now();
     let differs = inner.with(|roster| roster.beaten(now, from, theirs));
     fetch::heard(inner, from, theirs.rules);
+    learn(inner, theirs);
     if differs {
         inner.later(Job::Sync(from.clone(), theirs.total));
     }
--- a/crates/feed/src/repair.rs
+++ b/crates/feed/src/repair.rs
@@ -8,8 +8,8 @@
 use tokio::time::sleep;
 use unit::Version;
 
-use crate::Error;
 use crate::feed::Inner;
+use crate::{Error, era, platform};
 
 /// The time between two writes for others: at most 6 a second from the three watchers of a zone.
 const GAP: Duration = Duration::from_millis(500);
@@ -46,6 +46,13 @@
     held.is_some_and(|held| held == *record && held.state == State::Live)
 }
 
+/// Whether the instance of an object is still held for gone.
+fn is_gone(inner: &Inner, key: &str) -> bool {
+    let name = platform::name(inner, key);
+    let held = name.and_then(|name| inner.with(|roster| roster.get(&name).cloned()));
+    held.is_some_and(|held| held.state == State::Gone)
+}
+
 async fn create(inner: &Inner, record: &Record) -> Result<(), Error> {
     let key = inner.key(&record.instance);
     let json = serde_json::to_vec(record).map_err(|e| Error::Object(key.clone(), e.to_string()))?;
@@ -60,9 +67,13 @@
 
 /// Deletes objects of instances that are gone, if they are still as they were found.
 pub(crate) async fn sweep(inner: &Inner, stale: Vec<Stale>) {
+    era::settled(inner).await;
     sleep(inner.jitter(SPREAD)).await;
     let _repairing = inner.repairing.lock().await;
     for Stale { key, version } in stale {
+        if !is_gone(inner, &key) {
+            continue;
+        }
         let deleted = inner.store.delete(&key, Condition::Match(version)).await;
         if let Err(error) = deleted
             && !error.is_conflict()
--- a/crates/feed/src/rules.rs
+++ b/crates/feed/src/rules.rs
@@ -51,7 +51,7 @@
     let Arrival {
         version, origin, ..
     } = arrival;
-    let first = inner.current.version() == Version(0);
+    let first = inner.current.version() == Version::NONE;
     let began = Instant::now();
     let offer = inner.current.offer_packed(version, text, whole)?;
     if offer == Offer::Taken {
@@ -110,6 +110,11 @@
 /// for its former life until its announcement has come round, and its next beat is 5 s away.
 const PUSH_AGAIN: [Duration; 2] = [Duration::from_secs(1), Duration::from_millis(1_500)];
 
+/// Orders the tree for a version.
+fn seed(version: Version) -> u64 {
+    version.era.0.rotate_left(u64::BITS / 2) ^ version.revision
+}
+
 /// Passes the rules in force on to the children, to those that don't take them again.
 pub(crate) async fn push(inner: &Inner, version: Version) {
     let Some(rules) = inner.current.get() else {
@@ -122,14 +127,14 @@
     let whole = rules.whole();
     let packed = whole.map(|whole| whole.packed);
     let text = packed.filter(|packed| packed.bytes().len() <= SHORT);
-    let children = relay::children(inner, version.0);
+    let children = relay::children(inner, seed(version));
     let message = Message::Rules(Push { version, text });
-    let mut missing = relay::deliver(inner, version.0, message.clone(), children).await;
+    let mut missing = relay::deliver(inner, seed(version), message.clone(), children).await;
     for pause in PUSH_AGAIN {
         if missing.is_empty() || inner.current.version() != version {
             return;
         }
         sleep(pause).await;
-        missing = relay::deliver(inner, version.0, message.clone(), missing).await;
+        missing = relay::deliver(inner, seed(version), message.clone(), missing).await;
     }
 }
--- a/crates/feed/src/stats.rs
+++ b/crates/feed/src/stats.rs
@@ -12,6 +12,10 @@
     pub fetches_failed: Counter,
     /// Seconds that it took to read rules before they were in force.
     pub read: Histogram,
+    /// Times that the store has come back from an older copy.
+    pub returns: Counter,
+    /// Own entries that were written again after that.
+    pub rewritten: Counter,
 }
 
 /// Times from a millisecond to 8 s, doubled from bucket to bucket.
@@ -25,6 +29,8 @@
             fetched: times(),
             fetches_failed: Counter::default(),
             read: times(),
+            returns: Counter::default(),
+            rewritten: Counter::default(),
         }
     }
 }
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -30,6 +30,9 @@
 /// How often a newcomer that still knows nobody lists again.
 const SETTLES: u32 = 3;
 
+/// Over what time watchers read again when the store has come back from an older copy.
+const RETURN_SPREAD: Duration = Duration::from_millis(200);
+
 /// What a watcher watches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Part {
@@ -88,7 +91,7 @@
         if let Err(error) = listed {
             log::warn!("feed: {error}. The others are not all known yet.");
         }
-        if inner.current.version() == Version(0) {
+        if inner.current.version() == Version::NONE {
             first_rules(inner).await;
         }
         if inner.with(|roster| roster.peers().next().is_some()) {
@@ -128,7 +131,12 @@
         Part::Rules => platform::rules_at(inner).await?,
     };
     log::info!("feed: watches {part:?} on the platform from {since}.");
+    let era = inner.store.eras().newest();
     tokio::select! {
+        _ = inner.store.eras().after(era) => {
+            sleep(inner.jitter(RETURN_SPREAD)).await;
+            Ok(())
+        }
         result = follow(inner, part, since, backoff) => result,
         () = relieved(inner, part) => {
             log::info!("feed: others watch {part:?} on the platform.");
--- a/crates/feed/tests/it/bulk.rs
+++ b/crates/feed/tests/it/bulk.rs
@@ -16,7 +16,7 @@
 /// Daemons that have settled, and can send at [`THIN`] each from then on.
 async fn fleet(count: usize) -> World {
     let world = World::on(Mode::Greeting, count, 4).await;
-    let whole = || world.is_whole() && world.nodes.iter().all(|node| node.rules() > Version(0));
+    let whole = || world.is_whole() && world.nodes.iter().all(|node| node.rules() > Version::NONE);
     world.until(20, whole).await.expect("all know all");
     sleep(Duration::from_secs(10)).await;
     world.net.limit(THIN);
--- a/crates/feed/tests/it/fault.rs
+++ b/crates/feed/tests/it/fault.rs
@@ -91,13 +91,13 @@
     world.add(31);
     let begin = world.platform.count_of("desk-31").total();
     sleep(Duration::from_secs(300)).await;
-    assert_eq!(world.nodes[31].rules(), Version(0));
+    assert_eq!(world.nodes[31].rules(), Version::NONE);
     let tries = world.platform.count_of("desk-31").total() - begin;
     assert!((30..250).contains(&tries), "{tries} calls in 300 s");
     world.platform.fault().down(false);
     let came = world.until(30, || {
         let all = world.nodes.iter().all(|node| node.live() == 32);
-        all && world.nodes[31].rules() > Version(0)
+        all && world.nodes[31].rules() > Version::NONE
     });
     came.await.unwrap();
 }
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod bulk;
 mod cost;
+mod era;
 mod fault;
 mod parted;
 mod spread;
--- a/crates/roster/examples/size.rs
+++ b/crates/roster/examples/size.rs
@@ -110,7 +110,7 @@
         held.review(now)
     });
     let relay = time(|| held.relay(7, &records[0].instance));
-    let listing = time(|| held.apply_listing(now, &records, Version(life)));
+    let listing = time(|| held.apply_listing(now, &records, Version::of(life)));
     let core = time(|| held.live(&records[0].service));
     let shared = Shared::new(held);
     let view = time(|| {
@@ -160,7 +160,7 @@
         encoded(&sent),
         encoded(&back),
     );
-    let beat = encoded(&ours.beat(Version(2_500)));
+    let beat = encoded(&ours.beat(Version::of(2_500), None));
     let dump = ours.dump(now);
     let cost = beat::cost(
         Policy::default().beat(),
--- a/crates/roster/src/beat.rs
+++ b/crates/roster/src/beat.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
-use unit::{Incarnation, Instance, Rate, Version};
+use unit::{Era, Incarnation, Instance, Rate, Version};
 
 use crate::roster::Roster;
 
@@ -35,6 +35,8 @@
     pub total: u64,
     /// The version of the rules that the sender has in force.
     pub rules: Version,
+    /// The newest era of the store that the sender knows.
+    pub era: Option<Era>,
 }
 
 /// What heartbeats cost one daemon.
@@ -69,12 +71,13 @@
         now + early + self.jitter(period / JITTER * 2)
     }
 
-    /// What to say in a beat, with the rules' version in force here.
-    pub fn beat(&self, rules: Version) -> Beat {
+    /// What to say in a beat, with the rules' version in force here and the store's era.
+    pub fn beat(&self, rules: Version, era: Option<Era>) -> Beat {
         Beat {
             incarnation: self.own.record().incarnation,
             total: self.summary.total(),
             rules,
+            era,
         }
     }
 
--- a/crates/roster/src/listing.rs
+++ b/crates/roster/src/listing.rs
@@ -107,7 +107,7 @@
     /// Moves to the revision of a listing or change, which may also have gone back.
     fn advance(&mut self, revision: Version) -> Step {
         match self.allowance.revision.replace(revision) {
-            Some(before) if revision < before => Step::Back,
+            Some(before) if revision < before || revision.era != before.era => Step::Back,
             Some(before) if revision == before => Step::Same,
             _ => Step::Newer,
         }
--- a/crates/roster/src/own.rs
+++ b/crates/roster/src/own.rs
@@ -15,6 +15,10 @@
 /// writes at once would take the platform's whole rate; over 30 s they are 23 a second.
 const SPREAD: Duration = Duration::from_secs(30);
 
+/// Over what time the entries are looked up and written again when the platform has come back from an
+/// older copy. 1,800 instances so make 1,200 calls a second.
+const RETURN_SPREAD: Duration = Duration::from_millis(1_500);
+
 /// The own record, and to whom it still has to go.
 #[derive(Debug)]
 pub(crate) struct Own {
@@ -162,6 +166,14 @@
         self.place(now, record);
     }
 
+    /// Notes that the platform has come back from an older copy, which may lack the own object.
+    pub fn store_returned(&mut self, now: Instant) {
+        let spread = self.rng.random_range(Duration::ZERO..RETURN_SPREAD);
+        let due = now + spread;
+        let write = self.own.write.map_or(due, |write| write.min(due));
+        self.own.write = Some(write);
+    }
+
     /// Notes that the platform has lost the own object, which has to be written again.
     pub(crate) fn rewrite(&mut self, now: Instant) {
         let spread = self.rng.random_range(Duration::ZERO..SPREAD);
--- a/crates/roster/src/roster.rs
+++ b/crates/roster/src/roster.rs
@@ -128,7 +128,7 @@
 
     /// Rises whenever a reader of records or targets could notice a change.
     pub fn version(&self) -> Version {
-        Version(self.version)
+        Version::of(self.version)
     }
 
     /// Rises whenever who exists where has changed.
--- a/crates/roster/src/shared.rs
+++ b/crates/roster/src/shared.rs
@@ -81,7 +81,7 @@
 
     /// The roster's version as last published.
     pub fn version(&self) -> Version {
-        Version(self.version.load(Ordering::Acquire))
+        Version::of(self.version.load(Ordering::Acquire))
     }
 
     fn take_hearings(&self, roster: &mut Roster) {
@@ -99,6 +99,7 @@
             let mut views = self.views[shard(service.as_str())].write();
             views.insert(service, targets);
         }
-        self.version.store(roster.version().0, Ordering::Release);
+        self.version
+            .store(roster.version().revision, Ordering::Release);
     }
 }
--- a/crates/roster/tests/it/listing.rs
+++ b/crates/roster/tests/it/listing.rs
@@ -12,7 +12,7 @@
 fn listed(now: Instant) -> (Roster, Vec<Record>) {
     let all = records(&ZONES, 100);
     let mut roster = roster(now, &all[0], &all);
-    roster.apply_listing(now, &all, Version(100));
+    roster.apply_listing(now, &all, Version::of(100));
     for record in &all[1..100] {
         roster.heard(now, &record.instance);
     }
@@ -27,7 +27,7 @@
     for left in [0, 3] {
         let now = Instant::now() + SECOND;
         let (mut roster, all) = listed(now);
-        let listing = roster.apply_listing(now, &all[..left], Version(101));
+        let listing = roster.apply_listing(now, &all[..left], Version::of(101));
         assert_eq!(listing.news, []);
         assert_eq!(listing.restore.len(), 100 - left.max(1));
         assert_eq!(roster.live(&all[0].service).len(), 200);
@@ -44,10 +44,10 @@
     let now = Instant::now();
     let (mut roster, all) = listed(now);
     let older = [&all[5..150], &all[155..]].concat();
-    let back = roster.apply_listing(now, &older, Version(40));
+    let back = roster.apply_listing(now, &older, Version::of(40));
     assert_eq!((back.news.len(), back.restore.len()), (0, 4));
     assert!(roster.write(now + SECOND * 30).is_some());
-    let passed = roster.apply_listing(now + SECOND * 30, &older, Version(101));
+    let passed = roster.apply_listing(now + SECOND * 30, &older, Version::of(101));
     assert_eq!(passed.news, []);
     assert_eq!(roster.live(&all[0].service).len(), 200);
 }
@@ -58,16 +58,16 @@
 fn a_few_deleted_objects_remove_the_silent() {
     let now = Instant::now();
     let (mut roster, all) = listed(now);
-    let deleted = roster.apply_deleted(now, &all[150].instance, Version(101));
+    let deleted = roster.apply_deleted(now, &all[150].instance, Version::of(101));
     assert_eq!(deleted.news.len(), 1);
-    let kept = roster.apply_deleted(now, &all[50].instance, Version(102));
+    let kept = roster.apply_deleted(now, &all[50].instance, Version::of(102));
     assert_eq!(
         (kept.news.len(), kept.held.len(), kept.restore.len()),
         (0, 1, 1)
     );
     let mut removed = 1;
     for (number, record) in all[151..].iter().enumerate() {
-        let revision = Version(103 + number as u64);
+        let revision = Version::of(103 + number as u64);
         removed += roster
             .apply_deleted(now, &record.instance, revision)
             .news
@@ -88,7 +88,9 @@
     };
     roster.merge(now, next.clone());
     assert_eq!(
-        roster.apply_deleted(now, &next.instance, Version(101)).news,
+        roster
+            .apply_deleted(now, &next.instance, Version::of(101))
+            .news,
         []
     );
     assert_eq!(roster.get(&next.instance), Some(&next));
@@ -97,9 +99,12 @@
         .filter(|r| r.instance != next.instance)
         .cloned()
         .collect();
-    assert_eq!(roster.apply_listing(now, &lacking, Version(102)).news, []);
-    roster.apply_written(now, &next, Version(103));
-    let removed = roster.apply_listing(now, &lacking, Version(104)).news;
+    assert_eq!(
+        roster.apply_listing(now, &lacking, Version::of(102)).news,
+        []
+    );
+    roster.apply_written(now, &next, Version::of(103));
+    let removed = roster.apply_listing(now, &lacking, Version::of(104)).news;
     assert_eq!(
         removed,
         [Record {
@@ -124,10 +129,10 @@
             },
         );
     }
-    let listing = roster.apply_listing(now, &all, Version(101));
+    let listing = roster.apply_listing(now, &all, Version::of(101));
     assert_eq!(listing.stale, [all[50].clone()]);
     assert_eq!(listing.news, []);
     let newcomer = record("sorel", 100);
-    let listing = roster.apply_written(now, &newcomer, Version(102));
+    let listing = roster.apply_written(now, &newcomer, Version::of(102));
     assert_eq!(listing.news, [newcomer]);
 }
--- a/crates/roster/tests/it/world.rs
+++ b/crates/roster/tests/it/world.rs
@@ -148,7 +148,7 @@
             return;
         };
         let sender = self.rosters.get_mut(from).expect("a roster");
-        if receiver.beaten(self.now, from, &sender.beat(Version(0))) {
+        if receiver.beaten(self.now, from, &sender.beat(Version::NONE, None)) {
             for bucket in receiver.missing(sender.summary()) {
                 let back = receiver.exchange(self.now, bucket, sender.bucket(bucket));
                 sender.exchange(self.now, bucket, back.reply);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -276,7 +276,7 @@
     let mut broken = Vec::new();
     for (index, operator) in operators.iter().enumerate() {
         let version = version(client, *operator).await.unwrap_or(0);
-        if version < stored.version.0 {
+        if version < stored.version.revision {
             broken.push(Broken::Spread(index, version));
         }
     }
--- a/crates/standin/src/memory.rs
+++ b/crates/standin/src/memory.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use store::{Change, Condition, Deletion, Kind, Listing, Object};
-use unit::Version;
+use unit::{Era, Version};
 
 /// The objects; it does no waiting and knows no faults.
 #[derive(Debug, Clone)]
@@ -27,10 +27,10 @@
     pub(crate) fn new(log_length: usize) -> Memory {
         Memory {
             objects: BTreeMap::new(),
-            revision: Version(0),
+            revision: Version::NONE,
             log: VecDeque::new(),
             log_length,
-            compacted: Version(0),
+            compacted: Version::NONE,
         }
     }
 
@@ -80,7 +80,8 @@
     ///
     /// A revision that we have not reached comes from before a restart; it counts as compacted.
     pub(crate) fn since(&self, prefix: &str, since: Version) -> Result<Change, Kind> {
-        if since < self.compacted || since > self.revision {
+        let is_of_this_era = since.era == self.revision.era;
+        if !is_of_this_era || since < self.compacted || since > self.revision {
             return Err(Kind::Compacted);
         }
         let newer = self.log.iter().rev();
@@ -105,6 +106,19 @@
         Ok(change)
     }
 
+    /// Goes on from what the store held earlier, in an era that was never there. What was written in
+    /// that time is gone, and its revisions are given out again.
+    pub(crate) fn restore(&mut self, copy: Memory) {
+        let era = Era(self.revision.era.0 + 1);
+        let revision = Version::in_era(era, copy.revision.revision);
+        *self = Memory {
+            revision,
+            compacted: revision,
+            log: VecDeque::new(),
+            ..copy
+        };
+    }
+
     fn check(&self, key: &str, when: Condition) -> Result<(), Kind> {
         let current = self.objects.get(key).map(|object| object.version);
         let holds = match when {
@@ -119,7 +133,7 @@
     }
 
     fn advance(&mut self, key: &str) -> Version {
-        self.revision = Version(self.revision.0 + 1);
+        self.revision = Version::in_era(self.revision.era, self.revision.revision + 1);
         self.log.push_back(Entry {
             key: key.to_string(),
             version: self.revision,
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -9,7 +9,7 @@
 use store::{Change, Condition, Consistency, Count, Kind, Listing, MAX_VALUE, Object, Step, Store};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout_at};
-use unit::{Size, Version};
+use unit::{Era, Size, Version};
 
 use crate::fault::{Fate, Fault};
 use crate::link::{self, Link};
@@ -39,6 +39,10 @@
     copy: Mutex<Option<(Instant, Memory)>>,
 }
 
+/// What a platform held at some time.
+#[derive(Debug, Clone)]
+pub struct Copy(Memory);
+
 #[derive(Clone)]
 struct Client {
     fault: Fault,
@@ -86,7 +90,7 @@
         Platform {
             inner: Arc::new(Inner {
                 memory: Mutex::new(Memory::new(self.log_length)),
-                moved: watch::Sender::new(Version(0)),
+                moved: watch::Sender::new(Version::NONE),
                 fault,
                 count: Mutex::new(Count::default()),
                 clients: Mutex::new(BTreeMap::new()),
@@ -119,6 +123,26 @@
         link::store(&self.link(name), self.inner.timeout)
     }
 
+    /// The era of the platform.
+    pub fn era(&self) -> Era {
+        self.inner.memory.lock().revision().era
+    }
+
+    /// What the platform holds now, to go back to.
+    pub fn copy(&self) -> Copy {
+        Copy(self.inner.memory.lock().clone())
+    }
+
+    /// Comes back from an older copy: a new era begins, and what was written since is gone.
+    ///
+    /// Calls that have taken effect, and wait for their answers, are answered in the former era. Watches
+    /// that wait end as their history is gone.
+    pub fn restore(&self, copy: Copy) {
+        self.inner.memory.lock().restore(copy.0);
+        *self.inner.copy.lock() = None;
+        self.announce();
+    }
+
     /// The faults of the whole platform.
     pub fn fault(&self) -> Fault {
         self.inner.fault.clone()
@@ -145,6 +169,7 @@
             platform: self.clone(),
             faults: [self.fault(), client.fault],
             count: client.count,
+            era: Arc::default(),
         }
     }
 
@@ -276,7 +301,7 @@
     fn read<T>(&self, consistency: Consistency, with: impl FnOnce(&Memory) -> T) -> T {
         let inner = &self.platform.inner;
         if consistency == Consistency::Linearizable {
-            return with(&inner.memory.lock());
+            return self.memory(|memory| with(memory));
         }
         self.counts(|count| count.serializable += 1);
         let now = Instant::now();
@@ -284,13 +309,16 @@
         let held = copy.take();
         let held = held.filter(|(at, _)| now.saturating_duration_since(*at) < inner.lag);
         let held = held.unwrap_or_else(|| (now, inner.memory.lock().clone()));
+        *self.era.lock() = Some(inner.memory.lock().revision().era);
         let result = with(&held.1);
         *copy = Some(held);
         result
     }
 
     fn memory<T>(&self, with: impl FnOnce(&mut Memory) -> T) -> T {
-        with(&mut self.platform.inner.memory.lock())
+        let mut memory = self.platform.inner.memory.lock();
+        *self.era.lock() = Some(memory.revision().era);
+        with(&mut memory)
     }
 
     fn counts(&self, with: impl Fn(&mut Count)) {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -14,7 +14,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use store::http::text;
+use store::http::{ERA, text};
 use store::{Condition, Consistency, Kind, MAX_VALUE, Step, check_key};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
@@ -125,6 +125,7 @@
         return Ok(empty(StatusCode::PAYLOAD_TOO_LARGE));
     };
     let link = platform.link(name(&head.headers));
+    let era = link.era.clone();
     let path = head.uri.path();
     let query = Query(head.uri.query().unwrap_or_default());
     let result = if head.method == Method::GET && path == LIST_PATH {
@@ -134,7 +135,10 @@
     } else {
         object(link, &head.method, path, &head.headers, body.to_bytes()).await
     };
-    result.or_else(failed)
+    let mut response = result.or_else(failed)?;
+    let era = era.lock().unwrap_or_else(|| platform.era());
+    response.headers_mut().insert(ERA, era.0.into());
+    Ok(response)
 }
 
 async fn list(link: &Link, query: Query<'_>) -> Result<Response<Full<Bytes>>, Kind> {
@@ -146,7 +150,7 @@
 }
 
 async fn watch(link: &Link, query: Query<'_>) -> Result<Response<Full<Bytes>>, Kind> {
-    let since = Version(query.number("since")?);
+    let since = query.version("since")?;
     let wait = Duration::from_millis(query.number("wait_ms")?);
     let change = link.watch(query.prefix()?, since, wait).await?;
     let body = text::change(&change);
@@ -195,6 +199,7 @@
         Kind::TooLarge(..) => Ok(empty(StatusCode::PAYLOAD_TOO_LARGE)),
         Kind::Garbled(_) | Kind::Key(_) => Ok(empty(StatusCode::BAD_REQUEST)),
         Kind::Lost(cause) => Err(io::Error::other(cause)),
+        former @ Kind::Former(..) => Err(io::Error::other(former.to_string())),
     }
 }
 
@@ -250,6 +255,11 @@
         Ok(prefix)
     }
 
+    fn version(self, name: &str) -> Result<Version, Kind> {
+        let version = self.find(name).and_then(|text| text.parse().ok());
+        version.ok_or_else(|| Kind::Garbled(format!("{name} is no version")))
+    }
+
     fn number(self, name: &str) -> Result<u64, Kind> {
         let number = self.find(name).and_then(|text| text.parse().ok());
         number.ok_or_else(|| Kind::Garbled(format!("{name} is no number")))
--- a/crates/store/src/api.rs
+++ b/crates/store/src/api.rs
@@ -8,7 +8,7 @@
 use unit::{Size, Version};
 
 use crate::{
-    Change, Condition, Consistency, Error, Kind, Listing, MAX_VALUE, Object, Step, check_key,
+    Change, Condition, Consistency, Eras, Error, Kind, Listing, MAX_VALUE, Object, Step, check_key,
 };
 
 /// The future that a closure of [`Calls`] answers.
@@ -38,6 +38,7 @@
 #[derive(Clone)]
 pub struct Store {
     calls: Arc<Calls>,
+    eras: Eras,
 }
 
 /// What the errors of this module name as the peer, since nothing was sent.
@@ -45,13 +46,24 @@
 
 impl From<Calls> for Store {
     fn from(calls: Calls) -> Store {
+        Store::with_eras(calls, Eras::default())
+    }
+}
+
+impl Store {
+    /// A store whose calls take the eras that they meet into `eras`.
+    pub fn with_eras(calls: Calls, eras: Eras) -> Store {
         Store {
             calls: Arc::new(calls),
+            eras,
         }
     }
-}
 
-impl Store {
+    /// The eras of the store, as far as they are known here.
+    pub fn eras(&self) -> &Eras {
+        &self.eras
+    }
+
     /// Reads one object; `None` when there is none of this key.
     ///
     /// # Errors
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use quick_error::quick_error;
-use unit::{Size, Version};
+use unit::{Era, Size, Version};
 
 /// The kinds of calls, which are also the steps at which errors arise.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
@@ -65,6 +65,11 @@
         Compacted {
             display("the changes since that revision are gone")
         }
+        /// The answer is of an era of the store that has ended, or of one that began after the call was
+        /// sent, in which a condition may have met another content.
+        Former(era: Era, newest: Era) {
+            display("of era {era} of the store, which is in era {newest}")
+        }
         /// The answer does not follow the platform's API.
         Garbled(cause: String) {
             display("garbled answer: {cause}")
@@ -110,7 +115,10 @@
     ///
     /// A garbled answer counts: whoever gave it may have done the write.
     pub fn may_have_written(&self) -> bool {
-        let open = matches!(self.kind, Kind::Lost(_) | Kind::Garbled(_));
+        let open = matches!(
+            self.kind,
+            Kind::Lost(_) | Kind::Garbled(_) | Kind::Former(..)
+        );
         self.step.is_write() && open
     }
 
--- a/crates/store/src/http/answer.rs
+++ b/crates/store/src/http/answer.rs
@@ -2,10 +2,13 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode, header};
-use unit::Version;
+use unit::{Era, Version};
 
 use crate::{Kind, Object};
 
+/// Names the era of the store in each answer.
+pub const ERA: &str = "era";
+
 /// Reads `"17"` as version 17.
 pub(crate) fn version(headers: &HeaderMap) -> Option<Version> {
     let text = headers.get(header::ETAG)?.to_str().ok()?;
@@ -18,6 +21,16 @@
     version(response.headers()).ok_or_else(cause)
 }
 
+/// Reads the era that an answer names. One that is no number is logged, and says nothing.
+pub(crate) fn era(headers: &HeaderMap) -> Option<Era> {
+    let value = headers.get(ERA)?;
+    let era = value.to_str().ok().and_then(|text| text.parse().ok());
+    if era.is_none() {
+        log::warn!("store: an answer names the era {value:?}: expected a number.");
+    }
+    era
+}
+
 /// The statuses that mean the same for all calls.
 fn failed(response: &Response<Bytes>) -> Kind {
     let status = response.status();
--- a/crates/store/src/http/client.rs
+++ b/crates/store/src/http/client.rs
@@ -13,7 +13,7 @@
 
 use super::peer::{Failure, Peer};
 use super::{answer, text};
-use crate::{Calls, Change, Condition, Error, Kind, Listing, Object, Step, Store};
+use crate::{Calls, Change, Condition, Eras, Error, Kind, Listing, Object, Step, Store};
 
 const TIMEOUT: Duration = Duration::from_secs(1);
 const CONNECT: Duration = Duration::from_millis(300);
@@ -25,6 +25,7 @@
     turn: AtomicUsize,
     timeout: Duration,
     agent: String,
+    eras: Eras,
 }
 
 /// The settings of a [`Client`].
@@ -98,6 +99,7 @@
             turn: AtomicUsize::new(0),
             timeout: self.timeout,
             agent: self.agent,
+            eras: Eras::default(),
         });
         store(&client)
     }
@@ -106,7 +108,7 @@
 fn store(client: &Arc<Client>) -> Store {
     let (get, put, delete) = (client.clone(), client.clone(), client.clone());
     let (list, watch) = (client.clone(), client.clone());
-    Store::from(Calls {
+    let calls = Calls {
         get: Box::new(move |key, _| {
             let client = get.clone();
             Box::pin(async move { client.get(&key).await })
@@ -127,7 +129,8 @@
             let client = watch.clone();
             Box::pin(async move { client.watch(&prefix, since, wait).await })
         }),
-    })
+    };
+    Store::with_eras(calls, client.eras.clone())
 }
 
 /// What a call is, apart from the peer that it goes to.
@@ -204,8 +207,13 @@
             let name = peer.address.to_string();
             let request = self.request(&call, &name);
             let request = request.map_err(|kind| Error::new(step, &name, kind))?;
+            let sent = self.eras.sent(step);
             let kind = match peer.send(request, call.limit).await {
-                Ok(response) => return Ok(Reply::new(step, name, response)),
+                Ok(response) => {
+                    let judged = sent.answered(answer::era(response.headers()));
+                    judged.map_err(|kind| Error::new(step, &name, kind))?;
+                    return Ok(Reply::new(step, name, response));
+                }
                 Err(Failure::Unsent(cause)) => Kind::NotWritten(cause),
                 Err(Failure::Cut(cause)) => Kind::Lost(cause),
             };
--- a/crates/store/src/http/mod.rs
+++ b/crates/store/src/http/mod.rs
@@ -8,6 +8,9 @@
 //! | list | `GET /objects?prefix=P` | 200 with [`text`] and the revision as `ETag` |
 //! | watch | `GET /watch?prefix=P&since=R&wait_ms=W` | 200 with [`text`]; 410 when compacted |
 //!
+//! Each answer names the store's era in the header [`ERA`]. A version of an era above 0 is written
+//! `"ERA.REVISION"`, and an object keeps that in which it was written.
+//!
 //! 429 and 503 say that nothing was done. Any other status counts as a garbled answer.
 
 mod answer;
@@ -15,5 +18,6 @@
 mod peer;
 pub mod text;
 
+pub use answer::ERA;
 pub use client::{Builder, Client};
 pub use peer::{Failure, Peer};
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -24,6 +24,7 @@
 mod api;
 mod backoff;
 mod bucket;
+mod era;
 mod error;
 pub mod http;
 mod meter;
@@ -32,6 +33,7 @@
 pub use api::{Boxed, Calls, Store};
 pub use backoff::Backoff;
 pub use bucket::Bucket;
+pub use era::{Eras, Sent};
 pub use error::{Error, Kind, Step};
 pub use meter::{Count, Meter};
 pub use object::{
--- a/crates/store/src/meter.rs
+++ b/crates/store/src/meter.rs
@@ -92,7 +92,7 @@
         let (list, watch) = (store.clone(), store.clone());
         let meters = [(); 5].map(|()| self.clone());
         let [for_get, for_put, for_delete, for_list, for_watch] = meters;
-        Store::from(Calls {
+        let calls = Calls {
             get: Box::new(move |key, consistency| {
                 let store = get.clone();
                 let what = key.clone();
@@ -126,7 +126,8 @@
                     store.watch(&prefix, since, wait).await
                 })
             }),
-        })
+        };
+        Store::with_eras(calls, store.eras().clone())
     }
 
     /// Makes a call if the budget allows it, and logs it: each is priced, and each may be why a daemon
--- a/crates/store/tests/store/budget.rs
+++ b/crates/store/tests/store/budget.rs
@@ -39,7 +39,7 @@
         .map(|_| {
             let store = store.clone();
             let wait = Duration::from_secs(60);
-            tokio::spawn(async move { store.watch("a", Version(0), wait).await })
+            tokio::spawn(async move { store.watch("a", Version::NONE, wait).await })
         })
         .collect();
     sleep(Duration::from_millis(1)).await;
--- a/crates/store/tests/store/http.rs
+++ b/crates/store/tests/store/http.rs
@@ -115,10 +115,10 @@
     for _ in 0..5 {
         put(&store, "a", "1").await;
     }
-    let error = store.watch("a", Version(1), SHORT).await.unwrap_err();
+    let error = store.watch("a", Version::of(1), SHORT).await.unwrap_err();
     assert!(error.is_compacted());
-    let change = store.watch("a", Version(2), SHORT).await.unwrap();
-    assert_eq!(change.changed[0].version, Version(5));
+    let change = store.watch("a", Version::of(2), SHORT).await.unwrap();
+    assert_eq!(change.changed[0].version, Version::of(5));
 }
 
 #[tokio::test]
@@ -234,10 +234,10 @@
     let handle = start(&platform).await;
     let store = client(&handle).timeout(SHORT).open();
     platform.fault().drop_watches(true);
-    let error = store.watch("a", Version(0), SHORT).await.unwrap_err();
+    let error = store.watch("a", Version::NONE, SHORT).await.unwrap_err();
     assert!(matches!(error.kind, Kind::Lost(_)), "{error}");
     platform.fault().drop_watches(false);
     put(&store, "a", "1").await;
-    let change = store.watch("a", Version(0), SHORT).await.unwrap();
+    let change = store.watch("a", Version::NONE, SHORT).await.unwrap();
     assert_eq!(change.changed.len(), 1);
 }
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -24,14 +24,16 @@
 mod size;
 mod span;
 mod urgency;
+mod version;
 
 pub use cause::Cause;
 pub use decimal::Decimal;
 pub use error::Error;
 pub use name::{Caller, Instance, Member, Service, Zone};
-pub use number::{Depth, Digest, Fingerprint, Incarnation, Token, Version};
+pub use number::{Depth, Digest, Fingerprint, Incarnation, Token};
 pub use outcome::Outcome;
 pub use report::Report;
 pub use size::{Rate, Size};
 pub use span::Span;
 pub use urgency::Urgency;
+pub use version::{Era, Version};
--- a/crates/unit/src/number.rs
+++ b/crates/unit/src/number.rs
@@ -31,24 +31,6 @@
 )]
 pub struct Incarnation(pub u64);
 
-/// The version of a stored object or of the rules; it only rises.
-#[derive(
-    Debug,
-    Clone,
-    Copy,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    derive_more::Display,
-    derive_more::FromStr,
-)]
-pub struct Version(pub u64);
-
 /// How many calls deep a nested call is; a caller's own request has depth 0.
 #[derive(
     Debug,
