Write claims again that the store has lost with an older copy

A claim that was confirmed and lost with the copy was granted again, and its request could run twice; a release that was lost made its key dead; segments of the former era stood in the index for those sealed anew.

The owner of a shard remembers its writes of the last minute. In a new era it loads the head, adds what the head lacks before anything is answered from it, and writes that without being asked. A claim whose owner dies in the same seconds stays lost: nobody knows of it.

Tests, ledger/tests/ledger/era.rs: three of four failed before (1: Granted; 60: Granted; a released key: Running), the fourth passed by the head in memory.

--- a/crates/ledger/src/build.rs
+++ b/crates/ledger/src/build.rs
@@ -7,6 +7,7 @@
 
 use crate::ask::{Ask, Note, Probed, Verdict, Want, What};
 use crate::claim::{Claimed, Moment, Record, body_part};
+use crate::recent::Replay;
 use crate::shard::{Flight, Known, Shard, Turn};
 use crate::slot::{Piece, fold};
 
@@ -34,6 +35,7 @@
     ) -> Option<Flight> {
         let mut known = self.known.take()?;
         self.keep_house(&mut known, moment);
+        let replay = self.replay(&mut known);
         let notes = self.take_notes(&mut known, moment);
         let mut batch = Batch::default();
         let mut queue = std::mem::take(&mut self.queue);
@@ -45,7 +47,7 @@
         }
         batch.later.append(&mut queue);
         self.queue = batch.later;
-        let empty = batch.asks.is_empty() && notes.is_empty();
+        let empty = batch.asks.is_empty() && notes.is_empty() && replay == Replay::Nothing;
         // An answer from an old state needs the store's word first. A batch gives it as well.
         self.reload = empty && batch.stale;
         let bytes = known.head.encode();
@@ -61,9 +63,23 @@
             bytes: bytes?,
             when,
             open: false,
+            moment,
+            replays: replay == Replay::All,
         })
     }
 
+    /// Adds what the store has lost, before anything is answered from the head.
+    fn replay(&mut self, known: &mut Known) -> Replay {
+        if !self.recent.is_doubted() {
+            return Replay::Nothing;
+        }
+        let replay = self.recent.replay(&mut known.head, MAX_HEAD);
+        if replay == Replay::Nothing {
+            self.recent.confirm();
+        }
+        replay
+    }
+
     /// Adds ends and releases, as many as a batch and the head can take.
     fn take_notes(&mut self, known: &mut Known, moment: Moment) -> Vec<Note> {
         let mut taken = 0;
--- a/crates/ledger/src/index.rs
+++ b/crates/ledger/src/index.rs
@@ -47,6 +47,11 @@
         numbers.into_iter().for_each(|number| self.remove(number));
     }
 
+    pub(crate) fn remove_from(&mut self, next: u64) {
+        let numbers: Vec<u64> = self.segments.range(next..).map(|(n, _)| *n).collect();
+        numbers.into_iter().for_each(|number| self.remove(number));
+    }
+
     pub(crate) fn contains(&self, number: u64) -> bool {
         self.segments.contains_key(&number)
     }
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -59,6 +59,21 @@
     }
 }
 
+/// Has the shard look for what it has lost whenever the store comes back from an older copy.
+pub(crate) async fn follow(lane: Arc<Lane>) {
+    let eras = lane.store.eras();
+    let mut known = eras.after(None).await;
+    loop {
+        known = eras.after(Some(known)).await;
+        log::debug!(
+            "ledger: shard {}: the store is in era {known}, and read again.",
+            lane.number
+        );
+        lane.shard.lock().doubt(Instant::now());
+        lane.wake.notify_one();
+    }
+}
+
 /// Seals frozen generations and deletes segments out of the retention, beside the writes.
 pub(crate) async fn keep(lane: Arc<Lane>) {
     let mut backoff = Backoff::new(PAUSE, MAX_PAUSE, !lane.seed);
@@ -139,7 +154,8 @@
         match loaded {
             Ok((head, version)) => {
                 backoff.reset();
-                self.shard.lock().loaded(now, head, version);
+                let era = self.store.eras().newest();
+                self.shard.lock().loaded(now, head, version, era);
                 self.moved();
             }
             Err(kind) => {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod message;
 mod owner;
 mod peek;
+mod recent;
 mod setting;
 mod shard;
 mod slot;
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -14,14 +14,15 @@
 use bytes::Bytes;
 use store::{Bucket, Condition};
 use tokio::time::Instant;
-use unit::Version;
+use unit::{Era, Version};
 
-use crate::ask::{Ask, Note, Verdict};
+use crate::ask::{Ask, Note, Verdict, Want};
 use crate::claim::{Claimed, Moment};
 use crate::dump::Count;
 use crate::error::Kind;
 use crate::head::Head;
 use crate::index::Index;
+use crate::recent::{Recent, Written};
 use crate::setting::Limit;
 use crate::slot::Generation;
 
@@ -36,6 +37,9 @@
     pub(crate) queue: VecDeque<Ask>,
     pub(crate) notes: Vec<Note>,
     pub(crate) flight: Option<Flight>,
+    pub(crate) recent: Recent,
+    /// The newest era of the store in which the head was loaded.
+    era: Option<Era>,
     pub(crate) count: Count,
     /// The head must be loaded before the next batch.
     pub(crate) reload: bool,
@@ -67,6 +71,9 @@
     pub(crate) when: Condition,
     /// An answer was lost, so that the write may land at any time.
     pub(crate) open: bool,
+    pub(crate) moment: Moment,
+    /// It holds all that an older copy of the store has lost.
+    pub(crate) replays: bool,
 }
 
 /// What is to be done next.
@@ -106,6 +113,8 @@
             queue: VecDeque::new(),
             notes: Vec::new(),
             flight: None,
+            recent: Recent::default(),
+            era: None,
             count: Count::default(),
             reload: true,
             sealed: None,
@@ -189,6 +198,7 @@
         }
         self.pause = None;
         let works = !self.queue.is_empty() || !self.notes.is_empty();
+        let works = works || self.recent.is_doubted();
         if self.flight.is_none() && (self.reload || self.known.is_none()) {
             let load = works || self.failing.is_some();
             return if load { Next::Load } else { Next::Wait(None) };
@@ -217,6 +227,7 @@
     fn is_due(&self, now: Instant) -> bool {
         let oldest = self.notes.first().map(|note| note.since);
         let due = oldest.is_some_and(|since| now >= since + self.limit.linger);
+        let due = due || self.recent.is_doubted();
         due || !self.queue.is_empty() || self.notes.len() >= self.limit.batch
     }
 
@@ -261,10 +272,34 @@
             known.confirm(now);
         }
         self.count.claims += flight.asks.len() as u64;
+        if flight.replays {
+            self.recent.confirm();
+        }
+        self.remember(now, &flight);
         let grant = |ask: Ask| (ask, Verdict::Claimed(Claimed::Granted));
         (flight.asks.into_iter().map(grant).collect(), flight.notes)
     }
 
+    fn remember(&mut self, now: Instant, flight: &Flight) {
+        for ask in &flight.asks {
+            if let Want::Claim(claim) = &ask.want {
+                let written = Written::Claim(claim.clone(), flight.moment);
+                self.recent.push(now, written);
+            }
+        }
+        for note in &flight.notes {
+            let written = Written::Note(note.what.clone(), flight.moment);
+            self.recent.push(now, written);
+        }
+    }
+
+    /// The store may have come back from an older copy: the head is loaded again, and what it lacks
+    /// of the last writes is written again.
+    pub(crate) fn doubt(&mut self, now: Instant) {
+        self.recent.doubt(now);
+        self.reload = true;
+    }
+
     /// Another write came before the batch: somebody else's, or our own whose answer was lost.
     pub(crate) fn conflicted(&mut self) {
         self.failing = None;
@@ -317,7 +352,20 @@
     }
 
     /// The head was loaded, and the index holds all of its segments.
-    pub(crate) fn loaded(&mut self, now: Instant, head: Head, version: Option<Version>) {
+    pub(crate) fn loaded(
+        &mut self,
+        now: Instant,
+        head: Head,
+        version: Option<Version>,
+        era: Option<Era>,
+    ) {
+        if self.era.is_some() && era > self.era {
+            self.recent.doubt(now);
+            // Segments of the former era that this head does not count will be sealed anew.
+            self.index.remove_from(head.next);
+            self.sealed = None;
+        }
+        self.era = era;
         self.failing = None;
         self.reload = false;
         self.count.loads += 1;
--- /dev/null
+++ b/crates/ledger/tests/ledger/era.rs
@@ -0,0 +1,103 @@
+//! A store that comes back from an older copy, and the claims that it has lost.
+
+use ledger::{Claimed, Ledger};
+use standin::Platform;
+use unit::{Outcome, Size, Token};
+
+use crate::common::{claim, end, pass};
+
+fn open(platform: &Platform, name: &str) -> Ledger {
+    Ledger::builder(platform.store_named(name))
+        .shards(1)
+        .batch(10)
+        .roll(Size::of(4_000))
+        .open()
+}
+
+async fn grant(ledger: &Ledger, number: u64, token: u128) {
+    let claimed = ledger.claim(claim(number, token)).await;
+    assert_eq!(claimed, Ok(Claimed::Granted), "{number}");
+}
+
+/// Guards against a request that runs twice, as the claim of its first run was lost.
+#[tokio::test(start_paused = true)]
+async fn a_claim_that_was_lost_with_the_copy_is_not_granted_again() {
+    let platform = Platform::builder().open();
+    let ledger = open(&platform, "a");
+    grant(&ledger, 0, 1).await;
+    let copy = platform.copy();
+    grant(&ledger, 1, 2).await;
+    grant(&ledger, 2, 3).await;
+    ledger.end(end(2, 3, Outcome::Ran)).await.expect("noted");
+    platform.restore(copy);
+    let again = ledger.claim(claim(1, 100)).await.expect("answered");
+    assert!(matches!(again, Claimed::Running(record) if record.token == Token(2)));
+    let done = ledger.claim(claim(2, 101)).await.expect("answered");
+    assert!(matches!(done, Claimed::Done(record) if record.token == Token(3)));
+}
+
+/// Guards against an owner that keeps the lost claims to itself until it is gone.
+#[tokio::test(start_paused = true)]
+async fn claims_that_were_lost_are_written_again_for_the_next_owner() {
+    let platform = Platform::builder().open();
+    let first = open(&platform, "a");
+    grant(&first, 0, 1).await;
+    let copy = platform.copy();
+    for number in 1..50 {
+        grant(&first, number, u128::from(number)).await;
+    }
+    platform.restore(copy);
+    // Any call of the process meets the new era; the shard is asked for nothing.
+    first.find(crate::common::key(0)).await.expect("answered");
+    pass(2_000).await;
+    drop(first);
+    let next = open(&platform, "b");
+    for number in 1..50 {
+        let again = next.claim(claim(number, 1_000)).await.expect("answered");
+        let token = u128::from(number);
+        assert!(
+            matches!(again, Claimed::Running(ref record) if record.token == Token(token)),
+            "{number}: {again:?}"
+        );
+    }
+}
+
+/// Guards against a released claim that the copy brings back: its key would be dead.
+#[tokio::test(start_paused = true)]
+async fn a_release_that_was_lost_with_the_copy_still_counts() {
+    let platform = Platform::builder().open();
+    let ledger = open(&platform, "a");
+    grant(&ledger, 0, 1).await;
+    let copy = platform.copy();
+    ledger
+        .release(crate::common::key(0), Token(1))
+        .await
+        .expect("noted");
+    pass(1_000).await;
+    platform.restore(copy);
+    grant(&ledger, 0, 2).await;
+}
+
+/// Guards against segments of the former era that stand in the index for those of the new one.
+#[tokio::test(start_paused = true)]
+async fn claims_in_segments_that_were_lost_are_not_granted_again() {
+    let platform = Platform::builder().open();
+    let ledger = open(&platform, "a");
+    for number in 0..60 {
+        grant(&ledger, number, u128::from(number)).await;
+    }
+    pass(500).await;
+    let copy = platform.copy();
+    for number in 60..200 {
+        grant(&ledger, number, u128::from(number)).await;
+    }
+    pass(500).await;
+    platform.restore(copy);
+    for number in 200..300 {
+        grant(&ledger, number, u128::from(number)).await;
+    }
+    for number in 0..300 {
+        let again = ledger.claim(claim(number, 1_000)).await.expect("answered");
+        assert!(matches!(again, Claimed::Running(_)), "{number}: {again:?}");
+    }
+}
