--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -42,6 +42,14 @@
     );
 }
 
+/// Guards against claims, entries and rules that are lost with an older copy of the store.
+#[test]
+fn promises_hold_when_the_store_comes_back_from_older_copies() {
+    let report = play(&Plan::draw(8, LENGTH, 4).with_returns(), None);
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.injected.contains_key("store comes back"), "{report}");
+}
+
 #[test]
 fn seed_2_rules_and_orders_survive_a_start_of_all_at_once() {
     // All daemons are killed and start again. One had listed the others before they announced their
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -7,6 +7,7 @@
 use prometheus_client::metrics::counter::ConstCounter;
 use prometheus_client::metrics::gauge::ConstGauge;
 use prometheus_client::registry::Registry;
+use unit::Version;
 
 use crate::state::State;
 
@@ -142,7 +143,7 @@
 struct Values {
     count: entry::Count,
     report: unit::Report,
-    rules: u64,
+    rules: Version,
     links: u64,
     connections: u64,
     store: store::Count,
@@ -155,7 +156,7 @@
         Values {
             count: state.entry.count(),
             report: state.server.gate().report(),
-            rules: state.current.version().revision,
+            rules: state.current.version(),
             links: state.dialer.links().len() as u64,
             connections: state.server.connections(),
             store: state.feed.dump().store,
@@ -229,7 +230,13 @@
             &mut encoder,
             "rules_version",
             "Version of the rules in force",
-            *rules,
+            rules.revision,
+        )?;
+        gauge(
+            &mut encoder,
+            "rules_era",
+            "Era of the store in which the rules in force were written",
+            rules.era.0,
         )?;
         counter(
             &mut encoder,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
+use unit::Version;
 
 use crate::rules::TIMEOUT;
 use crate::sent::{Kind, Sent, Trouble, Window};
@@ -38,9 +39,9 @@
     /// An instance served a request not again after all faults were over.
     Recover(usize, String),
     /// An instance had these rules after so long, where others are newer.
-    Spread(usize, u64),
+    Spread(usize, Version),
     /// An instance went from this version of the rules back to that one.
-    Back(usize, u64, u64),
+    Back(usize, Version, Version),
     /// A planned stop of this instance did not end by itself, or not well.
     Stop(usize),
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -76,6 +76,16 @@
                 self.note(Trouble::Other, from);
                 Ok(true)
             }
+            Fault::Return(age, away) => {
+                let copy = self.platform.copy();
+                sleep(age).await;
+                self.platform.fault().down(true);
+                sleep(away).await;
+                self.platform.restore(copy);
+                self.platform.fault().down(false);
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
             Fault::KillAll(lasts) => {
                 let mut any = false;
                 let mut all = tokio::task::JoinSet::new();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -69,6 +69,9 @@
     /// Leaves the ways between daemons alone, as runs of before did.
     #[arg(long)]
     pub plain_links: bool,
+    /// Has the store come back from older copies.
+    #[arg(long)]
+    pub returns: bool,
 }
 
 /// Runs what the command line asks for and prints each report.
@@ -109,6 +112,9 @@
         if !options.plain_links {
             plan = plan.with_links();
         }
+        if options.returns {
+            plan = plan.with_returns();
+        }
         runs.spawn(async move {
             let _turn = turns.acquire().await;
             run(&plan, &program).await
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,14 @@
 const MEAN_PAUSE: f64 = 0.9;
 /// Tells the draw of trouble on links from that of all else, so that neither changes the other.
 const LINKS: u64 = 0x11_4b5;
+/// The same for returns of the store.
+const RETURNS: u64 = 0x5e_70e4;
+/// How old the copy is that the store comes back from, in seconds.
+const AGE: std::ops::Range<f64> = 0.5..4.0;
+/// How long the store is away before it comes back, in seconds.
+const AWAY: std::ops::Range<f64> = 0.0..1.0;
+/// How many times the mean pause lies between two returns.
+const SELDOM: u32 = 4;
 /// How long a fault lasts, in seconds.
 const LASTS: std::ops::Range<f64> = 0.2..3.0;
 
@@ -37,6 +45,8 @@
     KillAll(Duration),
     /// The way from the other daemons to this one has trouble for the time.
     Links(usize, Mode, Duration),
+    /// The store comes back from a copy of this age, after it was away for the time.
+    Return(Duration, Duration),
 }
 
 impl Fault {
@@ -53,6 +63,7 @@
             Fault::Lost(..) => "store loses answers",
             Fault::KillAll(..) => "all killed",
             Fault::Links(..) => "links to a daemon",
+            Fault::Return(..) => "store comes back",
         }
     }
 }
@@ -102,6 +113,21 @@
         self
     }
 
+    /// Adds returns of the store from older copies; the rest of the schedule stays as it is.
+    pub fn with_returns(mut self) -> Plan {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ RETURNS);
+        let length = self.length / SELDOM;
+        let mut returns = steps(&mut random, length, |random| {
+            let age = Duration::from_secs_f64(random.random_range(AGE));
+            let away = Duration::from_secs_f64(random.random_range(AWAY));
+            Fault::Return(age, away)
+        });
+        returns.iter_mut().for_each(|step| step.at *= SELDOM);
+        self.steps.extend(returns);
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Whether links are carried by TCP: every other seed.
     pub fn tcp(&self) -> bool {
         self.seed % 2 == 1
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Mutex as Turn, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
+use unit::{Era, Version};
 
 use crate::caller::{Callers, Stop};
 use crate::check::{Broken, check};
@@ -237,7 +238,7 @@
 /// Watches that a daemon's rules never go back within one life.
 async fn look(fleet: Fleet, index: usize, operator: std::net::SocketAddr, stop: Stop) {
     let client = Client::default();
-    let mut last = 0;
+    let mut last = Version::NONE;
     while !*stop.borrow() {
         // Whoever restarts the daemon has the turn; what it had is of no account then.
         match fleet.nodes[index].try_lock() {
@@ -249,20 +250,25 @@
                     last = version;
                 }
             }
-            _ => last = 0,
+            _ => last = Version::NONE,
         }
         sleep(LOOK).await;
     }
 }
 
-async fn version(client: &Client, operator: std::net::SocketAddr) -> Option<u64> {
+async fn version(client: &Client, operator: std::net::SocketAddr) -> Option<Version> {
     let answer = client
         .send(operator, Method::GET, "/metrics", &[], "")
         .await;
     let text = answer.text();
-    let mut lines = text.lines();
-    let line = lines.find_map(|line| line.strip_prefix("appleshore_rules_version "))?;
-    line.trim().parse().ok()
+    let number = |name: &str| -> Option<u64> {
+        let mut lines = text.lines();
+        let line = lines.find_map(|line| line.strip_prefix(name))?;
+        line.trim().parse().ok()
+    };
+    let era = number("appleshore_rules_era ")?;
+    let revision = number("appleshore_rules_version ")?;
+    Some(Version::in_era(Era(era), revision))
 }
 
 /// Names the daemons whose rules are older than those in the store, or that say nothing.
@@ -275,8 +281,8 @@
     let stored = stored.expect("the store is well").expect("rules are there");
     let mut broken = Vec::new();
     for (index, operator) in operators.iter().enumerate() {
-        let version = version(client, *operator).await.unwrap_or(0);
-        if version < stored.version.revision {
+        let version = version(client, *operator).await.unwrap_or_default();
+        if version < stored.version {
             broken.push(Broken::Spread(index, version));
         }
     }
