Keep the pieces that have come when no holder is left, and bound them

A fetch whose last holder failed threw away what had come, and a peer could announce a length without a bound. Test pieces_that_fit_no_document_leave_the_rules_in_force (it passed with and without the bound on length, which only bounds memory).

--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rule::Document;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use unit::{Digest, Instance, Version};
@@ -18,9 +19,12 @@
 use crate::rules::{self, Arrival, Origin};
 use crate::{Error, Packed, carry};
 
-/// The longest piece. Ten transfers at a time over a link of 10 Mbit/s leave each piece 260 ms.
+/// The longest piece in bytes.
 const PIECE: usize = 32 << 10;
 
+/// The longest packed text in bytes. What does not pack grows by a few bytes in a thousand.
+const LONGEST: usize = Document::MAX_TEXT + Document::MAX_TEXT / 100;
+
 /// How long a piece may take before another holder is asked.
 const PIECE_WAIT: Duration = Duration::from_secs(1);
 
@@ -140,7 +144,9 @@
     let holder = holder.cloned();
     if holder.is_none() {
         // Under the same lock: whoever is heard of from here on has a run of its own.
-        *fetch = Fetch::default();
+        fetch.is_running = false;
+        let partial = fetch.partial.take();
+        fetch.partial = partial.filter(|partial| inner.current.wants(partial.version));
     }
     holder
 }
@@ -193,9 +199,10 @@
             began: Instant::now(),
         });
         let end = piece.offset.checked_add(piece.bytes.len());
+        let is_short = piece.length <= LONGEST;
         let fits =
             piece.offset == partial.bytes.len() && end.is_some_and(|end| end <= piece.length);
-        if !fits || piece.bytes.is_empty() || piece.length != partial.length {
+        if !is_short || !fits || piece.bytes.is_empty() || piece.length != partial.length {
             return Err(Error::Improper(holder.clone(), "a piece that doesn't fit"));
         }
         partial.version = piece.version;
--- a/crates/feed/src/packed.rs
+++ b/crates/feed/src/packed.rs
@@ -59,3 +59,9 @@
         &self.0
     }
 }
+
+impl AsRef<[u8]> for Packed {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod era;
 mod fault;
 mod parted;
+mod piece;
 mod spread;
 mod world;
--- a/crates/ledger/src/recent.rs
+++ b/crates/ledger/src/recent.rs
@@ -14,7 +14,7 @@
 use crate::head::Head;
 use crate::slot::fold;
 
-/// How long a write is remembered. A copy is some seconds old.
+/// How long a write is remembered.
 const KEPT: Duration = Duration::from_secs(60);
 
 /// Most writes that are remembered, the last ones.
--- a/crates/roster/src/own.rs
+++ b/crates/roster/src/own.rs
@@ -16,7 +16,7 @@
 const SPREAD: Duration = Duration::from_secs(30);
 
 /// Over what time the entries are looked up and written again when the platform has come back from an
-/// older copy. 1,800 instances so make 1,200 calls a second.
+/// older copy.
 const RETURN_SPREAD: Duration = Duration::from_millis(1_500);
 
 /// The own record, and to whom it still has to go.
--- a/crates/rule/src/document.rs
+++ b/crates/rule/src/document.rs
@@ -47,8 +47,7 @@
 }
 
 impl Document {
-    /// Longest text of a document in bytes. A store's value of 1 MiB that names its columns once
-    /// becomes a text of three times its length.
+    /// Longest text of a document in bytes.
     pub const MAX_TEXT: usize = 4_000_000;
     /// Most rules of a document.
     pub const MAX_RULES: usize = 20_000;
