Call a return of the store from an older copy a rollback, and keep the digest with the packed text

The field's term in code, metrics and the soak's switch; Packed has its digest, so that a type less is needed. A push of rules that are in force already is no longer unpacked.

--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -45,9 +45,9 @@
 /// Guards against claims, entries and rules that are lost with an older copy of the store.
 #[test]
 fn promises_hold_when_the_store_comes_back_from_older_copies() {
-    let report = play(&Plan::draw(8, LENGTH, 4).with_returns(), None);
+    let report = play(&Plan::draw(8, LENGTH, 4).with_rollbacks(), None);
     assert!(report.broken.is_empty(), "{report}");
-    assert!(report.injected.contains_key("store comes back"), "{report}");
+    assert!(report.injected.contains_key("store rolls back"), "{report}");
 }
 
 #[test]
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -125,9 +125,9 @@
         feed.read,
     );
     registry.register(
-        "store_returns",
+        "store_rollbacks",
         "Times that the store has come back from an older copy",
-        feed.returns,
+        feed.rollbacks,
     );
     registry.register(
         "store_rewritten",
--- a/crates/feed/src/announce.rs
+++ b/crates/feed/src/announce.rs
@@ -79,15 +79,15 @@
 /// The write names what it replaces. So a copy that was delayed on its way can't land on top of a
 /// later one, and two processes under one name find each other out.
 async fn write(inner: &Inner, object: &mut Held, record: &Record) -> Result<bool, Error> {
-    let is_lost = inner.returned.lock().is_some();
-    if *object == Held::Doubted && read_back(inner, object, record).await? {
+    let is_lost = inner.rolled_back.lock().is_some();
+    if *object == Held::Unknown && read_back(inner, object, record).await? {
         return Ok(true);
     }
     let key = inner.key(&record.instance);
     let json = serde_json::to_vec(record).map_err(|e| Error::Object(key.clone(), e.to_string()))?;
     let when = match *object {
         Held::At { version, .. } => Condition::Match(version),
-        Held::Nothing | Held::Doubted => Condition::Absent,
+        Held::Nothing | Held::Unknown => Condition::Absent,
     };
     match inner.store.put(&key, Bytes::from(json), when).await {
         Ok(version) => {
@@ -127,7 +127,7 @@
     let key = inner.key(&record.instance);
     let version = match *object {
         Held::At { version, .. } => version,
-        Held::Nothing | Held::Doubted => match inner.store.get(&key).await? {
+        Held::Nothing | Held::Unknown => match inner.store.get(&key).await? {
             Some(found) if is_own(&found, record) => found.version,
             _ => return Ok(()),
         },
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -176,7 +176,7 @@
             stats: Stats::default(),
             passed: Mutex::new(Passed::default()),
             object: tokio::sync::Mutex::new(Held::Nothing),
-            returned: Mutex::default(),
+            rolled_back: Mutex::default(),
             syncing: tokio::sync::Mutex::new(()),
             repairing: tokio::sync::Mutex::new(()),
             fetch: Mutex::default(),
--- a/crates/feed/src/current.rs
+++ b/crates/feed/src/current.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::RwLock;
 use rule::Document;
-use unit::{Digest, Version};
+use unit::Version;
 
 use crate::{Error, Packed};
 
@@ -16,37 +16,22 @@
     /// The rules.
     pub document: Arc<Document>,
     /// What daemons pass on to each other.
-    packed: Arc<OnceLock<Option<Whole>>>,
-}
-
-/// A packed document as it is passed on.
-#[derive(Debug, Clone)]
-pub(crate) struct Whole {
-    pub(crate) packed: Packed,
-    pub(crate) digest: Digest,
+    packed: Arc<OnceLock<Option<Packed>>>,
 }
 
 impl Rules {
     /// The packed text, which is made when it is first asked for; `None` if it can't be packed.
-    pub(crate) fn whole(&self) -> Option<Whole> {
+    pub(crate) fn packed(&self) -> Option<Packed> {
         let pack = || {
             let packed = Packed::of(self.document.text());
-            let packed = packed
+            packed
                 .inspect_err(|error| log::error!("feed: rules {}: {error}.", self.version))
-                .ok()?;
-            Some(Whole::of(packed))
+                .ok()
         };
         self.packed.get_or_init(pack).clone()
     }
 }
 
-impl Whole {
-    pub(crate) fn of(packed: Packed) -> Whole {
-        let digest = Digest::of(packed.bytes());
-        Whole { packed, digest }
-    }
-}
-
 /// The rules in force; they are read on every request and written a few times a minute.
 #[derive(Debug, Default)]
 pub struct Current {
@@ -98,7 +83,7 @@
         &self,
         version: Version,
         text: &str,
-        whole: Option<Whole>,
+        packed: Option<Packed>,
     ) -> Result<Offer, Error> {
         if version <= self.version() {
             return Ok(Offer::Old);
@@ -107,7 +92,7 @@
         let rules = Rules {
             version,
             document: Arc::new(document),
-            packed: Arc::new(whole.map_or_else(OnceLock::new, |whole| Some(whole).into())),
+            packed: Arc::new(packed.map_or_else(OnceLock::new, |packed| Some(packed).into())),
         };
         let mut current = self.rules.write();
         // Another thread may have offered a newer one while this one was parsed.
--- a/crates/feed/src/era.rs
+++ b/crates/feed/src/era.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep_until};
-use unit::Era;
+use unit::{Era, Version};
 
 use crate::feed::Inner;
 
@@ -23,16 +23,13 @@
     /// There is none, or its version is not known.
     Nothing,
     /// It is as it was written or read here.
-    At {
-        version: unit::Version,
-        since: Instant,
-    },
+    At { version: Version, since: Instant },
     /// The store has come back from a copy, which may hold another one or none.
-    Doubted,
+    Unknown,
 }
 
 impl Held {
-    pub(crate) fn at(version: unit::Version) -> Held {
+    pub(crate) fn at(version: Version) -> Held {
         Held::At {
             version,
             since: Instant::now(),
@@ -46,24 +43,24 @@
     let mut known = eras.after(None).await;
     loop {
         let newest = eras.after(Some(known)).await;
-        returned(&inner, known, newest).await;
+        rolled_back(&inner, known, newest).await;
         known = newest;
     }
 }
 
-async fn returned(inner: &Inner, known: Era, newest: Era) {
+async fn rolled_back(inner: &Inner, known: Era, newest: Era) {
     let now = Instant::now();
-    *inner.returned.lock() = Some(now);
-    inner.stats.returns.inc();
+    *inner.rolled_back.lock() = Some(now);
+    inner.stats.rollbacks.inc();
     let mut object = inner.object.lock().await;
     let is_recent = matches!(*object, Held::At { since, .. } if since + RECENT > now);
     // One that is most likely lost is written without a look, which costs one call in place of two.
     *object = if is_recent {
         Held::Nothing
     } else {
-        Held::Doubted
+        Held::Unknown
     };
-    inner.with(|roster| roster.store_returned(now));
+    inner.with(|roster| roster.store_rolled_back(now));
     let watches = inner.with(|roster| roster.is_watcher());
     log::warn!(
         "feed: the store has come back from an older copy: era={newest} former={known} \
@@ -75,8 +72,8 @@
 /// Waits until what was written before a return has had the time to be written again.
 pub(crate) async fn settled(inner: &Inner) {
     loop {
-        let returned = *inner.returned.lock();
-        let until = returned.map(|returned| returned + SETTLED);
+        let since = *inner.rolled_back.lock();
+        let until = since.map(|since| since + SETTLED);
         match until.filter(|until| *until > Instant::now()) {
             Some(until) => sleep_until(until).await,
             None => return,
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -60,7 +60,7 @@
     /// The own object, as far as it is known; held while it is written.
     pub(crate) object: tokio::sync::Mutex<Held>,
     /// When the store was last known to have come back from an older copy.
-    pub(crate) returned: Mutex<Option<Instant>>,
+    pub(crate) rolled_back: Mutex<Option<Instant>>,
     /// Held while rosters are compared, which is done with one neighbour at a time.
     pub(crate) syncing: tokio::sync::Mutex<()>,
     /// Held while objects of others are written or deleted.
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -12,7 +12,6 @@
 use tokio::time::Instant;
 use unit::{Digest, Instance, Version};
 
-use crate::current::Whole;
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Answer, Message};
@@ -81,10 +80,10 @@
 /// What a piece has made of the document that is coming.
 enum Progress {
     /// The next piece is wanted.
-    Goes,
+    Partial,
     /// Nothing newer is there.
     Nothing,
-    Whole(Partial),
+    Complete(Partial),
 }
 
 /// Notes that `holder` has rules of `version`, and has them fetched if they are wanted.
@@ -116,9 +115,9 @@
     }
     while let Some(holder) = next(inner) {
         match piece(inner, &holder.instance).await {
-            Ok(Progress::Goes) => {}
+            Ok(Progress::Partial) => {}
             Ok(Progress::Nothing) => forget(inner, &holder.instance),
-            Ok(Progress::Whole(partial)) => offer(inner, &holder.instance, partial),
+            Ok(Progress::Complete(partial)) => offer(inner, &holder.instance, partial),
             Err(error) => {
                 inner.stats.fetches_failed.inc();
                 let Holder { instance, version } = &holder;
@@ -209,12 +208,12 @@
         partial.bytes.extend(piece.bytes);
         if partial.bytes.len() < partial.length {
             self.partial = Some(partial);
-            return Ok(Progress::Goes);
+            return Ok(Progress::Partial);
         }
         if Digest::of(&partial.bytes) != partial.digest {
             return Err(Error::Improper(holder.clone(), "pieces of another whole"));
         }
-        Ok(Progress::Whole(partial))
+        Ok(Progress::Complete(partial))
     }
 }
 
@@ -229,7 +228,7 @@
         from: Some(from),
         fetched,
     };
-    rules::unpack(inner, arrival, Packed::received(partial.bytes));
+    rules::unpack(inner, arrival, Packed::from(Bytes::from(partial.bytes)));
     if inner.current.wants(version) {
         forget(inner, from);
     }
@@ -238,7 +237,8 @@
 /// The piece of the rules in force that `ask` names.
 pub(crate) fn answer(inner: &Inner, ask: Ask) -> Option<Piece> {
     let rules = inner.current.get()?;
-    let Whole { packed, digest } = rules.whole()?;
+    let packed = rules.packed()?;
+    let digest = packed.digest();
     let offset = ask.digest.filter(|asked| *asked == digest);
     let offset = offset.map_or(0, |_| ask.offset);
     let bytes = packed.bytes();
--- a/crates/feed/src/packed.rs
+++ b/crates/feed/src/packed.rs
@@ -8,6 +8,7 @@
 use flate2::write::DeflateEncoder;
 use rule::Document;
 use serde::{Deserialize, Serialize};
+use unit::Digest;
 
 use crate::Error;
 
@@ -16,7 +17,24 @@
 /// Rules repeat their field names and services, and links of 10 Mbit/s and less are common beside
 /// targets.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Packed(Bytes);
+#[serde(from = "Bytes", into = "Bytes")]
+pub struct Packed {
+    bytes: Bytes,
+    digest: Digest,
+}
+
+impl From<Bytes> for Packed {
+    fn from(bytes: Bytes) -> Packed {
+        let digest = Digest::of(&bytes);
+        Packed { bytes, digest }
+    }
+}
+
+impl From<Packed> for Bytes {
+    fn from(packed: Packed) -> Bytes {
+        packed.bytes
+    }
+}
 
 impl Packed {
     /// Packs a text.
@@ -28,12 +46,7 @@
         let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
         let written = encoder.write_all(text.as_bytes());
         let packed = written.and_then(|()| encoder.finish());
-        Ok(Packed(Bytes::from(packed.map_err(Error::Packed)?)))
-    }
-
-    /// Packed bytes that have come from a peer.
-    pub(crate) fn received(bytes: Vec<u8>) -> Packed {
-        Packed(Bytes::from(bytes))
+        Ok(Packed::from(Bytes::from(packed.map_err(Error::Packed)?)))
     }
 
     /// The text, which has at most [`Document::MAX_TEXT`] bytes whatever a peer has sent.
@@ -44,7 +57,7 @@
     pub fn text(&self) -> Result<String, Error> {
         let mut text = String::new();
         let bound = Document::MAX_TEXT as u64 + 1;
-        DeflateDecoder::new(self.0.as_ref())
+        DeflateDecoder::new(self.bytes.as_ref())
             .take(bound)
             .read_to_string(&mut text)
             .map_err(Error::Packed)?;
@@ -55,13 +68,12 @@
     }
 
     /// The packed bytes.
-    pub(crate) fn bytes(&self) -> &Bytes {
-        &self.0
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
     }
-}
 
-impl AsRef<[u8]> for Packed {
-    fn as_ref(&self) -> &[u8] {
-        &self.0
+    /// The digest of the packed bytes.
+    pub fn digest(&self) -> Digest {
+        self.digest
     }
 }
--- a/crates/feed/src/rules.rs
+++ b/crates/feed/src/rules.rs
@@ -5,7 +5,6 @@
 use tokio::time::{Instant, sleep};
 use unit::{Instance, Version};
 
-use crate::current::Whole;
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Message, Push};
@@ -46,14 +45,14 @@
     inner: &Inner,
     arrival: Arrival<'_>,
     text: &str,
-    whole: Option<Whole>,
+    packed: Option<Packed>,
 ) -> Result<Offer, Error> {
     let Arrival {
         version, origin, ..
     } = arrival;
     let first = inner.current.version() == Version::NONE;
     let began = Instant::now();
-    let offer = inner.current.offer_packed(version, text, whole)?;
+    let offer = inner.current.offer_packed(version, text, packed)?;
     if offer == Offer::Taken {
         report(inner, &arrival, text.len(), began.elapsed());
     }
@@ -68,13 +67,15 @@
 /// Offers rules that have come packed, unless newer ones are in force.
 pub(crate) fn unpack(inner: &Inner, arrival: Arrival<'_>, packed: Packed) {
     let version = arrival.version;
-    if version < inner.current.version() {
+    let held = inner.current.version();
+    if version == held && arrival.origin == Origin::Tree {
+        pass_on(inner, version);
+    }
+    if version <= held {
         return;
     }
-    let offered = packed.text().and_then(|text| {
-        let whole = Whole::of(packed);
-        offer(inner, arrival, &text, Some(whole))
-    });
+    let text = packed.text();
+    let offered = text.and_then(|text| offer(inner, arrival, &text, Some(packed)));
     if let Err(error) = offered {
         let from = arrival.sender();
         log::warn!("feed: rules {version} of {from} are not taken: {error}.");
@@ -124,8 +125,7 @@
         // Newer ones have come meanwhile, and have a push of their own.
         return;
     }
-    let whole = rules.whole();
-    let packed = whole.map(|whole| whole.packed);
+    let packed = rules.packed();
     let text = packed.filter(|packed| packed.bytes().len() <= SHORT);
     let children = relay::children(inner, seed(version));
     let message = Message::Rules(Push { version, text });
--- a/crates/feed/src/stats.rs
+++ b/crates/feed/src/stats.rs
@@ -13,7 +13,7 @@
     /// Seconds that it took to read rules before they were in force.
     pub read: Histogram,
     /// Times that the store has come back from an older copy.
-    pub returns: Counter,
+    pub rollbacks: Counter,
     /// Own entries that were written again after that.
     pub rewritten: Counter,
 }
@@ -29,7 +29,7 @@
             fetched: times(),
             fetches_failed: Counter::default(),
             read: times(),
-            returns: Counter::default(),
+            rollbacks: Counter::default(),
             rewritten: Counter::default(),
         }
     }
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -31,7 +31,7 @@
 const SETTLES: u32 = 3;
 
 /// Over what time watchers read again when the store has come back from an older copy.
-const RETURN_SPREAD: Duration = Duration::from_millis(200);
+const ROLLBACK_SPREAD: Duration = Duration::from_millis(200);
 
 /// What a watcher watches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -134,7 +134,7 @@
     let era = inner.store.eras().newest();
     tokio::select! {
         _ = inner.store.eras().after(era) => {
-            sleep(inner.jitter(RETURN_SPREAD)).await;
+            sleep(inner.jitter(ROLLBACK_SPREAD)).await;
             Ok(())
         }
         result = follow(inner, part, since, backoff) => result,
--- a/crates/feed/tests/it/era.rs
+++ b/crates/feed/tests/it/era.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use proptest::prelude::*;
-use standin::{Copy, Fault};
+use standin::{Fault, Snapshot};
 use tokio::time::{Instant, sleep};
 use unit::{Era, Version};
 
@@ -46,8 +46,8 @@
 }
 
 /// Adds daemons whose entries the copy that is given lacks.
-async fn grow(world: &mut World, count: usize, more: usize) -> Copy {
-    let copy = world.platform.copy();
+async fn grow(world: &mut World, count: usize, more: usize) -> Snapshot {
+    let copy = world.platform.snapshot();
     for number in count..count + more {
         world.add(number);
     }
@@ -92,7 +92,7 @@
 #[tokio::test(start_paused = true)]
 async fn rules_never_go_back_and_newer_ones_are_in_force() {
     let mut world = fleet(40).await;
-    let copy = world.platform.copy();
+    let copy = world.platform.snapshot();
     for name in ["second", "third", "fourth"] {
         world.put_rules(&text(name)).await;
     }
@@ -115,7 +115,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_return_that_no_watch_is_told_of_is_learnt_from_peers() {
     let mut world = fleet(40).await;
-    let copy = world.platform.copy();
+    let copy = world.platform.snapshot();
     world.put_rules(&text("second")).await;
     sleep(Duration::from_secs(2)).await;
     world.platform.fault().drop_watches(true);
@@ -132,7 +132,7 @@
 #[tokio::test(start_paused = true)]
 async fn who_has_left_stays_gone() {
     let world = fleet(30).await;
-    let copy = world.platform.copy();
+    let copy = world.platform.snapshot();
     let left = world.nodes[7].name.clone();
     world.nodes[7].feed.depart().await;
     world.kill(&left);
@@ -217,7 +217,7 @@
     Rules,
     Add,
     Keep,
-    Return,
+    Rollback,
     LoseAnswers,
     DelayWrite,
     Wait(u64),
@@ -228,7 +228,7 @@
         3 => Just(Op::Rules),
         2 => Just(Op::Add),
         2 => Just(Op::Keep),
-        2 => Just(Op::Return),
+        2 => Just(Op::Rollback),
         1 => Just(Op::LoseAnswers),
         1 => Just(Op::DelayWrite),
         4 => (0_u64..3_000).prop_map(Op::Wait),
@@ -246,7 +246,7 @@
 async fn play(ops: Vec<Op>) {
     const FIRST: usize = 8;
     let mut world = fleet(FIRST).await;
-    let mut copy = world.platform.copy();
+    let mut copy = world.platform.snapshot();
     let mut known = vec![Version::NONE; FIRST];
     let mut returns = 0;
     for op in ops {
@@ -257,8 +257,8 @@
                 known.push(Version::NONE);
             }
             Op::Add => {}
-            Op::Keep => copy = world.platform.copy(),
-            Op::Return => {
+            Op::Keep => copy = world.platform.snapshot(),
+            Op::Rollback => {
                 world.platform.restore(copy.clone());
                 returns += 1;
             }
--- a/crates/feed/tests/it/piece.rs
+++ b/crates/feed/tests/it/piece.rs
@@ -19,7 +19,7 @@
 /// A whole document as one piece.
 fn whole(text: &str) -> Piece {
     let packed = Packed::of(text).expect("packs");
-    let bytes = Bytes::copy_from_slice(packed.as_ref());
+    let bytes = packed.bytes().clone();
     Piece {
         version: NEWER,
         digest: Digest::of(&bytes),
--- a/crates/ledger/src/build.rs
+++ b/crates/ledger/src/build.rs
@@ -70,7 +70,7 @@
 
     /// Adds what the store has lost, before anything is answered from the head.
     fn replay(&mut self, known: &mut Known) -> Replay {
-        if !self.recent.is_doubted() {
+        if !self.recent.is_pending() {
             return Replay::Nothing;
         }
         let replay = self.recent.replay(&mut known.head, MAX_HEAD);
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -69,7 +69,7 @@
             "ledger: shard {}: the store is in era {known}, and read again.",
             lane.number
         );
-        lane.shard.lock().doubt(Instant::now());
+        lane.shard.lock().rolled_back(Instant::now());
         lane.wake.notify_one();
     }
 }
--- a/crates/ledger/src/recent.rs
+++ b/crates/ledger/src/recent.rs
@@ -32,7 +32,7 @@
 pub(crate) struct Recent {
     writes: VecDeque<(Instant, Written)>,
     /// The store may have lost them.
-    is_doubted: bool,
+    is_pending: bool,
 }
 
 /// How far writing again has come.
@@ -60,18 +60,18 @@
     }
 
     /// Notes that the store has come back from an older copy.
-    pub(crate) fn doubt(&mut self, now: Instant) {
+    pub(crate) fn rolled_back(&mut self, now: Instant) {
         self.prune(now);
-        self.is_doubted = !self.writes.is_empty();
+        self.is_pending = !self.writes.is_empty();
     }
 
-    pub(crate) fn is_doubted(&self) -> bool {
-        self.is_doubted
+    pub(crate) fn is_pending(&self) -> bool {
+        self.is_pending
     }
 
     /// Notes that the store holds them again.
     pub(crate) fn confirm(&mut self) {
-        self.is_doubted = false;
+        self.is_pending = false;
     }
 
     /// Adds to `head` what it lacks of the writes, as long as it has fewer bytes than `most`.
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -198,7 +198,7 @@
         }
         self.pause = None;
         let works = !self.queue.is_empty() || !self.notes.is_empty();
-        let works = works || self.recent.is_doubted();
+        let works = works || self.recent.is_pending();
         if self.flight.is_none() && (self.reload || self.known.is_none()) {
             let load = works || self.failing.is_some();
             return if load { Next::Load } else { Next::Wait(None) };
@@ -227,7 +227,7 @@
     fn is_due(&self, now: Instant) -> bool {
         let oldest = self.notes.first().map(|note| note.since);
         let due = oldest.is_some_and(|since| now >= since + self.limit.linger);
-        let due = due || self.recent.is_doubted();
+        let due = due || self.recent.is_pending();
         due || !self.queue.is_empty() || self.notes.len() >= self.limit.batch
     }
 
@@ -295,8 +295,8 @@
 
     /// The store may have come back from an older copy: the head is loaded again, and what it lacks
     /// of the last writes is written again.
-    pub(crate) fn doubt(&mut self, now: Instant) {
-        self.recent.doubt(now);
+    pub(crate) fn rolled_back(&mut self, now: Instant) {
+        self.recent.rolled_back(now);
         self.reload = true;
     }
 
@@ -360,7 +360,7 @@
         era: Option<Era>,
     ) {
         if self.era.is_some() && era > self.era {
-            self.recent.doubt(now);
+            self.recent.rolled_back(now);
             // Segments of the former era that this head does not count will be sealed anew.
             self.index.remove_from(head.next);
             self.sealed = None;
--- a/crates/ledger/tests/ledger/era.rs
+++ b/crates/ledger/tests/ledger/era.rs
@@ -25,7 +25,7 @@
     let platform = Platform::builder().open();
     let ledger = open(&platform, "a");
     grant(&ledger, 0, 1).await;
-    let copy = platform.copy();
+    let copy = platform.snapshot();
     grant(&ledger, 1, 2).await;
     grant(&ledger, 2, 3).await;
     ledger.end(end(2, 3, Outcome::Ran)).await.expect("noted");
@@ -42,7 +42,7 @@
     let platform = Platform::builder().open();
     let first = open(&platform, "a");
     grant(&first, 0, 1).await;
-    let copy = platform.copy();
+    let copy = platform.snapshot();
     for number in 1..50 {
         grant(&first, number, u128::from(number)).await;
     }
@@ -68,7 +68,7 @@
     let platform = Platform::builder().open();
     let ledger = open(&platform, "a");
     grant(&ledger, 0, 1).await;
-    let copy = platform.copy();
+    let copy = platform.snapshot();
     ledger
         .release(crate::common::key(0), Token(1))
         .await
@@ -87,7 +87,7 @@
         grant(&ledger, number, u128::from(number)).await;
     }
     pass(500).await;
-    let copy = platform.copy();
+    let copy = platform.snapshot();
     for number in 60..200 {
         grant(&ledger, number, u128::from(number)).await;
     }
--- a/crates/roster/src/own.rs
+++ b/crates/roster/src/own.rs
@@ -17,7 +17,7 @@
 
 /// Over what time the entries are looked up and written again when the platform has come back from an
 /// older copy.
-const RETURN_SPREAD: Duration = Duration::from_millis(1_500);
+const ROLLBACK_SPREAD: Duration = Duration::from_millis(1_500);
 
 /// The own record, and to whom it still has to go.
 #[derive(Debug)]
@@ -167,8 +167,8 @@
     }
 
     /// Notes that the platform has come back from an older copy, which may lack the own object.
-    pub fn store_returned(&mut self, now: Instant) {
-        let spread = self.rng.random_range(Duration::ZERO..RETURN_SPREAD);
+    pub fn store_rolled_back(&mut self, now: Instant) {
+        let spread = self.rng.random_range(Duration::ZERO..ROLLBACK_SPREAD);
         let due = now + spread;
         let write = self.own.write.map_or(due, |write| write.min(due));
         self.own.write = Some(write);
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -76,8 +76,8 @@
                 self.note(Trouble::Other, from);
                 Ok(true)
             }
-            Fault::Return(age, away) => {
-                let copy = self.platform.copy();
+            Fault::Rollback(age, away) => {
+                let copy = self.platform.snapshot();
                 sleep(age).await;
                 self.platform.fault().down(true);
                 sleep(away).await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -71,7 +71,7 @@
     pub plain_links: bool,
     /// Has the store come back from older copies.
     #[arg(long)]
-    pub returns: bool,
+    pub rollbacks: bool,
 }
 
 /// Runs what the command line asks for and prints each report.
@@ -112,8 +112,8 @@
         if !options.plain_links {
             plan = plan.with_links();
         }
-        if options.returns {
-            plan = plan.with_returns();
+        if options.rollbacks {
+            plan = plan.with_rollbacks();
         }
         runs.spawn(async move {
             let _turn = turns.acquire().await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,7 +12,7 @@
 /// Tells the draw of trouble on links from that of all else, so that neither changes the other.
 const LINKS: u64 = 0x11_4b5;
 /// The same for returns of the store.
-const RETURNS: u64 = 0x5e_70e4;
+const ROLLBACKS: u64 = 0x5e_70e4;
 /// How old the copy is that the store comes back from, in seconds.
 const AGE: std::ops::Range<f64> = 0.5..4.0;
 /// How long the store is away before it comes back, in seconds.
@@ -46,7 +46,7 @@
     /// The way from the other daemons to this one has trouble for the time.
     Links(usize, Mode, Duration),
     /// The store comes back from a copy of this age, after it was away for the time.
-    Return(Duration, Duration),
+    Rollback(Duration, Duration),
 }
 
 impl Fault {
@@ -63,7 +63,7 @@
             Fault::Lost(..) => "store loses answers",
             Fault::KillAll(..) => "all killed",
             Fault::Links(..) => "links to a daemon",
-            Fault::Return(..) => "store comes back",
+            Fault::Rollback(..) => "store rolls back",
         }
     }
 }
@@ -114,16 +114,16 @@
     }
 
     /// Adds returns of the store from older copies; the rest of the schedule stays as it is.
-    pub fn with_returns(mut self) -> Plan {
-        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ RETURNS);
+    pub fn with_rollbacks(mut self) -> Plan {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ ROLLBACKS);
         let length = self.length / SELDOM;
-        let mut returns = steps(&mut random, length, |random| {
+        let mut rollbacks = steps(&mut random, length, |random| {
             let age = Duration::from_secs_f64(random.random_range(AGE));
             let away = Duration::from_secs_f64(random.random_range(AWAY));
-            Fault::Return(age, away)
+            Fault::Rollback(age, away)
         });
-        returns.iter_mut().for_each(|step| step.at *= SELDOM);
-        self.steps.extend(returns);
+        rollbacks.iter_mut().for_each(|step| step.at *= SELDOM);
+        self.steps.extend(rollbacks);
         self.steps.sort_by_key(|step| step.at);
         self
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,5 +28,5 @@
 mod server;
 
 pub use fault::Fault;
-pub use platform::{Builder, Copy, Platform};
+pub use platform::{Builder, Platform, Snapshot};
 pub use server::{Handle, serve};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -41,7 +41,7 @@
 
 /// What a platform held at some time.
 #[derive(Debug, Clone)]
-pub struct Copy(Memory);
+pub struct Snapshot(Memory);
 
 #[derive(Clone)]
 struct Client {
@@ -129,16 +129,16 @@
     }
 
     /// What the platform holds now, to go back to.
-    pub fn copy(&self) -> Copy {
-        Copy(self.inner.memory.lock().clone())
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot(self.inner.memory.lock().clone())
     }
 
     /// Comes back from an older copy: a new era begins, and what was written since is gone.
     ///
     /// Calls that have taken effect, and wait for their answers, are answered in the former era. Watches
     /// that wait end as their history is gone.
-    pub fn restore(&self, copy: Copy) {
-        self.inner.memory.lock().restore(copy.0);
+    pub fn restore(&self, snapshot: Snapshot) {
+        self.inner.memory.lock().restore(snapshot.0);
         *self.inner.copy.lock() = None;
         self.announce();
     }
