--- a/crates/feed/tests/it/era.rs
+++ b/crates/feed/tests/it/era.rs
@@ -212,6 +212,48 @@
     assert_eq!(entries(&world).await, 50);
 }
 
+/// Guards against a first start that the store forgets while it goes on.
+#[tokio::test(start_paused = true)]
+async fn a_rollback_in_the_middle_of_a_start_of_all_is_repaired() {
+    for moment in [20, 100, 500, 2_000] {
+        let world = World::on(Mode::Greeting, 60, 4).await;
+        let copy = world.platform.snapshot();
+        sleep(Duration::from_millis(moment)).await;
+        world.platform.restore(copy);
+        let whole =
+            || world.is_whole() && world.nodes.iter().all(|node| node.rules() > Version::NONE);
+        let took = world.until(20, whole).await;
+        let took = took.expect("all know all, and have rules");
+        // Traffic begins 8 s after the machines.
+        assert!(took < Duration::from_secs(8), "{moment} ms: {took:?}");
+        sleep(KNOWN + WRITTEN).await;
+        assert_eq!(entries(&world).await, 60, "{moment} ms");
+    }
+}
+
+/// Guards against a rolling restart that is taken for departures, and against entries of former lives.
+#[tokio::test(start_paused = true)]
+async fn a_rollback_within_a_rolling_restart_takes_nobody_out() {
+    let mut world = fleet(24).await;
+    let copy = world.platform.snapshot();
+    for number in 0..12 {
+        let name = world.nodes[number].name.clone();
+        world.nodes[number].feed.restart().await;
+        world.kill(&name);
+        sleep(Duration::from_millis(300)).await;
+        world.restart(number);
+        if number == 6 {
+            world.platform.restore(copy.clone());
+        }
+        sleep(Duration::from_millis(700)).await;
+    }
+    let whole = world.until(10, || world.is_whole()).await;
+    whole.expect("all know all");
+    sleep(Duration::from_secs(90)).await;
+    assert!(world.is_whole(), "nobody is removed later on");
+    assert_eq!(entries(&world).await, 24);
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Op {
     Rules,
