--- a/crates/feed/tests/it/bulk.rs
+++ b/crates/feed/tests/it/bulk.rs
@@ -3,9 +3,8 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use unit::Version;
 
-use crate::world::{Mode, World, many_rules, text};
+use crate::world::{World, many_rules, text};
 
 /// 10 Mbit/s, in bytes a second.
 const THIN: u64 = 1_250_000;
@@ -15,10 +14,7 @@
 
 /// Daemons that have settled, and can send at [`THIN`] each from then on.
 async fn fleet(count: usize) -> World {
-    let world = World::on(Mode::Greeting, count, 4).await;
-    let whole = || world.is_whole() && world.nodes.iter().all(|node| node.rules() > Version::NONE);
-    world.until(20, whole).await.expect("all know all");
-    sleep(Duration::from_secs(10)).await;
+    let world = World::settled(count).await;
     world.net.limit(THIN);
     world
 }
--- a/crates/feed/tests/it/era.rs
+++ b/crates/feed/tests/it/era.rs
@@ -16,14 +16,6 @@
 /// Within this time a change has to be in force everywhere.
 const IN_FORCE: Duration = Duration::from_secs(2);
 
-async fn fleet(count: usize) -> World {
-    let world = World::on(Mode::Greeting, count, 4).await;
-    let whole = || world.is_whole() && world.nodes.iter().all(|node| node.rules() > Version::NONE);
-    world.until(20, whole).await.expect("all know all");
-    sleep(Duration::from_secs(10)).await;
-    world
-}
-
 /// The entries of daemons that the store holds.
 async fn entries(world: &World) -> usize {
     let store = world.platform.store_named("checker");
@@ -61,7 +53,7 @@
 /// Guards against entries that nobody writes again, since their owners think them written.
 #[tokio::test(start_paused = true)]
 async fn entries_that_were_lost_are_written_again() {
-    let mut world = fleet(50).await;
+    let mut world = World::settled(50).await;
     let copy = grow(&mut world, 50, 20).await;
     world.platform.restore(copy);
     let took = repaired(&world, 70).await;
@@ -74,7 +66,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_return_costs_less_than_two_calls_a_daemon() {
     for count in [50, 200] {
-        let mut world = fleet(count).await;
+        let mut world = World::settled(count).await;
         let copy = grow(&mut world, count, count / 10).await;
         let before = world.price();
         let looks = world.platform.count_of("checker").total();
@@ -91,7 +83,7 @@
 /// Guards against daemons that go back to older rules, and against newer ones taken for older.
 #[tokio::test(start_paused = true)]
 async fn rules_never_go_back_and_newer_ones_are_in_force() {
-    let mut world = fleet(40).await;
+    let mut world = World::settled(40).await;
     let copy = world.platform.snapshot();
     for name in ["second", "third", "fourth"] {
         world.put_rules(&text(name)).await;
@@ -114,7 +106,7 @@
 /// Guards against watches that go on from a revision which was given out again, and hear nothing.
 #[tokio::test(start_paused = true)]
 async fn a_return_that_no_watch_is_told_of_is_learnt_from_peers() {
-    let mut world = fleet(40).await;
+    let mut world = World::settled(40).await;
     let copy = world.platform.snapshot();
     world.put_rules(&text("second")).await;
     sleep(Duration::from_secs(2)).await;
@@ -131,7 +123,7 @@
 /// Guards against an instance that has left and is served again, as the copy still shows it.
 #[tokio::test(start_paused = true)]
 async fn who_has_left_stays_gone() {
-    let world = fleet(30).await;
+    let world = World::settled(30).await;
     let copy = world.platform.snapshot();
     let left = world.nodes[7].name.clone();
     world.nodes[7].feed.depart().await;
@@ -149,7 +141,7 @@
 /// Guards against a repair that a second return cuts short.
 #[tokio::test(start_paused = true)]
 async fn a_second_return_within_the_repair_is_repaired() {
-    let mut world = fleet(40).await;
+    let mut world = World::settled(40).await;
     let copy = grow(&mut world, 40, 20).await;
     world.platform.restore(copy.clone());
     sleep(Duration::from_millis(1_200)).await;
@@ -160,7 +152,7 @@
 /// Guards against a repair that waits for daemons which the store turns away.
 #[tokio::test(start_paused = true)]
 async fn a_store_that_part_of_the_fleet_reaches_is_repaired_by_each_that_does() {
-    let mut world = fleet(40).await;
+    let mut world = World::settled(40).await;
     let copy = grow(&mut world, 40, 20).await;
     let cut: Vec<_> = world.nodes[40..50]
         .iter()
@@ -189,7 +181,7 @@
 /// Guards against a store that was away before it came back, and against starts meanwhile.
 #[tokio::test(start_paused = true)]
 async fn starts_and_an_outage_before_the_return_change_nothing() {
-    let mut world = fleet(40).await;
+    let mut world = World::settled(40).await;
     let copy = grow(&mut world, 40, 10).await;
     let before = world.put_rules(&text("second")).await;
     world.in_force(before, 5).await.expect("in force");
@@ -234,7 +226,7 @@
 /// Guards against a rolling restart that is taken for departures, and against entries of former lives.
 #[tokio::test(start_paused = true)]
 async fn a_rollback_within_a_rolling_restart_takes_nobody_out() {
-    let mut world = fleet(24).await;
+    let mut world = World::settled(24).await;
     let copy = world.platform.snapshot();
     for number in 0..12 {
         let name = world.nodes[number].name.clone();
@@ -287,7 +279,7 @@
 /// each other, stand in the store, and have the newest rules that anybody has had.
 async fn play(ops: Vec<Op>) {
     const FIRST: usize = 8;
-    let mut world = fleet(FIRST).await;
+    let mut world = World::settled(FIRST).await;
     let mut copy = world.platform.snapshot();
     let mut known = vec![Version::NONE; FIRST];
     let mut returns = 0;
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -246,6 +246,16 @@
         World::on(Mode::Pinned, count, zones).await
     }
 
+    /// `count` daemons in four zones where announcements outlive a restart, some seconds after their start.
+    pub async fn settled(count: usize) -> World {
+        let world = World::on(Mode::Greeting, count, ZONES.len()).await;
+        let has_rules = |node: &Node| node.rules() > Version::NONE;
+        let whole = || world.is_whole() && world.nodes.iter().all(has_rules);
+        world.until(20, whole).await.expect("all know all");
+        sleep(Duration::from_secs(10)).await;
+        world
+    }
+
     /// Daemons that have just started on something.
     pub async fn on(mode: Mode, count: usize, zones: usize) -> World {
         let platform = Platform::builder().latency(HOP).lag(LAG).open();
