See the store's era in one place of a ledger's shard, before each turn

The era was followed by a task for each shard and compared once more when a head was loaded, with the era of a moment after the load: a head that was read before a rollback, with segments read behind it, passed for one of the new era, and segments of the former one stayed in the index. Each turn now begins with the era; the driver wakes for a new one; the index keeps what the loaded head counts, in every era.

--- a/crates/ledger/src/index.rs
+++ b/crates/ledger/src/index.rs
@@ -1,6 +1,7 @@
 //! Which sealed segments may hold a key.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 
 use unit::Digest;
 
@@ -42,14 +43,11 @@
         self.keys -= removed.map_or(0, |segment| segment.parts.len());
     }
 
-    pub(crate) fn remove_below(&mut self, first: u64) {
-        let numbers: Vec<u64> = self.segments.range(..first).map(|(n, _)| *n).collect();
-        numbers.into_iter().for_each(|number| self.remove(number));
-    }
-
-    pub(crate) fn remove_from(&mut self, next: u64) {
-        let numbers: Vec<u64> = self.segments.range(next..).map(|(n, _)| *n).collect();
-        numbers.into_iter().for_each(|number| self.remove(number));
+    /// Removes all but the segments that a head counts.
+    pub(crate) fn keep(&mut self, counted: Range<u64>) {
+        let numbers = self.segments.keys().copied();
+        let others: Vec<u64> = numbers.filter(|n| !counted.contains(n)).collect();
+        others.into_iter().for_each(|number| self.remove(number));
     }
 
     pub(crate) fn contains(&self, number: u64) -> bool {
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -43,37 +43,32 @@
 /// Decides and carries out, turn by turn.
 pub(crate) async fn run(lane: Arc<Lane>) {
     let mut backoff = Backoff::new(PAUSE, MAX_PAUSE, lane.seed);
+    let eras = lane.store.eras();
     loop {
         let now = Instant::now();
-        let turn = lane.shard.lock().turn(now, lane.clock.moment(now));
+        let era = eras.newest();
+        let turn = {
+            let mut shard = lane.shard.lock();
+            shard.enter(era, now);
+            shard.turn(now, lane.clock.moment(now))
+        };
         lane.deliver(turn.answers);
         lane.fail(turn.released, &Kind::Released);
         for (ask, numbers) in turn.probes {
             tokio::spawn(probe(lane.clone(), ask, numbers));
         }
         match turn.next {
-            Next::Wait(until) => rest(&lane.wake, until).await,
+            Next::Wait(until) => tokio::select! {
+                biased;
+                () = rest(&lane.wake, until) => {}
+                _ = eras.after(era) => {}
+            },
             Next::Load => lane.load(&mut backoff).await,
             Next::Write(bytes, when) => lane.write(bytes, when, &mut backoff).await,
         }
     }
 }
 
-/// Has the shard look for what it has lost whenever the store comes back from an older copy.
-pub(crate) async fn follow(lane: Arc<Lane>) {
-    let eras = lane.store.eras();
-    let mut known = eras.after(None).await;
-    loop {
-        known = eras.after(Some(known)).await;
-        log::debug!(
-            "ledger: shard {}: the store is in era {known}, and read again.",
-            lane.number
-        );
-        lane.shard.lock().rolled_back(Instant::now());
-        lane.wake.notify_one();
-    }
-}
-
 /// Seals frozen generations and deletes segments out of the retention, beside the writes.
 pub(crate) async fn keep(lane: Arc<Lane>) {
     let mut backoff = Backoff::new(PAUSE, MAX_PAUSE, !lane.seed);
@@ -154,8 +149,7 @@
         match loaded {
             Ok((head, version)) => {
                 backoff.reset();
-                let era = self.store.eras().newest();
-                self.shard.lock().loaded(now, head, version, era);
+                self.shard.lock().loaded(now, head, version);
                 self.moved();
             }
             Err(kind) => {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -84,7 +84,6 @@
         for lane in &lanes {
             tasks.push(tokio::spawn(lane::run(lane.clone())));
             tasks.push(tokio::spawn(lane::keep(lane.clone())));
-            tasks.push(tokio::spawn(lane::follow(lane.clone())));
         }
         Ledger {
             inner: Arc::new(Inner {
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -38,7 +38,7 @@
     pub(crate) notes: Vec<Note>,
     pub(crate) flight: Option<Flight>,
     pub(crate) recent: Recent,
-    /// The newest era of the store in which the head was loaded.
+    /// The newest era of the store that is known.
     era: Option<Era>,
     pub(crate) count: Count,
     /// The head must be loaded before the next batch.
@@ -293,11 +293,15 @@
         }
     }
 
-    /// The store may have come back from an older copy: the head is loaded again, and what it lacks
+    /// Notes the era of the store. In one after the first the head is loaded again, and what it lacks
     /// of the last writes is written again.
-    pub(crate) fn rolled_back(&mut self, now: Instant) {
-        self.recent.rolled_back(now);
-        self.reload = true;
+    pub(crate) fn enter(&mut self, era: Option<Era>, now: Instant) {
+        if self.era.is_some() && era > self.era {
+            self.recent.rolled_back(now);
+            self.reload = true;
+            self.sealed = None;
+        }
+        self.era = era;
     }
 
     /// Another write came before the batch: somebody else's, or our own whose answer was lost.
@@ -352,24 +356,11 @@
     }
 
     /// The head was loaded, and the index holds all of its segments.
-    pub(crate) fn loaded(
-        &mut self,
-        now: Instant,
-        head: Head,
-        version: Option<Version>,
-        era: Option<Era>,
-    ) {
-        if self.era.is_some() && era > self.era {
-            self.recent.rolled_back(now);
-            // Segments of the former era that this head does not count will be sealed anew.
-            self.index.remove_from(head.next);
-            self.sealed = None;
-        }
-        self.era = era;
+    pub(crate) fn loaded(&mut self, now: Instant, head: Head, version: Option<Version>) {
         self.failing = None;
         self.reload = false;
         self.count.loads += 1;
-        self.index.remove_below(head.first);
+        self.index.keep(head.first..head.next);
         if self.sealed != Some(head.next) {
             self.sealed = None;
         }
