Say how an exchange with the store ends in one type, and dump the feed once a scrape

A result within a result becomes an enum of the two ways to fail; metrics took the feed's dump, which copies its counts, twice. No change of behaviour.

--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -153,14 +153,15 @@
 
 impl Values {
     fn of(state: &State) -> Values {
+        let feed = state.feed.dump();
         Values {
             count: state.entry.count(),
             report: state.server.gate().report(),
             rules: state.current.version(),
             links: state.dialer.links().len() as u64,
             connections: state.server.connections(),
-            store: state.feed.dump().store,
-            era: state.feed.dump().era.unwrap_or_default().0,
+            store: feed.store,
+            era: feed.era.unwrap_or_default().0,
             left_out: crate::logging::left_out(),
         }
     }
--- a/crates/store/src/http/peer.rs
+++ b/crates/store/src/http/peer.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Frame;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -81,23 +80,17 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Failure> {
         let pool = self.pool.lock().clone();
-        match timeout(limit + LONGEST, exchange(pool, request, limit)).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(Silent(within))) => {
-                let cause = format!("no answer within {} ms", within.as_millis());
-                Err(self.cut(cause))
+        let whole = timeout(limit + LONGEST, exchange(pool, request, limit)).await;
+        let cause = match whole {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(Ended::Failed(failure))) => return Err(failure),
+            Ok(Err(Ended::Silent(within))) => {
+                format!("no answer within {} ms", within.as_millis())
             }
-            Err(_) => {
-                let cause = format!("no whole answer within {} ms", LONGEST.as_millis());
-                Err(self.cut(cause))
-            }
-        }
-    }
-
-    /// Drops the connections to this peer.
-    fn cut(&self, cause: String) -> Failure {
-        *self.pool.lock() = pool(self.connect, self.idle);
-        Failure::Cut(cause)
+            Err(_) => format!("no whole answer within {} ms", LONGEST.as_millis()),
+        };
+        *self.pool.lock() = self::pool(self.connect, self.idle);
+        Err(Failure::Cut(cause))
     }
 }
 
@@ -117,33 +110,34 @@
         .build(connector)
 }
 
-/// Nothing has come for this time.
-struct Silent(Duration);
+/// Why an exchange has ended without an answer.
+enum Ended {
+    Failed(Failure),
+    /// Nothing has come for this time.
+    Silent(Duration),
+}
 
 /// One exchange, whose head comes within `limit`.
 async fn exchange(
     pool: Pool,
     request: Request<Full<Bytes>>,
     limit: Duration,
-) -> Result<Result<Response<Bytes>, Failure>, Silent> {
+) -> Result<Response<Bytes>, Ended> {
     let head = timeout(limit, pool.request(request)).await;
-    let response = match head.map_err(|_| Silent(limit))? {
-        Ok(response) => response,
-        Err(error) => return Ok(Err(failure(&error))),
-    };
+    let head = head.map_err(|_| Ended::Silent(limit))?;
+    let response = head.map_err(|error| Ended::Failed(failure(&error)))?;
     let (parts, body) = response.into_parts();
     let mut body = Limited::new(body, MAX_ANSWER);
     let mut bytes = BytesMut::new();
     loop {
         let frame = timeout(PART, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| Silent(PART))? else {
-            return Ok(Ok(Response::from_parts(parts, bytes.freeze())));
+        let Some(frame) = frame.map_err(|_| Ended::Silent(PART))? else {
+            return Ok(Response::from_parts(parts, bytes.freeze()));
         };
-        match frame.map(Frame::into_data) {
-            Ok(Ok(data)) => bytes.extend_from_slice(&data),
-            // Trailers say nothing that is used.
-            Ok(Err(_)) => {}
-            Err(error) => return Ok(Err(Failure::Cut(error.to_string()))),
+        let frame = frame.map_err(|error| Ended::Failed(Failure::Cut(error.to_string())))?;
+        // Trailers say nothing that is used.
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
         }
     }
 }
