Answer 504 where the deadline came, whichever end saw it first

What callers saw: a request whose time ended while it ran was now and then answered 502 (unknown, lost) instead of 504.

Cause: entry and gate wait for the same moment. Beside load the gate's abort ("the target did not answer in time") was often there when the entry looked, and an abort counted as a lost target. The cause was masked by the text "an earlier try may have run". Two more ways to the same answer: an order asked after over a new link until its deadline, and a key sent again whose holder can't be asked until the deadline of the second send.

An abort says whether it is late; a late one ends the request as the entry's own clock does. What is known to be unknown keeps its own cause.

Tests, each failed before: a_deadline_that_the_gate_sees_first_is_late, an_order_that_outlives_its_deadline_on_a_replaced_link_is_late, a_key_whose_holder_is_silent_until_the_deadline_is_late.

--- a/crates/appleshore/tests/silent.rs
+++ b/crates/appleshore/tests/silent.rs
@@ -16,13 +16,17 @@
 use target::Server;
 use tokio::time::sleep;
 use unit::{Incarnation, Instance, Service, Token, Zone};
-use wire::{Ask, Dialer, Frame, Handshake, Identity, Known, Listener, Peer, Stream, Trust};
+use wire::{Ask, Call, Dialer, Frame, Handshake, Identity, Known, Listener, Peer, Stream, Trust};
 
 const LOOPBACK: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
 
 const RULES: &str = r#"{ "rules": [
+    { "name": "hurried", "when": { "method": "POST", "path": "/sleep/20000/**" },
+      "then": { "service": "desk", "once": { "header": "idempotency-key" }, "timeout": "4s" } },
     { "name": "orders", "when": { "method": "POST" },
       "then": { "service": "desk", "once": { "header": "idempotency-key" }, "timeout": "30s" } },
+    { "name": "look", "when": { "path": "/sleep/20000/look" },
+      "then": { "service": "desk", "timeout": "4s" } },
     { "name": "rest", "then": { "service": "desk", "timeout": "30s" } }
 ] }"#;
 
@@ -43,12 +47,17 @@
 
 impl Pair {
     async fn start() -> Pair {
+        Pair::start_with(|_| {}).await
+    }
+
+    /// The gate takes each call as `change` makes of it.
+    async fn start_with(change: fn(&mut Call)) -> Pair {
         let block = Block::next();
         let address = block.of(0, Address::Target);
         let target = Target::start("desk-b", address, block.of(0, Address::Outbound)).await;
         let own = Identity::fresh(name("desk-a")).expect("a certificate");
         let other = Identity::fresh(name("desk-b")).expect("a certificate");
-        let (server, listener) = gate(&other, &own, address);
+        let (server, listener) = gate(&other, &own, address, change);
         let to = listener.address().expect("an address");
         let relay = Relay::start(to).await;
         let peer = Peer {
@@ -102,7 +111,12 @@
 }
 
 /// Serves the target at `address` as a daemon does.
-fn gate(own: &Identity, trusted: &Identity, address: SocketAddr) -> (Arc<Server>, Arc<Listener>) {
+fn gate(
+    own: &Identity,
+    trusted: &Identity,
+    address: SocketAddr,
+    change: fn(&mut Call),
+) -> (Arc<Server>, Arc<Listener>) {
     let fingerprint = trusted.fingerprint();
     let instance = trusted.instance().clone();
     let trust = Trust::new(move |shown| (*shown == fingerprint).then(|| instance.clone()));
@@ -113,20 +127,27 @@
     let parts = (server.clone(), listener.clone());
     tokio::spawn(async move {
         while let Some(handshake) = listener.accept().await {
-            tokio::spawn(serve(server.clone(), handshake));
+            tokio::spawn(serve(server.clone(), handshake, change));
         }
     });
     parts
 }
 
-async fn serve(server: Arc<Server>, handshake: Handshake) -> Result<(), wire::Error> {
+async fn serve(
+    server: Arc<Server>,
+    handshake: Handshake,
+    change: fn(&mut Call),
+) -> Result<(), wire::Error> {
     let link = handshake.finish().await?;
     loop {
         let mut stream = link.stream().await?;
         let server = server.clone();
         tokio::spawn(async move {
             match stream.receiver.recv().await? {
-                Some(Frame::Call(call)) => server.call(stream, call).await,
+                Some(Frame::Call(mut call)) => {
+                    change(&mut call);
+                    server.call(stream, call).await
+                }
                 Some(Frame::Ask(ask)) => server.ask(stream.sender, ask).await,
                 _ => Ok(()),
             }
@@ -216,6 +237,38 @@
     pair.assert_replaced();
 }
 
+#[tokio::test]
+async fn an_order_that_outlives_its_deadline_on_a_replaced_link_is_late() {
+    // The deadline came while the gate said that the order runs, and the caller was told 502.
+    let pair = Pair::start().await;
+    let answer = pair.send(Method::POST, "/sleep/20000/slip");
+    pair.until_running().await;
+    pair.relay.silence();
+    let answer = answer.await.unwrap();
+    assert_eq!(
+        (answer.status().as_u16(), outcome(&answer)),
+        (504, "unknown")
+    );
+    pair.assert_replaced();
+}
+
+#[tokio::test]
+async fn a_deadline_that_the_gate_sees_first_is_late() {
+    // Both ends wait for the same moment; whoever asked an order whose gate was first got 502.
+    let pair = Pair::start_with(|call| call.remaining /= 4).await;
+    for (method, path) in [
+        (Method::POST, "/sleep/20000/slip"),
+        (Method::GET, "/sleep/20000/look"),
+    ] {
+        let answer = pair.send(method, path).await.unwrap();
+        assert_eq!(
+            (answer.status().as_u16(), outcome(&answer)),
+            (504, "unknown"),
+            "{path}"
+        );
+    }
+}
+
 #[tokio::test]
 async fn an_order_whose_answer_is_cut_by_silence_is_answered_whole() {
     // The head and some pieces of an order's answer have come when the link goes silent. The gate
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -164,7 +164,7 @@
     let cause = match frame {
         Ok(Ok(Some(Frame::Data(data)))) => return Some((Ok(Piece::data(data)), Some(source))),
         Ok(Ok(Some(Frame::End))) => return None,
-        Ok(Ok(Some(Frame::Abort(cause)))) => cause,
+        Ok(Ok(Some(Frame::Abort(abort)))) => abort.cause,
         Ok(Ok(_)) => "the answer was cut".to_string(),
         Ok(Err(error)) => error.to_string(),
         Err(_) => format!("no byte for {:?}", source.hold.pause),
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -146,7 +146,8 @@
             Some(Frame::Refusal(refusal)) if refusal.token == self.call.token => {
                 Ok(self.refused(refusal))
             }
-            Some(Frame::Abort(cause)) => Ok(Tried::Lost(cause)),
+            Some(Frame::Abort(abort)) if abort.late => Ok(Tried::Late),
+            Some(Frame::Abort(abort)) => Ok(Tried::Lost(abort.cause)),
             // An answer to another token would be another caller's: we end the link, since nothing
             // on it can be believed any more.
             Some(_) => Err(Error::Garbled(
@@ -178,10 +179,9 @@
             return Tried::Broken(error.to_string());
         }
         log::info!("entry: asking {} after a call: {error}.", peer.instance);
-        match timeout_at(self.deadline, self.ask(peer)).await {
-            Ok(tried) => tried,
-            Err(_) => Tried::Lost(error.to_string()),
-        }
+        timeout_at(self.deadline, self.ask(peer))
+            .await
+            .unwrap_or(Tried::Late)
     }
 
     /// Asks until the gate knows the end of the call, or has fenced it.
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -323,12 +323,20 @@
                 Some(Err(Refusal::unknown(Reason::Deadline).detail(detail)))
             }
             Joined::Unheard | Joined::Unreachable => {
-                let until = Silence::of(record.token, silence).until.min(deadline);
-                if Instant::now() < until {
+                let until = Silence::of(record.token, silence).until;
+                let now = Instant::now();
+                if now < until.min(deadline) {
                     return None;
                 }
-                let detail = format!("the first request came by {}, which is gone", record.entry);
-                Some(Err(Refusal::unknown(Reason::Lost).detail(detail)))
+                let entry = &record.entry;
+                let refusal = if now < until {
+                    let detail = format!("{entry} can't be asked about the first request");
+                    Refusal::unknown(Reason::Deadline).detail(detail)
+                } else {
+                    let detail = format!("the first request came by {entry}, which is gone");
+                    Refusal::unknown(Reason::Lost).detail(detail)
+                };
+                Some(Err(refusal))
             }
         }
     }
@@ -410,7 +418,7 @@
         match timeout(pause, receiver.recv()).await {
             Ok(Ok(Some(Frame::Data(data)))) => body.extend_from_slice(&data),
             Ok(Ok(Some(Frame::End))) => return Collected::Whole(body.freeze()),
-            Ok(Ok(Some(Frame::Abort(cause)))) => return Collected::Cut(cause),
+            Ok(Ok(Some(Frame::Abort(abort)))) => return Collected::Cut(abort.cause),
             Ok(Ok(_)) => return Collected::Cut("the answer was cut".to_string()),
             Ok(Err(error)) => return Collected::Lost(error.to_string()),
             Err(_) => return Collected::Cut(format!("no byte for {pause:?}")),
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -7,7 +7,7 @@
 use pick::retry::Cause;
 use pick::{Guard, Kind, Need};
 use tokio::time::Instant;
-use unit::Instance;
+use unit::{Instance, Outcome};
 
 use crate::answer::Answer;
 use crate::attempt::{Attempt, Tried, kind, token};
@@ -299,7 +299,7 @@
 
     /// "Not run" is said only when no try may have run.
     fn honest(&self, refusal: Refusal) -> Refusal {
-        if !self.may_have_run {
+        if !self.may_have_run || refusal.outcome() == Outcome::Unknown {
             return refusal;
         }
         let reason = refusal.reason();
--- a/crates/entry/tests/once.rs
+++ b/crates/entry/tests/once.rs
@@ -16,6 +16,8 @@
 const RULES: &str = r#"{
     "caller": { "header": "x-caller" },
     "rules": [
+        { "name": "hurried", "when": { "path": "/hurried/**" },
+          "then": { "service": "desk", "once": { "header": "idempotency-key" }, "timeout": "1s" } },
         { "name": "orders",
           "then": { "service": "desk", "once": { "header": "idempotency-key" }, "timeout": "10s" } }
     ]
@@ -74,8 +76,8 @@
     Arc::new(builder.rules(rules).claims(claims).build())
 }
 
-async fn send(entry: &Arc<Entry>) -> Response<Body> {
-    let request = Request::post("/order/slip").header("idempotency-key", "k");
+async fn send(entry: &Arc<Entry>, path: &str) -> Response<Body> {
+    let request = Request::post(path).header("idempotency-key", "k");
     let request = request.body(Body::default()).expect("a good request");
     let caller = Origin::Outside(IpAddr::V4(Ipv4Addr::LOCALHOST));
     entry.handle(caller, request).await
@@ -93,7 +95,7 @@
     // them stands. The second send must wait for the release and run; told "unknown", its caller
     // could never send it again, though nothing has run.
     let looks = Arc::new(AtomicUsize::new(0));
-    let answer = send(&entry(3, looks.clone())).await;
+    let answer = send(&entry(3, looks.clone()), "/order/slip").await;
     assert_eq!(looks.load(Ordering::SeqCst), 4);
     // It was let run: that no target is there is another matter.
     let outcome = (head(&answer, OUTCOME), head(&answer, REASON));
@@ -107,9 +109,21 @@
     // a look at the ledger every few milliseconds.
     let looks = Arc::new(AtomicUsize::new(0));
     let began = Instant::now();
-    let answer = send(&entry(usize::MAX, looks.clone())).await;
+    let answer = send(&entry(usize::MAX, looks.clone()), "/order/slip").await;
     let outcome = (head(&answer, OUTCOME), head(&answer, REASON));
     assert_eq!(outcome, ("unknown", "lost"));
     assert!(began.elapsed() < Duration::from_secs(2));
     assert!(looks.load(Ordering::SeqCst) < 16, "{looks:?}");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_key_whose_holder_is_silent_until_the_deadline_is_late() {
+    // The caller's time ends before the holder can be held for gone, and the caller was told 502.
+    let looks = Arc::new(AtomicUsize::new(0));
+    let answer = send(&entry(usize::MAX, looks), "/hurried/slip").await;
+    let outcome = (head(&answer, OUTCOME), head(&answer, REASON));
+    assert_eq!(
+        (answer.status().as_u16(), outcome),
+        (504, ("unknown", "deadline"))
+    );
+}
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, timeout_at};
 use unit::{Depth, Instance, Report, Urgency};
 use wire::{
-    Accepted, Call, Cause, Error, Frame, Header, Payload, Receiver, Refusal, Reply, Sender, Stream,
+    Abort, Accepted, Call, Cause, Error, Frame, Header, Payload, Receiver, Refusal, Reply, Sender,
+    Stream,
 };
 
 use crate::connection::{self, Connection, Content, Outgoing};
@@ -346,6 +347,7 @@
     async fn fail(&self, sent: Sent, run: Run, sender: Sender) -> Result<(), Error> {
         let latency = run.began.elapsed();
         let running = run.running;
+        let late = matches!(sent, Sent::Late(_));
         self.server.stats().lost.inc();
         let cause = match sent {
             Sent::Answer(..) | Sent::Cancelled => {
@@ -375,7 +377,7 @@
             self.id(),
             latency.as_millis()
         );
-        abort(sender, cause).await
+        abort(sender, Abort { late, cause }).await
     }
 
     async fn refused(&self, sender: Sender, refusal: &gate::Refusal) -> Result<(), Error> {
@@ -430,7 +432,7 @@
     }
 }
 
-async fn abort(mut sender: Sender, cause: String) -> Result<(), Error> {
-    sender.push(&Frame::Abort(cause))?;
+async fn abort(mut sender: Sender, abort: Abort) -> Result<(), Error> {
+    sender.push(&Frame::Abort(abort))?;
     sender.finish().await
 }
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -5,7 +5,7 @@
 use gate::End;
 use held::Answer;
 use http1::response;
-use wire::{Cause, Error, Sender};
+use wire::{Abort, Cause, Error, Sender};
 
 use super::{Run, Work, abort, load, millis};
 use crate::answer::{self, Ended, Relay};
@@ -37,7 +37,7 @@
             Verdict::Unfit(cause) => {
                 stats.unfit.inc();
                 run.running.finish(End::Failed { latency });
-                abort(sender, cause.to_string()).await
+                abort(sender, Abort::broken(cause.to_string())).await
             }
         }
     }
@@ -84,7 +84,7 @@
                 self.server.pool.be_wary();
                 let latency = run.began.elapsed();
                 run.running.finish(End::Failed { latency });
-                abort(sender, cause).await
+                abort(sender, Abort::broken(cause)).await
             }
         }
     }
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -91,7 +91,7 @@
         Frame::Refusal(refusal) => message(out, REFUSAL, refusal)?,
         Frame::Data(data) => raw(out, DATA, data),
         Frame::End => out.put_u8(END),
-        Frame::Abort(cause) => message(out, ABORT, cause)?,
+        Frame::Abort(abort) => message(out, ABORT, abort)?,
         Frame::Ask(ask) => message(out, ASK, ask)?,
         Frame::Known(known) => message(out, KNOWN, known)?,
         Frame::Note(note) => {
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -20,8 +20,8 @@
     Data(Bytes),
     /// The body is complete. A stream that ends without it was cut.
     End,
-    /// The answer broke off behind the gate, for the reason given.
-    Abort(String),
+    /// The answer broke off behind the gate.
+    Abort(Abort),
     /// Asks after a token.
     Ask(Ask),
     /// Answers an [`Ask`].
@@ -30,6 +30,22 @@
     Note(Note),
 }
 
+/// How an answer broke off that a call may still have caused to run.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Abort {
+    /// The deadline of the call came first.
+    pub late: bool,
+    /// The reason, for people.
+    pub cause: String,
+}
+
+impl Abort {
+    /// The answer broke off before its deadline.
+    pub fn broken(cause: String) -> Abort {
+        Abort { late: false, cause }
+    }
+}
+
 /// A message between the control roles of two daemons; the role's crate types the payload.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Note {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -32,7 +32,7 @@
 pub use call::{Accepted, Ask, Call, Known, Payload, Refusal, Reply};
 pub use dialer::{Dialer, Peer};
 pub use error::Error;
-pub use frame::{Frame, Note, Topic};
+pub use frame::{Abort, Frame, Note, Topic};
 pub use header::Header;
 pub use link::Link;
 pub use listener::{Handshake, Inbound, Listener, Teller};
