Replace a segment of the store's former era that lands late

What callers would see: an order that has run runs once more. A segment's write that is held up while the store comes back from an older copy lands in the new era. The owner takes the conflict on that number for its own bytes, drops the frozen claims from the head, and they stand nowhere.

On a conflict the segment is read, and bytes of another kind are replaced as long as the store is in the era in which the head was read. Chores wait until the head has been read again in a new era; before, frozen bytes of the former one could be written in the new one.

Test: a_segment_of_the_former_era_does_not_stand_for_that_of_the_new_one, seen to grant a claimed key again before. Found by reading; not seen in play.

--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -17,7 +17,7 @@
 use crate::head::Path;
 use crate::load::{self, Layout};
 use crate::setting::Clock;
-use crate::shard::{Answer, Chore, Next, Shard};
+use crate::shard::{Answer, Chore, Next, Seal, Shard};
 
 /// The first pause after a failure of the store.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -79,7 +79,7 @@
                 rest(&lane.chore, until).await;
                 continue;
             }
-            Chore::Seal(number, bytes) => lane.seal(number, bytes).await,
+            Chore::Seal(seal) => lane.seal(seal).await,
             Chore::Sweep(number) => lane.sweep(number).await,
         };
         match done {
@@ -212,13 +212,36 @@
         self.chore.notify_one();
     }
 
-    async fn seal(&self, number: u64, bytes: Bytes) -> Result<(), Error> {
-        let key = self.path.segment(number);
-        match self.store.put(&key, bytes, Condition::Absent).await {
-            Err(error) if !error.is_conflict() => return Err(error),
-            // On a conflict the segment is there already, with these bytes: the head fixes them.
-            Ok(_) | Err(_) => self.shard.lock().sealed = Some(number),
+    async fn seal(&self, seal: Seal) -> Result<(), Error> {
+        let key = self.path.segment(seal.number);
+        let put = self.store.put(&key, seal.bytes.clone(), Condition::Absent);
+        match put.await {
+            Ok(_) => {}
+            Err(error) if error.is_conflict() => self.seal_over(&key, &seal, error).await?,
+            Err(error) => return Err(error),
+        }
+        self.shard.lock().sealed(&seal);
+        Ok(())
+    }
+
+    /// Seals a segment whose number is taken: by these bytes, which the head fixes, or by those of a
+    /// former era of the store, whose write has landed late. In an era after that of the head these
+    /// bytes are the late ones.
+    async fn seal_over(&self, key: &str, seal: &Seal, conflict: Error) -> Result<(), Error> {
+        let found = self.store.get(key).await?.ok_or(conflict.clone())?;
+        if found.value == seal.bytes {
+            return Ok(());
+        }
+        if self.store.eras().newest() != seal.era {
+            return Err(conflict);
         }
+        log::warn!(
+            "ledger: segment {} of shard {} is of a former era of the store and is replaced.",
+            seal.number,
+            self.number
+        );
+        let when = Condition::Match(found.version);
+        self.store.put(key, seal.bytes.clone(), when).await?;
         Ok(())
     }
 
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -95,9 +95,17 @@
     pub(crate) released: Vec<Ask>,
 }
 
+/// A frozen generation on its way into its segment.
+pub(crate) struct Seal {
+    pub(crate) number: u64,
+    pub(crate) bytes: Bytes,
+    /// The era of the store in which the head was read that has frozen it.
+    pub(crate) era: Option<Era>,
+}
+
 /// Work that is not urgent.
 pub(crate) enum Chore {
-    Seal(u64, Bytes),
+    Seal(Seal),
     Sweep(u64),
     Wait(Option<Instant>),
 }
@@ -377,7 +385,8 @@
 
     /// The next chore that the confirmed head calls for.
     pub(crate) fn chore(&mut self, now: Instant) -> Chore {
-        let Some(known) = &self.known else {
+        let known = self.known.as_ref().filter(|_| !self.reload);
+        let Some(known) = known else {
             return Chore::Wait(None);
         };
         let seal = known.frozen.filter(|number| self.sealed != Some(*number));
@@ -388,7 +397,8 @@
             if self.chores.take(now).is_err() {
                 self.bucket.charge(now);
             }
-            return Chore::Seal(number, bytes);
+            let era = self.era;
+            return Chore::Seal(Seal { number, bytes, era });
         }
         if known.head.swept >= known.first {
             return Chore::Wait(None);
@@ -399,6 +409,13 @@
         }
     }
 
+    /// The segment stands in the store, unless that has come back from an older copy since.
+    pub(crate) fn sealed(&mut self, seal: &Seal) {
+        if self.era == seal.era {
+            self.sealed = Some(seal.number);
+        }
+    }
+
     pub(crate) fn swept(&mut self, number: u64) {
         if let Some(known) = &mut self.known {
             known.head.swept = known.head.swept.max(number + 1);
--- a/crates/ledger/tests/ledger/era.rs
+++ b/crates/ledger/tests/ledger/era.rs
@@ -1,7 +1,10 @@
 //! A store that comes back from an older copy, and the claims that it has lost.
 
+use std::ops::Range;
+
 use ledger::{Claimed, Ledger};
 use standin::Platform;
+use store::{Condition, Object};
 use unit::{Outcome, Size, Token};
 
 use crate::common::{claim, end, pass};
@@ -101,3 +104,45 @@
         assert!(matches!(again, Claimed::Running(_)), "{number}: {again:?}");
     }
 }
+
+/// Guards against a segment's write of the former era that lands after the return, in the place of the
+/// next segment of the new one.
+#[tokio::test(start_paused = true)]
+async fn a_segment_of_the_former_era_does_not_stand_for_that_of_the_new_one() {
+    let platform = Platform::builder().open();
+    let ledger = open(&platform, "a");
+    for number in 0..5 {
+        grant(&ledger, number, u128::from(number)).await;
+    }
+    let copy = platform.snapshot();
+    let store = platform.store();
+    let former = first_segment(&platform, &ledger, 5..100).await;
+    platform.restore(copy);
+    let late = store
+        .put(&former.key, former.value, Condition::Absent)
+        .await;
+    late.expect("the store has lost it");
+    for number in 200..300 {
+        grant(&ledger, number, u128::from(number)).await;
+    }
+    pass(500).await;
+    drop(ledger);
+    let next = open(&platform, "b");
+    for number in (0..5).chain(200..300) {
+        let again = next.claim(claim(number, 1_000)).await.expect("answered");
+        assert!(matches!(again, Claimed::Running(_)), "{number}: {again:?}");
+    }
+}
+
+/// Claims keys until a segment is sealed, and reads it.
+async fn first_segment(platform: &Platform, ledger: &Ledger, keys: Range<u64>) -> Object {
+    for number in keys {
+        grant(ledger, number, u128::from(number)).await;
+    }
+    pass(500).await;
+    let objects = platform.store().list("").await.expect("listed").objects;
+    let mut segments = objects
+        .into_iter()
+        .filter(|object| object.key.contains("/seg/"));
+    segments.next().expect("a segment is sealed")
+}
