Ask no further gate for a caller that comes back late

What callers saw: one that was refused, came back and could be served in time by nobody had one more gate asked, as late work. Others were answered after their goals for it, and those refused for the first time were treated worse.

The flag of late work goes from links and the gate with it.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -171,7 +171,6 @@
             deadline: routed.clock.deadline,
             goal: routed.clock.goal,
             again: routed.clock.again,
-            late: false,
             class: 0,
             purse: purse(origin),
             kind: head.kind(intake.start()),
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -32,8 +32,6 @@
     pub(crate) goal: Option<Instant>,
     /// The caller was refused before, and asks again.
     pub(crate) again: bool,
-    /// The answer comes too late to be worth much.
-    pub(crate) late: bool,
     /// The kind of work; see [`wire::Call::class`].
     pub(crate) class: u32,
     pub(crate) purse: Purse,
@@ -126,7 +124,6 @@
             goal: self
                 .goal
                 .map(|goal| goal.saturating_duration_since(Instant::now())),
-            late: self.late,
             class: self.class,
             elsewhere,
             depth: self.depth,
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -84,14 +84,13 @@
         let last = self.tried.last().map_or("none", Instance::as_str);
         log::info!(
             "entry: id={} service={} class={} status={status} reason={reason} sent={} refused={} \
-             again={} late={} last={last} took_ms={} left_ms={}.",
+             again={} last={last} took_ms={} left_ms={}.",
             job.id,
             job.service,
             job.class,
             self.sent,
             self.handed,
             job.again,
-            job.late,
             began.elapsed().as_millis(),
             job.deadline
                 .saturating_duration_since(Instant::now())
@@ -104,9 +103,6 @@
         self.job.upstream.first(Instant::now());
         loop {
             let Some(guard) = self.choose() else {
-                if self.settle_for_late() {
-                    continue;
-                }
                 return Err(self.no_target());
             };
             let tried = self.attempt(guard, intake).await;
@@ -218,10 +214,6 @@
             self.refused = Some(answer);
             return Next::Elsewhere;
         }
-        if self.settle_for_late() {
-            self.refused = Some(answer);
-            return Next::Elsewhere;
-        }
         // No other target may have a request that crashes targets.
         let again = intake.sendable()
             && refusal.cause != wire::Cause::Suspect
@@ -242,21 +234,6 @@
         !reached && time && self.handed < most && intake.sendable()
     }
 
-    /// No gate can serve the request in time to be worth much. For a caller that was refused before,
-    /// an answer that comes late is worth more than one more refusal, so the gates are asked once
-    /// more, as for work that can wait.
-    fn settle_for_late(&mut self) -> bool {
-        let crowded = self.job.entry.setting.hand_overs.is_some() && self.sent == 0;
-        if !crowded || !self.job.again || self.handed == 0 || self.job.goal.take().is_none() {
-            return false;
-        }
-        self.job.late = true;
-        self.tried.clear();
-        // One more gate, the best of them, has the last word.
-        self.handed = self.job.entry.setting.hand_overs.unwrap_or(0);
-        true
-    }
-
     fn again_or(&mut self, cause: Cause, refusal: Refusal, again: bool) -> Next {
         if again && self.may_try_again(cause) {
             self.refused = Some(refusal);
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -67,7 +67,6 @@
 ///     kind: Digest::of(b"GET /box/9"),
 ///     nested: false,
 ///     goal: None,
-///     late: false,
 ///     class: 0,
 ///     elsewhere: false,
 /// };
@@ -91,11 +90,6 @@
     pub(crate) waiting: BTreeMap<Id, Request>,
     /// Waiting requests that others wait for.
     pub(crate) nested: BTreeSet<Id>,
-    /// Waiting requests whose answers come too late to be worth much. They are in no lane: in one
-    /// with others, each would hold up those behind it until they are late themselves.
-    pub(crate) late: BTreeSet<Id>,
-    /// Starts of others since one of those had its turn.
-    pub(crate) passed_late: u32,
     /// Waiting requests of each urgency by deadline.
     pub(crate) deadlines: [BTreeSet<(Instant, Id)>; 3],
     pub(crate) held: BTreeMap<Id, Held>,
@@ -138,8 +132,6 @@
             solo: Solo::new(now),
             waiting: BTreeMap::new(),
             nested: BTreeSet::new(),
-            late: BTreeSet::new(),
-            passed_late: 0,
             deadlines: Default::default(),
             held: BTreeMap::new(),
             ages: BTreeSet::new(),
@@ -229,8 +221,6 @@
         let suspect = self.standing(now, request.kind) != Standing::Innocent;
         if suspect {
             self.solo.push(id);
-        } else if request.late {
-            self.late.insert(id);
         } else {
             self.make_room(now, &request);
             self.lanes[rank].push(&request.caller, request.weight, id);
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -21,8 +21,6 @@
 const STALL_FEW: f64 = 9.0;
 /// Fewest running requests that can look stuck, where there are as many slots.
 const STALL_LEAST: usize = 3;
-/// Of the slots, one in so many may be waited for by requests that are late already.
-const LATE_PART: usize = 3;
 /// Usual service times without a start after which a probe is due.
 const PROBE: u32 = 8;
 /// Of the requests that find all used slots taken, one in so many may try a slot of which it is not known
@@ -45,11 +43,6 @@
             Some(until) if until > now => Cause::Shed,
             _ => cause,
         };
-        if request.late
-            && (self.has_work_in_time() || self.late.len() >= self.limit.now().div_ceil(LATE_PART))
-        {
-            return Some(blame(Cause::Full));
-        }
         if let Some(goal) = request.goal {
             let run = self.run_time(now, request) + self.latency.spread_of(request);
             let free = wait.is_zero() && self.is_worth_starting(now, request);
@@ -74,15 +67,9 @@
         if request.nested {
             return self.wait_of_nested(now);
         }
-        let rank = match request.late {
-            true => self.lanes.len(),
-            false => request.urgency.rank(),
-        };
+        let rank = request.urgency.rank();
         let more_urgent: usize = self.lanes[..rank].iter().map(|lane| lane.len()).sum();
-        let own = match self.lanes.get(rank) {
-            Some(lane) => lane.before(&request.caller, request.weight),
-            None => self.late.len(),
-        };
+        let own = self.lanes[rank].before(&request.caller, request.weight);
         self.wait_behind(now, request.urgency, more_urgent + own)
     }
 
@@ -272,8 +259,7 @@
         if self.down || self.leaving || self.pause.is_some() {
             return true;
         }
-        let lanes: usize = self.lanes.iter().map(|lane| lane.len()).sum();
-        let waiting = lanes + self.late.len();
+        let waiting: usize = self.lanes.iter().map(|lane| lane.len()).sum();
         if waiting == 0 {
             return false;
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,7 +24,6 @@
 //!     kind: Digest::of_parts(&[b"GET", b"/land-file/88"]),
 //!     nested: false,
 //!     goal: None,
-//!     late: false,
 //!     class: 0,
 //!     elsewhere: false,
 //! };
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -29,8 +29,6 @@
     pub nested: bool,
     /// When the answer is worth little; the request is then not let in to wait past it.
     pub goal: Option<Instant>,
-    /// The answer comes too late to be worth much. The request is served where nothing else waits.
-    pub late: bool,
     /// The kind of work, for estimates of how long it runs; 0 where nothing is known of it.
     pub class: u32,
     /// Its entry knew of another target that was not slow when it sent the request here.
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -79,8 +79,8 @@
         }
     }
 
-    /// Whether requests wait that are not late already.
-    pub(crate) fn has_work_in_time(&self) -> bool {
+    /// Whether requests wait in the lanes.
+    pub(crate) fn has_waiting(&self) -> bool {
         self.lanes.iter().any(|lane| lane.len() > 0)
     }
 
@@ -104,8 +104,7 @@
         };
         let lane = &mut self.lanes[request.urgency.rank()];
         // One that waits alone as a suspect is not in its lane, and keeps its turn.
-        let waits = lane.remove(&request.caller, id) || self.late.remove(&id);
-        waits && self.start(now, id)
+        lane.remove(&request.caller, id) && self.start(now, id)
     }
 
     /// Starts one request, if one may start.
@@ -118,7 +117,7 @@
             return false;
         }
         self.recheck_suspects(now);
-        let others = self.has_work_in_time() || !self.late.is_empty();
+        let others = self.has_waiting();
         let service = self.latency.mean();
         match self.solo.step(now, self.held.len(), others, service) {
             Step::Hold => false,
@@ -146,57 +145,21 @@
             return false;
         };
         let (id, rank, caller) = (*id, request.urgency.rank(), request.caller.clone());
-        let waits = self.lanes[rank].remove(&caller, id) || self.late.remove(&id);
-        waits && self.start(now, id)
-    }
-
-    /// Starts the first request that is late already; nothing else waits that may start.
-    fn start_late(&mut self, now: Instant) -> bool {
-        let lower = self.held.len() - self.held_by[Urgency::Urgent.rank()];
-        if lower >= self.lower_limit(now) {
-            return false;
-        }
-        let Some(id) = self.late.pop_first() else {
-            return false;
-        };
-        self.passed_late = 0;
-        if !self.is_innocent(now, id) {
-            self.divert(now, id);
-            return true;
-        }
-        self.start(now, id)
-    }
-
-    /// Refuses what is late already and was passed over by a whole round of starts.
-    ///
-    /// Work in time comes first, since each slot that a late one takes makes another late. Left behind
-    /// it, the late ones would wait until their deadlines while there is a little too much work; a
-    /// round is about as long as one run.
-    fn give_up_late(&mut self, now: Instant) {
-        self.passed_late = 0;
-        while let Some(id) = self.late.first().copied() {
-            self.refuse_waiting(now, id, Cause::Full);
-        }
+        self.lanes[rank].remove(&caller, id) && self.start(now, id)
     }
 
     fn start_other(&mut self, now: Instant) -> bool {
         if self.pace.is_in_spell(now) {
             return self.start_short(now);
         }
-        if self.passed_late as usize >= self.limit.now() {
-            self.give_up_late(now);
-        }
         let Some(rank) = self.next_rank(now) else {
-            return self.start_late(now);
+            return false;
         };
         let Some(id) = self.lanes[rank].pop() else {
             return false;
         };
-        if self.is_too_late(now, id) {
-            match self.has_work_in_time() {
-                true => self.refuse_waiting(now, id, Cause::Full),
-                false => drop(self.late.insert(id)),
-            }
+        if self.is_too_late(now, id) && self.has_waiting() {
+            self.refuse_waiting(now, id, Cause::Full);
             return true;
         }
         if !self.is_innocent(now, id) {
@@ -204,7 +167,6 @@
             return true;
         }
         self.passed[rank] = 0;
-        self.passed_late += u32::from(!self.late.is_empty());
         for lower in rank + 1..self.lanes.len() {
             if self.lanes[lower].len() > 0 {
                 self.passed[lower] += 1;
@@ -319,7 +281,7 @@
     pub(crate) fn take_waiting(&mut self, id: Id) -> Option<Request> {
         let request = self.forget_waiting(id)?;
         let rank = request.urgency.rank();
-        if !self.lanes[rank].remove(&request.caller, id) && !self.late.remove(&id) {
+        if !self.lanes[rank].remove(&request.caller, id) {
             self.solo.remove(id);
         }
         if self.lanes[rank].len() == 0 {
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -165,7 +165,6 @@
             kind: self.call.kind,
             nested: self.call.depth > Depth(0),
             goal: self.call.goal.map(|left| Instant::now() + left),
-            late: self.call.late,
             class: self.call.class,
             elsewhere: self.call.elsewhere,
         }
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -92,12 +92,11 @@
     /// Tells the log and the gate of a run that was answered in full.
     fn answered(&self, run: Run, head: &response::Head, latency: Duration) {
         log::info!(
-            "gate: id={} status={} urgency={} goal_ms={} late={} waited_ms={} ran_ms={} class={} {}.",
+            "gate: id={} status={} urgency={} goal_ms={} waited_ms={} ran_ms={} class={} {}.",
             self.id(),
             head.status.as_u16(),
             self.call.urgency,
             self.call.goal.map_or(-1, |goal| goal.as_millis() as i64),
-            self.call.late,
             self.waited.as_millis(),
             millis(run.began),
             self.call.class,
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -24,8 +24,6 @@
     pub remaining: Duration,
     /// Time left until the answer is worth little to the caller, if the rule says when.
     pub goal: Option<Duration>,
-    /// The answer comes too late to be worth much, and is wanted all the same.
-    pub late: bool,
     /// The kind of work, for estimates of how long it runs; 0 where nothing is known of it.
     pub class: u32,
     /// The entry knows of another target that is not slow, and may still ask it.
