Add experiments: a workload of one's own, modes compared seed by seed

`bench -- experiment FILE` plays a workload (JSON with comments, checked whole) on the model of `bench -- policy`, with several seeds on all cores, and gives a table, JSON and one page with plots.

The model gained goals, deadlines of one's own, callers that come back once when they are told to, and targets that are slow at times of their own.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,6 @@
 //! Benchmarks.
 
-use bench::{capacity, history, path, policy};
+use bench::{capacity, experiment, history, path, policy};
 use clap::{Parser, Subcommand};
 
 /// Benchmarks of appleshore.
@@ -16,6 +16,8 @@
     Capacity(capacity::Options),
     /// The decisions against fake targets on a simulated clock.
     Policy(policy::Options),
+    /// Ways to choose and to queue, compared under a workload of one's own.
+    Experiment(experiment::Options),
     /// Concurrent runs under faults, and what must hold of each.
     History(history::Options),
     /// Real daemons under faults from outside, and what callers see of them.
@@ -28,6 +30,7 @@
     match Line::parse().command {
         Command::Capacity(options) => capacity::main(&options),
         Command::Policy(options) => policy::main(&options),
+        Command::Experiment(options) => experiment::main(&options),
         Command::History(options) => history::main(&options),
         Command::Soak(options) => soak::main(&options),
         Command::Path(options) => path::main(&options),
--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -8,9 +8,11 @@
 mod scenario;
 mod world;
 
-use scenario::{BASE, MODES, SCENARIOS};
+use scenario::{BASE, modes, scenarios};
+pub(crate) use scenario::{Choice, Fault, LEAD, PERIOD, Part, Spell, steady};
 pub use scenario::{Mode, Scenario};
 pub use world::Figure;
+pub(crate) use world::{CLASSES, Outcome, Second, Tally};
 
 /// What to run.
 #[derive(Debug, clap::Args)]
@@ -35,15 +37,19 @@
 ///
 /// When the scenario is not known, or a figure can't be written as JSON.
 pub fn main(options: &Options) -> Result<(), Box<dyn std::error::Error>> {
-    let modes = if options.weigh { MODES.len() } else { BASE };
-    let wanted = |name| options.scenario == "all" || options.scenario == name;
-    if !SCENARIOS.iter().any(|scenario| wanted(scenario.name)) {
-        let names = SCENARIOS.map(|scenario| scenario.name).join(", ");
+    let (scenarios, mut modes) = (scenarios(), modes());
+    if !options.weigh {
+        modes.truncate(BASE);
+    }
+    let wanted = |name: &str| options.scenario == "all" || options.scenario == name;
+    if !scenarios.iter().any(|scenario| wanted(&scenario.name)) {
+        let names: Vec<&str> = scenarios.iter().map(|known| known.name.as_str()).collect();
+        let names = names.join(", ");
         return Err(format!("policy: no such scenario; known are all, {names}").into());
     }
-    for scenario in SCENARIOS.iter().filter(|scenario| wanted(scenario.name)) {
-        for mode in &MODES[..modes] {
-            let figure = run(*scenario, *mode, options.seed);
+    for scenario in scenarios.iter().filter(|known| wanted(&known.name)) {
+        for mode in &modes {
+            let figure = run(scenario.clone(), mode.clone(), options.seed);
             match options.json {
                 true => println!("{}", serde_json::to_string(&figure)?),
                 false => print!("{figure}"),
@@ -53,6 +59,11 @@
     Ok(())
 }
 
+/// Runs one scenario in one mode, and counts by class what its callers get.
+pub(crate) fn outcome(scenario: Scenario, mode: Mode, seed: u64) -> Outcome {
+    world::World::new(scenario, mode, seed).outcome()
+}
+
 /// Runs one scenario in one mode.
 pub fn run(scenario: Scenario, mode: Mode, seed: u64) -> Figure {
     world::World::new(scenario, mode, seed).run()
--- a/bench/src/policy/scenario.rs
+++ b/bench/src/policy/scenario.rs
@@ -28,10 +28,20 @@
     Zone,
 }
 
+/// Targets that are slow for a while, each at times of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Spell {
+    /// Runs that start in one take this many times as long.
+    pub(crate) factor: u32,
+    /// Mean length, and mean time from the end of one to the begin of the next.
+    pub(crate) length: Duration,
+    pub(crate) gap: Duration,
+}
+
 /// A service, its load and a fault.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Scenario {
-    pub(crate) name: &'static str,
+    pub(crate) name: String,
     pub(crate) targets: usize,
     pub(crate) slots: u16,
     pub(crate) zones: usize,
@@ -42,6 +52,12 @@
     pub(crate) service: Duration,
     /// Percent of the capacity that is asked for when nothing is wrong.
     pub(crate) load: u64,
+    /// The time that callers have, by urgency, and within which an answer is worth most.
+    pub(crate) due: [Duration; 2],
+    pub(crate) goal: Option<[Duration; 2]>,
+    /// Callers that are refused come back once, when they are told to.
+    pub(crate) returns: bool,
+    pub(crate) spell: Option<Spell>,
     pub(crate) fault: Fault,
     /// A fault begins with each round and lasts for `length`. The figures are of calls that come
     /// `from` to `to` after its begin.
@@ -51,37 +67,94 @@
     pub(crate) to: Duration,
 }
 
-#[rustfmt::skip]
-const STEADY: Scenario = Scenario {
-    name: "steady", targets: 6, slots: 10, zones: 4, way: Duration::from_micros(1_500),
-    client: ms(0), service: ms(10), load: 60, fault: Fault::None,
-    rounds: 10, length: ms(1_000), from: ms(250), to: ms(1_000),
-};
-#[rustfmt::skip]
-const BATCH: Scenario = Scenario {
-    name: "batch", fault: Fault::Batch(10), length: ms(200), from: ms(0), to: ms(400), ..STEADY
-};
-const NEAR: Duration = Duration::from_micros(500);
-
-#[rustfmt::skip]
-pub(crate) const SCENARIOS: [Scenario; 10] = [
-    STEADY,
-    BATCH,
-    Scenario { name: "slow", fault: Fault::Slow(20), ..STEADY },
-    Scenario { name: "failfast", fault: Fault::Fail, ..STEADY },
-    Scenario { name: "cold", fault: Fault::Cold, from: ms(0), ..STEADY },
-    Scenario { name: "zone", fault: Fault::Zone, load: 50, ..STEADY },
-    Scenario { name: "stale", targets: 37, slots: 4, zones: 8, way: NEAR, service: ms(16),
-        rounds: 4, ..STEADY },
-    Scenario { name: "storm", fault: Fault::Storm(3), ..STEADY },
-    Scenario { name: "songhong", targets: 5, client: ms(1), ..BATCH },
-    Scenario { name: "quebec", targets: 4, slots: 15, way: NEAR, client: ms(8), ..BATCH },
-];
+/// Six targets in four zones, and nothing wrong.
+pub(crate) fn steady() -> Scenario {
+    Scenario {
+        name: "steady".to_string(),
+        targets: 6,
+        slots: 10,
+        zones: 4,
+        way: Duration::from_micros(1_500),
+        client: ms(0),
+        service: ms(10),
+        load: 60,
+        due: [ms(500), ms(1_000)],
+        goal: None,
+        returns: false,
+        spell: None,
+        fault: Fault::None,
+        rounds: 10,
+        length: ms(1_000),
+        from: ms(250),
+        to: ms(1_000),
+    }
+}
+
+fn batch() -> Scenario {
+    Scenario {
+        length: ms(200),
+        from: ms(0),
+        to: ms(400),
+        ..steady().called("batch", Fault::Batch(10))
+    }
+}
+
+/// What is measured.
+pub(crate) fn scenarios() -> Vec<Scenario> {
+    let near = Duration::from_micros(500);
+    let (cold, zone) = (Fault::Cold, Fault::Zone);
+    vec![
+        steady(),
+        batch(),
+        steady().called("slow", Fault::Slow(20)),
+        steady().called("failfast", Fault::Fail),
+        Scenario {
+            from: ms(0),
+            ..steady().called("cold", cold)
+        },
+        Scenario {
+            load: 50,
+            ..steady().called("zone", zone)
+        },
+        Scenario {
+            targets: 37,
+            slots: 4,
+            zones: 8,
+            way: near,
+            service: ms(16),
+            rounds: 4,
+            ..steady().called("stale", Fault::None)
+        },
+        steady().called("storm", Fault::Storm(3)),
+        Scenario {
+            targets: 5,
+            client: ms(1),
+            ..batch().called("songhong", Fault::Batch(10))
+        },
+        Scenario {
+            targets: 4,
+            slots: 15,
+            way: near,
+            client: ms(8),
+            ..batch().called("quebec", Fault::Batch(10))
+        },
+    ]
+}
 
 impl Scenario {
+    fn called(self, name: &str, fault: Fault) -> Scenario {
+        Scenario {
+            name: name.to_string(),
+            fault,
+            ..self
+        }
+    }
+
     /// The scenario of this name.
     pub fn named(name: &str) -> Option<Scenario> {
-        SCENARIOS.into_iter().find(|scenario| scenario.name == name)
+        scenarios()
+            .into_iter()
+            .find(|scenario| scenario.name == name)
     }
 
     /// Calls per second that the targets can serve.
@@ -125,50 +198,72 @@
 }
 
 /// A way to choose and to queue.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Mode {
-    pub(crate) name: &'static str,
+    pub(crate) name: String,
     pub(crate) choice: Choice,
     /// The decisions of the gate, or a plain queue before the same slots.
     pub(crate) gate: bool,
-    pub(crate) without: &'static [Part],
+    pub(crate) without: Vec<Part>,
 }
 
-const DEAF: &[Part] = &[Part::Ride, Part::Probe, Part::Notice];
-#[rustfmt::skip]
-const OURS: Mode = Mode { name: "appleshore", choice: Choice::Pick, gate: true, without: &[] };
-#[rustfmt::skip]
-const PLAIN: Mode = Mode {
-    name: "random", choice: Choice::Random, gate: false,
-    without: &[Part::Ride, Part::Probe, Part::Notice, Part::Hedge],
-};
+/// Appleshore and the baselines are the first of [`modes`].
+pub(crate) const BASE: usize = 5;
 
 /// Appleshore, the baselines, and what was weighed besides.
-#[rustfmt::skip]
-pub(crate) const MODES: [Mode; 15] = [
-    OURS,
-    PLAIN,
-    Mode { name: "round robin", choice: Choice::Robin, ..PLAIN },
-    Mode { name: "least own", choice: Choice::Least, ..PLAIN },
-    Mode { name: "two choices", choice: Choice::Two, ..PLAIN },
-    Mode { name: "gate, random", choice: Choice::Random, ..OURS },
-    Mode { name: "gate, round robin", choice: Choice::Robin, ..OURS },
-    Mode { name: "gate, least own", choice: Choice::Least, ..OURS },
-    Mode { name: "gate, two choices", choice: Choice::Two, ..OURS },
-    Mode { name: "no reports", without: DEAF, ..OURS },
-    Mode { name: "rides only", without: &[Part::Probe, Part::Notice], ..OURS },
-    Mode { name: "rides and probes", without: &[Part::Notice], ..OURS },
-    Mode { name: "rides and notices", without: &[Part::Probe], ..OURS },
-    Mode { name: "no hand-over", without: &[Part::HandOver], ..OURS },
-    Mode { name: "no hedges", without: &[Part::Hedge], ..OURS },
-];
-/// Appleshore and the baselines are the first of [`MODES`].
-pub(crate) const BASE: usize = 5;
+pub(crate) fn modes() -> Vec<Mode> {
+    use Part::{HandOver, Hedge, Notice, Probe, Ride};
+    vec![
+        Mode::ours("appleshore", &[]),
+        Mode::plain("random", Choice::Random),
+        Mode::plain("round robin", Choice::Robin),
+        Mode::plain("least own", Choice::Least),
+        Mode::plain("two choices", Choice::Two),
+        Mode::gated("gate, random", Choice::Random),
+        Mode::gated("gate, round robin", Choice::Robin),
+        Mode::gated("gate, least own", Choice::Least),
+        Mode::gated("gate, two choices", Choice::Two),
+        Mode::ours("no reports", &[Ride, Probe, Notice]),
+        Mode::ours("rides only", &[Probe, Notice]),
+        Mode::ours("rides and probes", &[Notice]),
+        Mode::ours("rides and notices", &[Probe]),
+        Mode::ours("no hand-over", &[HandOver]),
+        Mode::ours("no hedges", &[Hedge]),
+    ]
+}
 
 impl Mode {
     /// The mode of this name.
     pub fn named(name: &str) -> Option<Mode> {
-        MODES.into_iter().find(|mode| mode.name == name)
+        modes().into_iter().find(|mode| mode.name == name)
+    }
+
+    /// Appleshore without some of its parts.
+    pub(crate) fn ours(name: &str, without: &[Part]) -> Mode {
+        Mode {
+            name: name.to_string(),
+            choice: Choice::Pick,
+            gate: true,
+            without: without.to_vec(),
+        }
+    }
+
+    /// Another choice before the gates.
+    fn gated(name: &str, choice: Choice) -> Mode {
+        Mode {
+            choice,
+            ..Mode::ours(name, &[])
+        }
+    }
+
+    /// A choice before plain queues, which tell nothing.
+    fn plain(name: &str, choice: Choice) -> Mode {
+        let deaf = [Part::Ride, Part::Probe, Part::Notice, Part::Hedge];
+        Mode {
+            choice,
+            gate: false,
+            ..Mode::ours(name, &deaf)
+        }
     }
 
     pub(crate) fn has(&self, part: Part) -> bool {
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -2,6 +2,7 @@
 
 mod entry;
 mod figure;
+mod outcome;
 mod target;
 
 use std::collections::BTreeMap;
@@ -14,15 +15,15 @@
 use unit::{Incarnation, Instance, Urgency};
 
 pub use figure::Figure;
+pub(crate) use outcome::{CLASSES, Outcome, Second, Tally};
 
 use super::draw::Draw;
-use super::scenario::{Fault, LEAD, Mode, PERIOD, Part, Scenario, ms};
+use super::scenario::{Fault, LEAD, Mode, PERIOD, Part, Scenario, Spell, ms};
 
 /// How long a call waits on a silent link, and how long the roster takes to tell.
 const SILENCE: Duration = ms(100);
 const ROSTER: Duration = ms(500);
 const PROBE: Duration = ms(50);
-const DUE: [Duration; 2] = [ms(500), ms(1_000)];
 /// A restarted target takes so many times as long for so many answers.
 const COLD: (u32, u32) = (5, 200);
 /// Tries of a plain entry, and of a caller in a storm.
@@ -46,7 +47,13 @@
     caller: usize,
     entry: usize,
     came: Instant,
+    /// When it came for the first time, where its caller was refused then and has come back.
+    first: Instant,
     resent: usize,
+    /// Its caller comes back, so this is not what it got in the end.
+    passed_on: bool,
+    /// How long after it came it was refused.
+    refused_after: Option<Duration>,
     tries: Vec<usize>,
     tried: Vec<Instance>,
     allowance: Allowance,
@@ -60,7 +67,13 @@
     way: Duration,
     /// Until it has ended at the entry.
     guard: Option<Guard>,
-    started: bool,
+    /// Age of the report that the target was chosen by.
+    age: Option<Duration>,
+    reached: Option<Instant>,
+    /// How long it has waited at the gate.
+    waited: Option<Duration>,
+    /// When it is worth coming back, if the gate has refused it.
+    retry_after: Duration,
     id: Option<Id>,
 }
 
@@ -79,6 +92,8 @@
     life: u64,
     before: u32,
     cold: u32,
+    /// The target is in a slow spell.
+    slow: bool,
 }
 
 /// One run of one scenario in one mode.
@@ -150,6 +165,7 @@
             life: 1,
             before: 0,
             cold: 0,
+            slow: false,
         }
     }
 
@@ -195,10 +211,23 @@
     }
 
     pub(crate) fn run(mut self) -> Figure {
+        self.play();
+        self.figure()
+    }
+
+    pub(crate) fn outcome(mut self) -> Outcome {
+        self.play();
+        self.count()
+    }
+
+    fn play(&mut self) {
         (0..CALLERS.len()).for_each(|caller| self.next_arrival(caller));
         if self.mode.has(Part::Probe) {
             (0..self.names.len()).for_each(|entry| self.probe(entry));
         }
+        if let Some(spell) = self.scenario.spell {
+            (0..self.names.len()).for_each(|target| self.pass(target, spell));
+        }
         for round in 0..self.scenario.rounds {
             let begin = LEAD + round * PERIOD;
             self.after(begin, World::begin_fault);
@@ -211,9 +240,21 @@
                 break;
             }
             self.now = now;
-            event(&mut self);
+            event(self);
         }
-        self.figure()
+    }
+
+    /// Waits for the end of the present spell of a target, or for its next one.
+    fn pass(&mut self, target: usize, spell: Spell) {
+        let mean = match self.places[target].slow {
+            true => spell.length,
+            false => spell.gap,
+        };
+        let wait = self.draw.exponential(mean.as_nanos() as u64);
+        self.after(wait, move |world| {
+            world.places[target].slow = !world.places[target].slow;
+            world.pass(target, spell);
+        });
     }
 
     fn begin_fault(&mut self) {
@@ -241,7 +282,7 @@
     fn arrive(&mut self, caller: usize) {
         if caller != BATCHER || self.fault(ms(0)) != Fault::None {
             self.next_arrival(caller);
-            self.open(caller, 0);
+            self.open(caller, 0, self.now);
         }
     }
 }
--- a/bench/src/policy/world/entry.rs
+++ b/bench/src/policy/world/entry.rs
@@ -2,13 +2,15 @@
 
 use pick::retry::{Allowance, Cause};
 use pick::{Kind, Need};
+use tokio::time::Instant;
 use unit::{Report, Urgency};
 
-use super::{CALLERS, Call, DUE, PROBE, ROSTER, SILENCE, TRIES, Try, World};
+use super::{CALLERS, Call, PROBE, ROSTER, SILENCE, TRIES, Try, World};
 use crate::policy::scenario::{Choice, Fault, Part, ms};
 
 impl World {
-    pub(super) fn open(&mut self, caller: usize, resent: usize) {
+    /// A request comes, which its caller has sent `resent` times before, at `first` for the first time.
+    pub(super) fn open(&mut self, caller: usize, resent: usize, first: Instant) {
         let living = self.living(ms(0));
         let entry = living[self.draw.below(living.len())];
         let (number, urgency) = (self.calls.len(), CALLERS[caller].1);
@@ -16,15 +18,18 @@
             caller,
             entry,
             came: self.now,
+            first,
             resent,
+            passed_on: false,
+            refused_after: None,
             tries: Vec::new(),
             tried: Vec::new(),
             allowance: Allowance::fresh(),
             latency: ms(0),
             end: None,
         });
-        let due = DUE[urgency.rank()];
-        self.after(due, move |world| world.close(number, Kind::Lost));
+        let due = first + self.scenario.due[urgency.rank()];
+        self.after(due - self.now, move |world| world.close(number, Kind::Lost));
         self.places[entry].retries.first(self.now);
         if !self.send(number) {
             self.close(number, Kind::Refused);
@@ -43,6 +48,7 @@
         let (way, place) = (self.way(entry, target), &mut self.places[entry]);
         place.flying[target] += 1;
         let guard = place.pick.begin(self.now, &self.names[target]);
+        let age = guard.basis().age;
         self.calls[call].tries.push(number);
         self.calls[call].tried.push(self.names[target].clone());
         self.tries.push(Try {
@@ -50,7 +56,10 @@
             target,
             way,
             guard: Some(guard),
-            started: false,
+            age,
+            reached: None,
+            waited: None,
+            retry_after: ms(0),
             id: None,
         });
         self.after(way, move |world| world.reach(number));
@@ -150,13 +159,33 @@
         let call = &mut self.calls[number];
         let (caller, again) = (call.caller, call.resent + 1);
         let good = end == Kind::Ok;
-        let due = DUE[CALLERS[caller].1.rank()];
-        let latency = if good { self.now - call.came } else { due };
+        let due = self.scenario.due[CALLERS[caller].1.rank()];
+        let latency = if good { self.now - call.first } else { due };
+        let first = call.first;
         call.latency = latency + 2 * self.scenario.client;
         call.end = Some(end);
-        let storm = matches!(self.scenario.fault, Fault::Storm(_));
+        call.refused_after = (end == Kind::Refused).then(|| self.now - call.came);
+        let returns = self.scenario.returns;
+        let storm = matches!(self.scenario.fault, Fault::Storm(_)) && !returns;
         if storm && !good && again < TRIES {
-            self.after(SILENCE, move |world| world.open(caller, again));
+            self.after(SILENCE, move |world| world.open(caller, again, world.now));
+        } else if returns && end == Kind::Refused && again == 1 {
+            self.come_back(number, first);
+        }
+    }
+
+    /// The caller of a refused request sends it once more, when it is told to and a third of its time
+    /// has passed at most.
+    fn come_back(&mut self, number: usize, first: Instant) {
+        let call = &self.calls[number];
+        let due = first + self.scenario.due[CALLERS[call.caller].1.rank()];
+        let left = due.saturating_duration_since(self.now);
+        let told = call.tries.last().map(|last| self.tries[*last].retry_after);
+        let wait = told.unwrap_or(SILENCE).min(left / 3) + 2 * self.scenario.client;
+        if wait < left {
+            let caller = call.caller;
+            self.calls[number].passed_on = true;
+            self.after(wait, move |world| world.open(caller, 1, first));
         }
     }
 
--- a/bench/src/policy/world/figure.rs
+++ b/bench/src/policy/world/figure.rs
@@ -12,8 +12,8 @@
 /// The figures of one mode in one scenario.
 #[derive(Debug, Clone, Serialize)]
 pub struct Figure {
-    scenario: &'static str,
-    mode: &'static str,
+    scenario: String,
+    mode: String,
     /// Good answers per second during the faults, in percent of the capacity.
     pub goodput: f64,
     /// Good answers from one second after a fault on, in percent of the calls.
@@ -60,8 +60,8 @@
         let whole = (LEAD + of.rounds * PERIOD).as_secs_f64() * self.names.len() as f64;
         let spent = self.places.iter().map(|place| place.budget.spent());
         Figure {
-            scenario: of.name,
-            mode: self.mode.name,
+            scenario: of.name.clone(),
+            mode: self.mode.name.clone(),
             goodput: percent(
                 ends(&served, Kind::Ok),
                 (window * of.capacity() / 1_000) as usize,
--- a/bench/src/policy/world/target.rs
+++ b/bench/src/policy/world/target.rs
@@ -6,7 +6,7 @@
 use pick::Kind;
 use unit::{Digest, Report, Token};
 
-use super::{CALLERS, COLD, DUE, SILENCE, World, parsed};
+use super::{CALLERS, COLD, SILENCE, World, parsed};
 use crate::policy::scenario::{Fault, Part, ms};
 
 impl World {
@@ -16,6 +16,7 @@
             return self.after(SILENCE, move |world| world.back(number, Kind::Lost, None));
         }
         let request = self.request(number);
+        self.tries[number].reached = Some(self.now);
         let place = &mut self.places[target];
         let verdict = place.gate.offer(self.now, request);
         if let Verdict::Start(id) | Verdict::Wait(id) = verdict {
@@ -23,7 +24,7 @@
             self.tries[number].id = Some(id);
         }
         match verdict {
-            Verdict::Refuse(refusal) => self.refuse(number, refusal.report()),
+            Verdict::Refuse(refusal) => self.refuse(number, &refusal),
             Verdict::Start(id) => self.start(target, id),
             Verdict::Wait(_) => {}
         }
@@ -33,7 +34,8 @@
     fn request(&self, number: usize) -> Request {
         let call = &self.calls[self.tries[number].call];
         let (name, urgency, _) = CALLERS[if self.mode.gate { call.caller } else { 0 }];
-        let due = call.came + DUE[urgency.rank()];
+        let due = call.first + self.scenario.due[urgency.rank()];
+        let goal = self.scenario.goal.filter(|_| self.mode.gate);
         let never = self.base + ms(86_400_000);
         Request {
             token: Token(number as u128),
@@ -43,7 +45,7 @@
             deadline: if self.mode.gate { due } else { never },
             kind: Digest::of(b"look-up"),
             nested: false,
-            goal: None,
+            goal: goal.map(|goal| call.first + goal[urgency.rank()]),
             class: 0,
             elsewhere: false,
         }
@@ -56,7 +58,7 @@
                 gate::Event::Start { id } => self.start(target, id),
                 gate::Event::Refuse { id, refusal } => {
                     if let Some(number) = self.places[target].ids.remove(&id) {
-                        self.refuse(number, refusal.report());
+                        self.refuse(number, &refusal);
                     }
                 }
             }
@@ -122,7 +124,8 @@
             return;
         };
         place.gate.dispatch(self.now, id);
-        self.tries[number].started = true;
+        let reached = self.tries[number].reached.unwrap_or(self.now);
+        self.tries[number].waited = Some(self.now - reached);
         let part = self.scenario.service / 5;
         let mut time = part + self.draw.exponential(4 * part.as_nanos() as u64);
         let mut kind = Kind::Ok;
@@ -130,6 +133,9 @@
             place.cold -= 1;
             time *= COLD.0;
         }
+        if let Some(spell) = self.scenario.spell.filter(|_| place.slow) {
+            time *= spell.factor;
+        }
         match fault {
             Fault::Slow(times) if target == 0 => time *= times,
             Fault::Fail if target == 0 => (time, kind) = (ms(1), Kind::Error),
@@ -138,9 +144,10 @@
         self.after(time, move |world| world.finish(number, id, kind, time));
     }
 
-    fn refuse(&mut self, number: usize, report: Report) {
-        self.false_not_run += u64::from(self.tries[number].started);
-        self.answer(number, Kind::Refused, report);
+    fn refuse(&mut self, number: usize, refusal: &gate::Refusal) {
+        self.false_not_run += u64::from(self.tries[number].waited.is_some());
+        self.tries[number].retry_after = refusal.retry_after();
+        self.answer(number, Kind::Refused, refusal.report());
     }
 
     /// Sends an answer back, with a report if the budget allows it.
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -75,17 +75,12 @@
     pub fn take(&self, now: Instant, need: &Need<'_>) -> Option<Guard> {
         let mut pick = self.pick.lock();
         let instance = pick.choose(now, need)?;
-        let basis = pick.basis(now, &instance);
-        pick.begin(now, &instance);
-        let mut guard = self.guard(now, instance);
-        guard.basis = basis;
-        Some(guard)
+        Some(self.guard(&mut pick, now, &instance))
     }
 
     /// Begins a call to an instance that was chosen in another way.
     pub fn begin(&self, now: Instant, instance: &Instance) -> Guard {
-        self.pick.lock().begin(now, instance);
-        self.guard(now, instance.clone())
+        self.guard(&mut self.pick.lock(), now, instance)
     }
 
     /// See [`Pick::set_cut`].
@@ -108,12 +103,14 @@
         self.pick.lock().dump(now)
     }
 
-    fn guard(&self, began: Instant, instance: Instance) -> Guard {
+    fn guard(&self, pick: &mut Pick, began: Instant, instance: &Instance) -> Guard {
+        let basis = pick.basis(began, instance);
+        pick.begin(began, instance);
         Guard {
             pick: Arc::clone(&self.pick),
-            instance,
+            instance: instance.clone(),
             began,
-            basis: Basis::default(),
+            basis,
             open: true,
         }
     }
