Write the log as JSON objects where the settings say so

The setting log_format is text or json. An object has the text as it was and its key=value pairs as fields; all values are texts, so that a field has one type in all lines: an id may be of digits alone. The line that tells of lines left out has time and level now. appleshore trace reads both formats, mixed.

--- a/bin/appleshore/src/trace.rs
+++ b/bin/appleshore/src/trace.rs
@@ -5,6 +5,8 @@
 use std::io::{self, BufRead, BufReader};
 use std::path::{Path, PathBuf};
 
+use serde::Deserialize;
+
 use crate::error::Error;
 use crate::output;
 
@@ -76,27 +78,49 @@
     }
 }
 
+/// A line of a log as JSON, as far as it is used here.
+#[derive(Deserialize)]
+struct Object {
+    at: String,
+    part: String,
+    message: String,
+}
+
 /// The line with the id that it is about, if that is the request `id` or a call below it.
 fn parse(id: &str, line: &str) -> Option<(String, Line)> {
-    let (origin, rest) = line.split_once("at=")?;
-    let (at, rest) = rest.split_once(' ')?;
-    let (_, rest) = rest.split_once("part=")?;
-    let (part, rest) = rest.split_once(' ')?;
-    let (_, rest) = rest.split_once("id=")?;
+    let (origin, Object { at, part, message }) = parse_text(line).or_else(|| parse_json(line))?;
+    let (_, rest) = message.split_once("id=")?;
     let (found, text) = rest.split_once(' ').unwrap_or((rest, ""));
     let below = found.strip_prefix(id)?;
     if !below.is_empty() && !below.starts_with('.') {
         return None;
     }
     let line = Line {
-        at: at.to_string(),
+        at,
         origin: origin.trim().to_string(),
-        part: part.to_string(),
+        part,
         text: text.trim_end_matches('.').to_string(),
     };
     Some((found.to_string(), line))
 }
 
+/// A line of words and `key=value` pairs, and what stands before it.
+fn parse_text(line: &str) -> Option<(&str, Object)> {
+    let (origin, rest) = line.split_once("at=")?;
+    let (at, rest) = rest.split_once(' ')?;
+    let (_, rest) = rest.split_once("part=")?;
+    let (part, message) = rest.split_once(' ')?;
+    let [at, part, message] = [at, part, message].map(str::to_string);
+    Some((origin, Object { at, part, message }))
+}
+
+/// A line that is a JSON object, and what stands before it.
+fn parse_json(line: &str) -> Option<(&str, Object)> {
+    let start = line.find('{')?;
+    let object = serde_json::from_str(&line[start..]).ok()?;
+    Some((&line[..start], object))
+}
+
 fn print(id: &str, depth: usize, lines: &[Line], out: &mut String) {
     let indent = "  ".repeat(depth);
     let ended = lines.iter().rev().find_map(verdict);
--- a/bin/appleshore/tests/it/trace.rs
+++ b/bin/appleshore/tests/it/trace.rs
@@ -40,6 +40,29 @@
     assert!(call.out.starts_with("5def64.01: 503 full"), "{}", call.out);
 }
 
+/// One of the daemons logs JSON objects.
+#[tokio::test]
+async fn lines_of_both_formats_are_followed() {
+    let entry = file("trace-text.log", ENTRY);
+    let mut json = String::new();
+    for line in GATES.lines().filter(|line| line.contains("at=")) {
+        let (origin, line) = line.split_once("at=").expect("a line");
+        let (at, line) = line.split_once(" level=INFO part=").expect("a line");
+        let (part, message) = line.split_once(' ').expect("a line");
+        let object = serde_json::json!({
+            "at": at, "level": "INFO", "part": part, "message": message, "fields": {},
+        });
+        json.push_str(&format!("{origin}{object}\n"));
+    }
+    let gates = file("trace-json.log", &json);
+    let text = file("trace-gates-text.log", GATES);
+    let [mixed, plain] = [gates, text].map(|gates| [entry.clone(), gates]);
+    let mixed = run(&["trace", "5def64", &mixed[0], &mixed[1]]).await;
+    let plain = run(&["trace", "5def64", &plain[0], &plain[1]]).await;
+    assert_eq!(mixed.out, plain.out);
+    assert_eq!(mixed.out.lines().count(), 7, "{}", mixed.out);
+}
+
 #[tokio::test]
 async fn a_request_that_no_log_knows_is_said_so() {
     let entry = file("trace-none.log", ENTRY);
--- a/bin/appleshored/src/main.rs
+++ b/bin/appleshored/src/main.rs
@@ -49,7 +49,7 @@
 }
 
 fn start(setting: Setting) -> Result<(), String> {
-    logging::start(setting.log).map_err(|error| error.to_string())?;
+    logging::start(setting.log, setting.log_format).map_err(|error| error.to_string())?;
     let runtime = runtime(&setting).map_err(|error| format!("start threads: {error}"))?;
     runtime.block_on(run(setting))
 }
--- a/crates/appleshore/src/logging.rs
+++ b/crates/appleshore/src/logging.rs
@@ -1,9 +1,11 @@
 //! The log of a process: one line an event, on standard output.
 //!
 //! Lines are `key=value` pairs and short words: when, how grave, which part, and what that part
-//! says. Whoever logs never waits: lines go through a bounded queue to a thread of their own, and
+//! says; or JSON objects of the same. Whoever logs never waits: lines go through a bounded queue to a thread of their own, and
 //! are counted instead where the queue is full or there are too many in a second.
 
+mod line;
+
 use std::io::{Write, stdout};
 use std::sync::OnceLock;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,6 +15,9 @@
 
 use log::{Level, LevelFilter, Record};
 use parking_lot::Mutex;
+use setting::LogFormat;
+
+pub use line::Line;
 
 use crate::Error;
 
@@ -39,13 +44,13 @@
 
 /// The queue to the thread that writes, and what may go into it.
 struct Writer {
-    queue: SyncSender<Line>,
+    queue: SyncSender<Job>,
     budget: Mutex<[Budget; 2]>,
     left_out: AtomicU64,
 }
 
-enum Line {
-    Text(String),
+enum Job {
+    Line(String),
     /// Tells when all lines before it are written.
     Flush(SyncSender<()>),
 }
@@ -58,12 +63,12 @@
     at: Instant,
 }
 
-/// Starts the log at `level`.
+/// Starts the log at `level`, with lines of the given format.
 ///
 /// # Errors
 ///
 /// [`Error::Log`] if the process has a log already.
-pub fn start(level: LevelFilter) -> Result<(), Error> {
+pub fn start(level: LevelFilter, format: LogFormat) -> Result<(), Error> {
     let (queue, lines) = sync_channel(QUEUE);
     let writer = Writer {
         queue,
@@ -79,16 +84,16 @@
         .level(level)
         .level_for("quinn", LevelFilter::Warn)
         .level_for("gotham", LevelFilter::Warn)
-        .format(|out, message, record| {
-            let now = humantime::format_rfc3339_millis(SystemTime::now());
-            let text = message.to_string();
-            let (part, rest) = text.split_once(": ").unwrap_or(("process", &text));
-            let level = record.level();
-            out.finish(format_args!("at={now} level={level} part={part} {rest}"));
+        .format(move |out, message, record| {
+            let line = Line::of(SystemTime::now(), record.level(), &message.to_string());
+            match format {
+                LogFormat::Text => out.finish(format_args!("{line}")),
+                LogFormat::Json => out.finish(format_args!("{}", line.json())),
+            }
         })
         .chain(fern::Output::call(take))
         .apply()?;
-    thread::spawn(move || write(&lines));
+    thread::spawn(move || write(&lines, format));
     Ok(())
 }
 
@@ -98,7 +103,7 @@
         return;
     };
     let (done, wait) = sync_channel(1);
-    if writer.queue.try_send(Line::Flush(done)).is_ok() {
+    if writer.queue.try_send(Job::Flush(done)).is_ok() {
         // A reader of the log that has stopped must not hold up the end.
         let _ = wait.recv_timeout(FLUSH);
     }
@@ -118,7 +123,7 @@
     let grave = usize::from(record.level() <= Level::Warn);
     let allowed = writer.budget.lock()[grave].take(Instant::now());
     let sent = allowed && {
-        let line = Line::Text(record.args().to_string());
+        let line = Job::Line(record.args().to_string());
         writer.queue.try_send(line).is_ok()
     };
     if !sent {
@@ -127,7 +132,7 @@
 }
 
 /// Writes lines as they come, gathered. It ends with the process.
-fn write(lines: &Receiver<Line>) {
+fn write(lines: &Receiver<Job>, format: LogFormat) {
     let mut told = 0;
     while let Ok(first) = lines.recv() {
         thread::sleep(GATHER);
@@ -135,16 +140,21 @@
         let mut waiting = Vec::new();
         for line in std::iter::once(first).chain(lines.try_iter()) {
             match line {
-                Line::Text(line) => {
+                Job::Line(line) => {
                     text.push_str(&line);
                     text.push('\n');
                 }
-                Line::Flush(done) => waiting.push(done),
+                Job::Flush(done) => waiting.push(done),
             }
         }
         let left_out = left_out();
         if left_out > told {
-            text.push_str(&format!("part=log left_out={}\n", left_out - told));
+            let message = format!("log: left_out={}.", left_out - told);
+            let line = Line::of(SystemTime::now(), Level::Warn, &message);
+            match format {
+                LogFormat::Text => text.push_str(&format!("{line}\n")),
+                LogFormat::Json => text.push_str(&format!("{}\n", line.json())),
+            }
             told = left_out;
         }
         let mut out = stdout().lock();
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -42,6 +42,16 @@
     Tcp,
 }
 
+/// How lines of the log are written.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// Words and `key=value` pairs.
+    #[default]
+    Text,
+    /// JSON objects.
+    Json,
+}
+
 /// The settings of one daemon.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Setting {
@@ -96,6 +106,8 @@
     pub limits: Limits,
     /// The least level that is logged; `info` by default.
     pub log: LevelFilter,
+    /// How lines of the log are written; `text` by default.
+    pub log_format: LogFormat,
     /// Worker threads; the runtime's own choice where none is given.
     pub threads: Option<u32>,
 }
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -8,9 +8,9 @@
 use unit::{Decimal, Span};
 
 use crate::address::{self, Place};
-use crate::{Limits, Links, Setting, check, limits, retry};
+use crate::{Limits, Links, LogFormat, Setting, check, limits, retry};
 
-const FIELDS: [&str; 25] = [
+const FIELDS: [&str; 26] = [
     "instance",
     "zone",
     "region",
@@ -29,6 +29,7 @@
     "ledger_prefix",
     "limits",
     "log",
+    "log_format",
     "threads",
     "one_port",
     "readiness",
@@ -55,6 +56,8 @@
 const MAX_KEY: usize = 128;
 const MAX_HEARTBEAT: Duration = Duration::from_secs(600);
 
+const FORMATS: [(&str, LogFormat); 2] = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+
 const LINKS: [(&str, Links); 2] = [("quic", Links::Quic), ("tcp", Links::Tcp)];
 
 /// The addresses of a daemon, each missing where it could not be read.
@@ -108,6 +111,8 @@
     let limits = limits.and_then(|value| limits::read(reader, value));
     let log = fields.get("log");
     let log = log.and_then(|value| reader.choice(value, &LEVELS));
+    let log_format = fields.get("log_format");
+    let log_format = log_format.and_then(|value| reader.choice(value, &FORMATS));
     let threads = fields.get("threads");
     let threads = threads.and_then(|value| threads_of(reader, value));
     Some(Setting {
@@ -138,6 +143,7 @@
         ledger_prefix: keys.ledger,
         limits: limits.unwrap_or_else(Limits::default),
         log: log.unwrap_or(LevelFilter::Info),
+        log_format: log_format.unwrap_or_default(),
         threads,
     })
 }
--- a/crates/setting/tests/example.rs
+++ b/crates/setting/tests/example.rs
@@ -39,7 +39,7 @@
         .filter_map(|fault| fault.cause.split_once("one of "))
         .flat_map(|(_, names)| names.split(", "))
         .collect();
-    assert_eq!(known.len(), 33);
+    assert_eq!(known.len(), 34);
     for name in known {
         assert!(
             Setting::example().contains(&format!("{name:?}: ")),
