Add appleshore top, a live view of gates and targets

It reads the dumps of roster, gate and entry that are there already. A daemon that doesn't answer keeps its line, with the cause. Refusals by cause are in no dump and are not shown.

Tests run the real binary against fakes of the operator's port and against two real daemons; drawing on a terminal with keys has no test.

--- a/bin/appleshore/src/main.rs
+++ b/bin/appleshore/src/main.rs
@@ -14,6 +14,7 @@
 mod output;
 mod rules;
 mod shell;
+mod top;
 mod trace;
 
 use std::process::ExitCode;
@@ -44,6 +45,8 @@
     Rules(rules::Command),
     /// Prints the state of a daemon as JSON.
     Dump(dump::Arguments),
+    /// Shows gates and targets, live.
+    Top(top::Arguments),
     /// Begins a planned stop of a daemon.
     Drain(drain::Arguments),
     /// Prints the record of a request that runs at most once.
@@ -72,6 +75,7 @@
         Command::Explain(arguments) => explain::run(&arguments),
         Command::Rules(command) => rules::run(&command),
         Command::Dump(arguments) => dump::run(&arguments),
+        Command::Top(arguments) => top::run(&arguments),
         Command::Drain(arguments) => drain::run(&arguments),
         Command::Claim(arguments) => claim::run(&arguments),
         Command::Completions(arguments) => shell::completions(&arguments, Arguments::command()),
--- a/bin/appleshore/tests/it/main.rs
+++ b/bin/appleshore/tests/it/main.rs
@@ -4,4 +4,5 @@
 mod document;
 mod kit;
 mod race;
+mod top;
 mod trace;
--- a/bin/appleshored/tests/log.rs
+++ b/bin/appleshored/tests/log.rs
@@ -35,7 +35,11 @@
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, settings).expect("the settings are written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_appleshored"));
-    let child = command.arg("--settings").arg(&path).stdout(Stdio::piped()).spawn();
+    let child = command
+        .arg("--settings")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn();
     let mut daemon = Daemon(child.expect("the daemon starts"));
     let out = daemon.0.stdout.take().expect("a pipe");
     let mut line = String::new();
