--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -16,8 +16,8 @@
 use unit::{Depth, Fingerprint, Incarnation};
 use wire::Dialer;
 
-use crate::book::Book;
 use crate::claims::Desk;
+use crate::directory::Directory;
 use crate::profile::Profile;
 
 pub(crate) fn record(setting: &Setting, fingerprint: Fingerprint) -> Record {
@@ -84,7 +84,7 @@
 pub(crate) struct Ways<'a> {
     pub(crate) dialer: &'a Arc<Dialer>,
     pub(crate) current: &'a Arc<Current>,
-    pub(crate) book: &'a Arc<Book>,
+    pub(crate) directory: &'a Arc<Directory>,
     pub(crate) desk: &'a Arc<Desk>,
     pub(crate) profile: &'a Profile,
 }
@@ -93,7 +93,7 @@
     setting: &Setting,
     store: &Store,
     dialer: &Arc<Dialer>,
-    book: &Arc<Book>,
+    directory: &Arc<Directory>,
 ) -> Desk {
     let ledger = Ledger::builder(store.clone())
         .prefix(&setting.ledger_prefix)
@@ -104,7 +104,7 @@
         me: setting.instance.clone(),
         ledger,
         dialer: dialer.clone(),
-        book: book.clone(),
+        directory: directory.clone(),
         open: TaskTracker::new(),
     }
 }
@@ -116,7 +116,7 @@
         depth: Depth(setting.limits.depth),
         ..Limits::default()
     };
-    let (current, book) = (ways.current.clone(), ways.book.clone());
+    let (current, directory) = (ways.current.clone(), ways.directory.clone());
     let Setting {
         instance,
         zone,
@@ -131,7 +131,7 @@
         ways.dialer.clone(),
     )
     .rules(Arc::new(move || current.get().map(|rules| rules.document)))
-    .peers(Arc::new(move |instance| book.peer(instance)))
+    .peers(Arc::new(move |instance| directory.peer(instance)))
     .limits(limits)
     .held(held)
     .claims(ways.desk.claims())
--- a/crates/appleshore/src/claims.rs
+++ b/crates/appleshore/src/claims.rs
@@ -15,7 +15,7 @@
 use unit::{Digest, Instance, Outcome, Token};
 use wire::{Dialer, Error, Note, Topic, codec};
 
-use crate::book::Book;
+use crate::directory::Directory;
 
 /// Owners that are asked for one claim: the one in rank and the next.
 const OWNERS: usize = 2;
@@ -38,7 +38,7 @@
     pub(crate) me: Instance,
     pub(crate) ledger: Ledger,
     pub(crate) dialer: Arc<Dialer>,
-    pub(crate) book: Arc<Book>,
+    pub(crate) directory: Arc<Directory>,
     /// Ends that are still to be delivered; a planned stop waits for them.
     pub(crate) open: TaskTracker,
 }
@@ -170,7 +170,7 @@
     }
 
     fn owner(&self, key: Digest, passed: &[Instance]) -> Option<Instance> {
-        let live = self.book.live();
+        let live = self.directory.live();
         if passed.is_empty() {
             return self.ledger.owner(key, &live).cloned();
         }
@@ -195,7 +195,7 @@
 
     async fn ask_over(&self, owner: &Instance, ask: Ask) -> Result<Answer, Error> {
         let unknown = || Error::Dial(owner.to_string(), "not announced".to_string());
-        let peer = self.book.peer(owner).ok_or_else(unknown)?;
+        let peer = self.directory.peer(owner).ok_or_else(unknown)?;
         let link = self.dialer.link(&peer).await?;
         let answer = link.note(Topic::Ledger, codec::pack(&ask)?).await?;
         codec::unpack(&answer)
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -21,7 +21,7 @@
 use wire::Listener;
 
 use crate::assembly::{self, Sources, Ways};
-use crate::book::Book;
+use crate::directory::Directory;
 use crate::dump::{Dump, Part};
 use crate::error::Error;
 use crate::inbound::Inbound;
@@ -109,9 +109,9 @@
         let policy = profile.policy.clone();
         let roster = Roster::new(Instant::now(), record, policy, rand::random());
         let roster = Arc::new(roster::Shared::new(roster));
-        let book = Arc::new(Book::new(roster.clone()));
+        let directory = Arc::new(Directory::new(roster.clone()));
         let hands = Arc::new(Hands::default());
-        let (listener, dialer) = life.links(&setting, &roster, &book, &hands).await?;
+        let (listener, dialer) = life.links(&setting, &roster, &directory, &hands).await?;
         let (listener, dialer) = (Arc::new(listener), Arc::new(dialer));
         let current = Arc::new(Current::default());
         let nests = Table::default();
@@ -122,11 +122,11 @@
             (&nests, &held),
             &current,
         ));
-        let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &book));
+        let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
         let ways = Ways {
             dialer: &dialer,
             current: &current,
-            book: &book,
+            directory: &directory,
             desk: &desk,
             profile: &profile,
         };
@@ -142,7 +142,7 @@
         let news = stale.clone();
         let feed = assembly::feed(&setting, &sources, move || news.notify_one());
         hands.give(&feed, &entry);
-        book.refresh(&entry);
+        directory.refresh(&entry);
         let drain = CancellationToken::new();
         let state = State {
             setting,
@@ -165,7 +165,7 @@
             close,
         };
         daemon.serve(ports, nests);
-        daemon.coordinate(book, stale);
+        daemon.coordinate(directory, stale);
         Ok(daemon)
     }
 
@@ -218,10 +218,10 @@
     }
 
     /// Serves the other daemons, and begins what goes on by itself.
-    fn coordinate(&mut self, book: Arc<Book>, stale: Arc<Notify>) {
+    fn coordinate(&mut self, directory: Arc<Directory>, stale: Arc<Notify>) {
         let state = self.state.clone();
         let changed = Arc::new(Notify::new());
-        let kept = book.clone();
+        let kept = directory.clone();
         self.tasks
             .spawn(kept.keep(state.entry.clone(), stale, changed.clone()));
         let gate = state.server.gate().clone();
@@ -231,14 +231,14 @@
             service: state.setting.service.clone(),
             gate: gate.clone(),
             dialer: state.dialer.clone(),
-            book: book.clone(),
+            directory: directory.clone(),
         });
         let inbound = Arc::new(Inbound {
             server: state.server.clone(),
             desk: state.desk.clone(),
             feed: state.feed.clone(),
             suspicions: suspicions.clone(),
-            book: book.clone(),
+            directory: directory.clone(),
             roster: state.roster.clone(),
             hearers: hearers.clone(),
         });
@@ -248,7 +248,7 @@
         if state.profile.links == Links::Tcp {
             let keeper = Keeper {
                 entry: state.entry.clone(),
-                book,
+                directory,
                 dialer: state.dialer.clone(),
                 roster: state.roster.clone(),
                 changed,
--- a/crates/appleshore/src/book.rs
+++ b/crates/appleshore/src/directory.rs
@@ -23,13 +23,13 @@
 const PAUSE_RATIO: u32 = 20;
 
 /// Addresses and certificates of all instances, in a form that is cheap to read on each call.
-pub(crate) struct Book {
+pub(crate) struct Directory {
     roster: Arc<Shared>,
-    pages: RwLock<Arc<Pages>>,
+    snapshot: RwLock<Arc<Snapshot>>,
 }
 
 #[derive(Default)]
-struct Pages {
+struct Snapshot {
     peers: HashMap<Instance, Peer>,
     names: HashMap<Fingerprint, Instance>,
     services: BTreeSet<Service>,
@@ -37,17 +37,17 @@
     live: Arc<Vec<Instance>>,
 }
 
-impl Book {
-    pub(crate) fn new(roster: Arc<Shared>) -> Book {
-        Book {
+impl Directory {
+    pub(crate) fn new(roster: Arc<Shared>) -> Directory {
+        Directory {
             roster,
-            pages: RwLock::default(),
+            snapshot: RwLock::default(),
         }
     }
 
     pub(crate) fn peer(&self, instance: &Instance) -> Option<Peer> {
-        let found = self.pages.read().peers.get(instance).cloned();
-        // One that has greeted a moment ago may not be on the pages yet, and calls already.
+        let found = self.snapshot.read().peers.get(instance).cloned();
+        // One that has greeted a moment ago may not be in the snapshot yet, and calls already.
         found.or_else(|| {
             self.roster.with(|roster| {
                 let record = roster.get(instance)?;
@@ -57,9 +57,9 @@
     }
 
     /// Who shows `fingerprint`, also if it is held for gone: a live instance that was removed by
-    /// mistake must be able to say so. Work is taken only from those that [`Book::peer`] names.
+    /// mistake must be able to say so. Work is taken only from those that [`Directory::peer`] names.
     pub(crate) fn name(&self, fingerprint: &Fingerprint) -> Option<Instance> {
-        let found = self.pages.read().names.get(fingerprint).cloned();
+        let found = self.snapshot.read().names.get(fingerprint).cloned();
         found.or_else(|| {
             self.roster
                 .with(|roster| Some(roster.known(fingerprint)?.instance.clone()))
@@ -77,13 +77,13 @@
 
     /// The instances that are live and not suspect, this one included.
     pub(crate) fn live(&self) -> Arc<Vec<Instance>> {
-        self.pages.read().live.clone()
+        self.snapshot.read().live.clone()
     }
 
     /// Reads the roster anew whenever `stale` is told that it has changed, and tells `entry` and
     /// `changed`, for ever. The first change of a row is read at once.
     pub(crate) async fn keep(
-        self: Arc<Book>,
+        self: Arc<Directory>,
         entry: Arc<Entry>,
         stale: Arc<Notify>,
         changed: Arc<Notify>,
@@ -104,27 +104,27 @@
             let own = roster.own_record().clone();
             roster.peers().cloned().chain([own]).collect::<Vec<_>>()
         });
-        let mut pages = Pages::of(&records);
-        pages.live = Arc::new(live(&self.roster, &pages.services));
-        let pages = Arc::new(pages);
-        let before = std::mem::replace(&mut *self.pages.write(), pages.clone());
-        for service in before.services.union(&pages.services) {
+        let mut snapshot = Snapshot::of(&records);
+        snapshot.live = Arc::new(live(&self.roster, &snapshot.services));
+        let snapshot = Arc::new(snapshot);
+        let before = std::mem::replace(&mut *self.snapshot.write(), snapshot.clone());
+        for service in before.services.union(&snapshot.services) {
             entry.set_targets(service, &targets(&self.roster, service));
         }
     }
 }
 
-impl Pages {
-    fn of(records: &[Record]) -> Pages {
-        let mut pages = Pages::default();
+impl Snapshot {
+    fn of(records: &[Record]) -> Snapshot {
+        let mut snapshot = Snapshot::default();
         for record in records {
-            pages
+            snapshot
                 .names
                 .insert(record.fingerprint, record.instance.clone());
-            pages.peers.insert(record.instance.clone(), peer(record));
-            pages.services.insert(record.service.clone());
+            snapshot.peers.insert(record.instance.clone(), peer(record));
+            snapshot.services.insert(record.service.clone());
         }
-        pages
+        snapshot
     }
 }
 
--- a/crates/appleshore/src/inbound.rs
+++ b/crates/appleshore/src/inbound.rs
@@ -9,8 +9,8 @@
 use unit::Instance;
 use wire::{Error, Frame, Handshake, Listener, Note, Sender, Stream, Topic};
 
-use crate::book::Book;
 use crate::claims::Desk;
+use crate::directory::Directory;
 use crate::notice::Hearers;
 use crate::suspicion::Suspicions;
 
@@ -20,7 +20,7 @@
     pub(crate) desk: Arc<Desk>,
     pub(crate) feed: Feed,
     pub(crate) suspicions: Arc<Suspicions>,
-    pub(crate) book: Arc<Book>,
+    pub(crate) directory: Arc<Directory>,
     pub(crate) roster: Arc<Shared>,
     pub(crate) hearers: Arc<Hearers>,
 }
@@ -61,7 +61,7 @@
         match frame {
             Some(Frame::Note(note)) => self.note(&peer, stream.sender, note).await,
             // An instance that is held for gone may speak of itself, and have nothing run.
-            Some(_) if self.book.peer(&peer).is_none() => Err(stranger(&peer)),
+            Some(_) if self.directory.peer(&peer).is_none() => Err(stranger(&peer)),
             Some(Frame::Call(call)) => {
                 self.hearers.called(&peer);
                 self.server.call(stream, call).await
--- a/crates/appleshore/src/keeper.rs
+++ b/crates/appleshore/src/keeper.rs
@@ -16,7 +16,7 @@
 use unit::Instance;
 use wire::{Dialer, Link};
 
-use crate::book::Book;
+use crate::directory::Directory;
 
 /// How often the wanted links are looked over, beside each change of the roster.
 const LOOK: Duration = Duration::from_secs(1);
@@ -32,7 +32,7 @@
 #[derive(Clone)]
 pub(crate) struct Keeper {
     pub(crate) entry: Arc<Entry>,
-    pub(crate) book: Arc<Book>,
+    pub(crate) directory: Arc<Directory>,
     pub(crate) dialer: Arc<Dialer>,
     pub(crate) roster: Arc<Shared>,
     /// Told when the roster has changed.
@@ -87,7 +87,7 @@
     async fn keep(self, instance: Instance) {
         let mut pause = FIRST_PAUSE;
         loop {
-            let Some(peer) = self.book.peer(&instance) else {
+            let Some(peer) = self.directory.peer(&instance) else {
                 sleep(LOOK).await;
                 continue;
             };
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -20,9 +20,9 @@
 //! ```
 
 mod assembly;
-mod book;
 mod claims;
 mod daemon;
+mod directory;
 mod dump;
 mod error;
 pub mod file;
--- a/crates/appleshore/src/links.rs
+++ b/crates/appleshore/src/links.rs
@@ -10,7 +10,7 @@
 use unit::{Fingerprint, Instance, Report};
 use wire::{Dialer, Greeter, Greeting, Identity, Listener, Note, Topic, Trust, codec};
 
-use crate::book::Book;
+use crate::directory::Directory;
 use crate::error::Error;
 use crate::profile::{Links, Profile};
 
@@ -82,12 +82,12 @@
         self,
         setting: &Setting,
         roster: &Arc<Shared>,
-        book: &Arc<Book>,
+        directory: &Arc<Directory>,
         hands: &Arc<Hands>,
     ) -> Result<(Listener, Dialer), Error> {
         match self {
             Life::Quic(identity) => {
-                let known = book.clone();
+                let known = directory.clone();
                 let trust = Trust::new(move |fingerprint| known.name(fingerprint));
                 let listener = Listener::bind(setting.link, &identity, trust)?;
                 let dialer = Dialer::bind(identity, setting.link.ip())?;
--- a/crates/appleshore/src/suspicion.rs
+++ b/crates/appleshore/src/suspicion.rs
@@ -15,7 +15,7 @@
 use unit::{Instance, Service};
 use wire::{Dialer, Error, Note, Topic, codec};
 
-use crate::book::Book;
+use crate::directory::Directory;
 
 /// How often the gate is asked for new suspicions. A resend within it may find a gate unaware.
 const PERIOD: Duration = Duration::from_millis(20);
@@ -32,7 +32,7 @@
     pub(crate) service: Service,
     pub(crate) gate: Gate,
     pub(crate) dialer: Arc<Dialer>,
-    pub(crate) book: Arc<Book>,
+    pub(crate) directory: Arc<Directory>,
 }
 
 impl Suspicions {
@@ -62,7 +62,7 @@
             Err(error) => return log::error!("gate: {error}."),
         };
         let mut telling = JoinSet::new();
-        for instance in self.book.of(&self.service) {
+        for instance in self.directory.of(&self.service) {
             if instance == self.me {
                 continue;
             }
@@ -79,7 +79,7 @@
 
     async fn send(&self, instance: &Instance, payload: Bytes) -> Result<(), Error> {
         let unknown = || Error::Dial(instance.to_string(), "not announced".to_string());
-        let peer = self.book.peer(instance).ok_or_else(unknown)?;
+        let peer = self.directory.peer(instance).ok_or_else(unknown)?;
         let link = self.dialer.link(&peer).await?;
         link.note(Topic::Load, payload).await.map(drop)
     }
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -14,7 +14,7 @@
 
 use crate::answer::{self, Hold};
 use crate::intake::{Bound, Intake, REPLAYABLE};
-use crate::job::{Head, Job, Purse};
+use crate::job::{Budget, Head, Job};
 use crate::once::{Once, claim_key};
 use crate::tries::Tries;
 use crate::{Body, Entry, Origin, Reason, Refusal};
@@ -172,7 +172,7 @@
             goal: routed.clock.goal,
             again: routed.clock.again,
             class: 0,
-            purse: purse(origin),
+            budget: budget(origin),
             kind: head.kind(intake.start()),
             head,
         }
@@ -352,9 +352,9 @@
     }
 }
 
-fn purse(origin: &Origin) -> Purse {
+fn budget(origin: &Origin) -> Budget {
     match origin {
-        Origin::Nested(Some(nest)) => Purse::Shared(nest.clone()),
-        _ => Purse::Own(Allowance::fresh()),
+        Origin::Nested(Some(nest)) => Budget::Shared(nest.clone()),
+        _ => Budget::Own(Allowance::fresh()),
     }
 }
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -34,7 +34,7 @@
     pub(crate) again: bool,
     /// The kind of work; see [`wire::Call::class`].
     pub(crate) class: u32,
-    pub(crate) purse: Purse,
+    pub(crate) budget: Budget,
     pub(crate) kind: Digest,
     pub(crate) head: Head,
 }
@@ -47,14 +47,14 @@
 }
 
 /// The retry allowance: the request's own, or the one shared by all calls below one call.
-pub(crate) enum Purse {
+pub(crate) enum Budget {
     /// A caller's own request.
     Own(Allowance),
     /// A nested call.
     Shared(Nest),
 }
 
-impl Purse {
+impl Budget {
     /// Asks the budget of `upstream` for one more try.
     pub(crate) fn ask(&mut self, upstream: &Upstream, cause: Cause) -> bool {
         let now = Instant::now();
@@ -74,8 +74,8 @@
 
     fn change<T>(&mut self, change: impl FnOnce(&mut Allowance) -> T) -> T {
         match self {
-            Purse::Own(allowance) => change(allowance),
-            Purse::Shared(nest) => nest.allowance(|units| {
+            Budget::Own(allowance) => change(allowance),
+            Budget::Shared(nest) => nest.allowance(|units| {
                 let mut allowance = Allowance::from_units(*units);
                 let result = change(&mut allowance);
                 *units = allowance.units();
@@ -127,7 +127,7 @@
             class: self.class,
             elsewhere,
             depth: self.depth,
-            allowance: self.purse.units(),
+            allowance: self.budget.units(),
             once: !self.repeatable(),
             kind: self.kind,
             method: self.head.method.to_string(),
--- a/crates/entry/src/tries.rs
+++ b/crates/entry/src/tries.rs
@@ -190,7 +190,7 @@
     fn answered(&mut self, answer: Answer, intake: &Intake) -> Next {
         let reply = &answer.reply;
         self.job
-            .purse
+            .budget
             .settle(kind(reply.status), Some(reply.allowance));
         let again = UNAVAILABLE.contains(&reply.status)
             && self.job.repeatable()
@@ -204,7 +204,7 @@
     }
 
     fn refused(&mut self, refusal: &wire::Refusal, intake: &Intake) -> Next {
-        self.job.purse.settle(Kind::Refused, None);
+        self.job.budget.settle(Kind::Refused, None);
         let mut answer = Refusal::not_run(reason(refusal.cause))
             .detail(format!("the gate refused: {}", refusal.cause));
         if !refusal.retry_after.is_zero() {
@@ -249,7 +249,7 @@
             Some(attempts) => self.sent < attempts,
             None => self.left > 0,
         };
-        time && left && self.job.purse.ask(&self.job.upstream, cause)
+        time && left && self.job.budget.ask(&self.job.upstream, cause)
     }
 
     /// Whether a refusal for want of room is worth a hand-over. When all others are hot it would be
--- a/crates/entry/src/tries/copy.rs
+++ b/crates/entry/src/tries/copy.rs
@@ -93,7 +93,7 @@
         if !self.job.upstream.pick.has_room(Instant::now(), &need) {
             return Err("room");
         }
-        match self.job.purse.ask(&self.job.upstream, Cause::Hedge) {
+        match self.job.budget.ask(&self.job.upstream, Cause::Hedge) {
             true => Ok(()),
             false => Err("budget"),
         }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -12,9 +12,9 @@
 use crate::latency::Latency;
 use crate::limit::{Limit, Turn};
 use crate::pace::Pace;
+use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
 use crate::request::{Id, Request};
-use crate::solo::Solo;
 use crate::suspect::{self, Standing, Suspicion};
 use crate::token::{self, Fence, State, Status};
 use crate::verdict::{Event, Verdict};
@@ -86,7 +86,7 @@
     pub(crate) latency: Latency,
     pub(crate) knee: Knee,
     pub(crate) lanes: [Lane; 3],
-    pub(crate) solo: Solo,
+    pub(crate) quarantine: Quarantine,
     pub(crate) waiting: BTreeMap<Id, Request>,
     /// Waiting requests that others wait for.
     pub(crate) nested: BTreeSet<Id>,
@@ -129,7 +129,7 @@
             latency: Latency::default(),
             knee,
             lanes: Default::default(),
-            solo: Solo::new(now),
+            quarantine: Quarantine::new(now),
             waiting: BTreeMap::new(),
             nested: BTreeSet::new(),
             deadlines: Default::default(),
@@ -201,7 +201,7 @@
         }
         match self.standing(now, request.kind) {
             Standing::Convicted { .. } => Some(Cause::Suspect),
-            Standing::Suspect if !self.solo.has_room() => Some(Cause::Suspect),
+            Standing::Suspect if !self.quarantine.has_room() => Some(Cause::Suspect),
             Standing::Suspect => None,
             Standing::Innocent if self.is_better_elsewhere(now, request) => Some(Cause::Full),
             Standing::Innocent if request.nested && self.has_nested_room() => None,
@@ -220,7 +220,7 @@
         let rank = request.urgency.rank();
         let suspect = self.standing(now, request.kind) != Standing::Innocent;
         if suspect {
-            self.solo.push(id);
+            self.quarantine.push(id);
         } else {
             self.make_room(now, &request);
             self.lanes[rank].push(&request.caller, request.weight, id);
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -26,7 +26,7 @@
     /// Callers with the longest queues, at most 20.
     pub callers: Vec<Waiting>,
     /// Suspects that wait to run alone.
-    pub solo: usize,
+    pub quarantine: usize,
     /// Tokens that are queued, running, done or fenced.
     pub tokens: usize,
     /// Tokens among them that are fenced.
@@ -53,7 +53,7 @@
             law: self.setting.law,
             strain: self.limit.strain(),
             callers,
-            solo: self.solo.len(),
+            quarantine: self.quarantine.len(),
             tokens: self.tokens.kept(),
             fences: self.tokens.fences(),
             suspects: self.suspects(now),
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -23,7 +23,7 @@
     ///
     /// An id that was never dispatched gives its slot back and counts as not run.
     pub fn finish(&mut self, now: Instant, id: Id, end: End) {
-        let alone = self.solo.is_alone(now, id);
+        let alone = self.quarantine.is_alone(now, id);
         let Some(held) = self.release(now, id) else {
             return;
         };
@@ -41,7 +41,7 @@
         let held = self.held.remove(&id)?;
         self.ages.remove(&(held.since, id));
         self.held_by[held.request.urgency.rank()] -= 1;
-        self.solo.end(now, id);
+        self.quarantine.end(now, id);
         Some(held)
     }
 
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -93,7 +93,7 @@
         let pause = self
             .pause
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(now));
-        pause + self.solo.hold(now, service)
+        pause + self.quarantine.hold(now, service)
     }
 
     fn wait_behind(&self, now: Instant, urgency: Urgency, ahead: usize) -> Duration {
--- a/crates/gate/src/solo.rs
+++ b/crates/gate/src/quarantine.rs
@@ -56,14 +56,14 @@
 }
 
 #[derive(Debug)]
-pub(crate) struct Solo {
+pub(crate) struct Quarantine {
     queue: VecDeque<Id>,
     phase: Phase,
 }
 
-impl Solo {
-    pub(crate) fn new(now: Instant) -> Solo {
-        Solo {
+impl Quarantine {
+    pub(crate) fn new(now: Instant) -> Quarantine {
+        Quarantine {
             queue: VecDeque::new(),
             phase: Phase::Rest { until: now },
         }
@@ -160,7 +160,7 @@
         matches!(self.phase, Phase::Run { id: running, until, .. } if running == id && now < until)
     }
 
-    /// When [`Solo::step`] may decide otherwise by time alone.
+    /// When [`Quarantine::step`] may decide otherwise by time alone.
     pub(crate) fn timer(&self, now: Instant) -> Option<Instant> {
         let until = match self.phase {
             Phase::Rest { until } if !self.queue.is_empty() => until,
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -7,8 +7,8 @@
 
 use crate::Cause;
 use crate::core::{Core, Held};
+use crate::quarantine::Step;
 use crate::request::{Id, Request};
-use crate::solo::Step;
 use crate::suspect::Standing;
 use crate::verdict::Event;
 
@@ -119,7 +119,7 @@
         self.recheck_suspects(now);
         let others = self.has_waiting();
         let service = self.latency.mean();
-        match self.solo.step(now, self.held.len(), others, service) {
+        match self.quarantine.step(now, self.held.len(), others, service) {
             Step::Hold => false,
             Step::Start(id) => self.start(now, id),
             Step::GiveUp(id) => {
@@ -197,8 +197,8 @@
     fn divert(&mut self, now: Instant, id: Id) {
         let kind = self.waiting.get(&id).map(|request| request.kind);
         let standing = kind.map(|kind| self.standing(now, kind));
-        if standing == Some(Standing::Suspect) && self.solo.has_room() {
-            self.solo.push(id);
+        if standing == Some(Standing::Suspect) && self.quarantine.has_room() {
+            self.quarantine.push(id);
             return;
         }
         self.refuse_waiting(now, id, Cause::Suspect);
@@ -219,7 +219,7 @@
     /// Sends waiting suspects that were cleared since back to their lanes, and refuses those
     /// that were convicted.
     fn recheck_suspects(&mut self, now: Instant) {
-        while let Some(id) = self.solo.front() {
+        while let Some(id) = self.quarantine.front() {
             let Some(request) = self.waiting.get(&id) else {
                 return;
             };
@@ -227,7 +227,7 @@
                 Standing::Suspect => return,
                 Standing::Convicted { .. } => self.refuse_waiting(now, id, Cause::Suspect),
                 Standing::Innocent => {
-                    self.solo.remove(id);
+                    self.quarantine.remove(id);
                     let lane = &mut self.lanes[request.urgency.rank()];
                     lane.push(&request.caller, request.weight, id);
                 }
@@ -282,7 +282,7 @@
         let request = self.forget_waiting(id)?;
         let rank = request.urgency.rank();
         if !self.lanes[rank].remove(&request.caller, id) {
-            self.solo.remove(id);
+            self.quarantine.remove(id);
         }
         if self.lanes[rank].len() == 0 {
             self.passed[rank] = 0;
@@ -324,7 +324,7 @@
         let others = [
             self.pause,
             spell,
-            self.solo.timer(now),
+            self.quarantine.timer(now),
             self.trouble_timer(now),
         ];
         late.chain(others.into_iter().flatten()).min()
--- a/crates/gate/src/spell.rs
+++ b/crates/gate/src/spell.rs
@@ -84,7 +84,7 @@
             return false;
         };
         let run = self.run_between_spells(now, &held.request);
-        !self.solo.is_alone(now, id) && self.pace.expected_loss(now, run) > WORD
+        !self.quarantine.is_alone(now, id) && self.pace.expected_loss(now, run) > WORD
     }
 
     /// Looks once more at a request that holds a slot and is about to start, as what is known of the
@@ -117,7 +117,7 @@
         if self.down {
             return Some(Reversal::Refuse(Cause::Down));
         }
-        if self.solo.is_alone(now, id) {
+        if self.quarantine.is_alone(now, id) {
             return None;
         }
         if self.is_better_elsewhere(now, request) {
--- a/crates/gate/src/suspect.rs
+++ b/crates/gate/src/suspect.rs
@@ -3,7 +3,7 @@
 //! After a crash each request that ended with it is a suspect. A suspect runs only while nothing
 //! else runs; an answer clears it, a second crash while it runs alone convicts it, and it is
 //! refused for a bounded time. Bystanders of the first crash are cleared by their next answered
-//! run. See [`solo`](crate::solo) for how much of the target suspects may use.
+//! run. See [`quarantine`](crate::quarantine) for how much of the target suspects may use.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/gate/tests/all/suspect.rs
+++ b/crates/gate/tests/all/suspect.rs
@@ -143,7 +143,7 @@
                 Verdict::Wait(_) => {}
                 Verdict::Refuse(refusal) => assert_ne!(refusal.cause(), Cause::Full),
             }
-            assert!(core.dump(now).solo <= 4);
+            assert!(core.dump(now).quarantine <= 4);
         }
         // With so many others, only a suspect runs alone.
         ticks_of_suspects += usize::from(running.len() == 1);
