Draw arrivals and slow spells alike in each mode of an experiment

All draws came from one stream, so that a choice that drew once more shifted all arrivals behind it: differences were taken seed by seed and were not paired.

--- a/bench/src/experiment.rs
+++ b/bench/src/experiment.rs
@@ -3,7 +3,7 @@
 //! A workload is a file that says what targets there are, what callers ask of them and what goes
 //! wrong ([`Workload`]). Each mode runs it with each seed on the model of [`policy`](crate::policy),
 //! which makes the decisions of `pick` and `gate` themselves on a simulated clock. The same seed draws
-//! the same arrivals in each mode, so differences are taken seed by seed.
+//! the same arrivals and slow spells in each mode, so differences are taken seed by seed.
 
 mod compare;
 mod page;
--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -61,7 +61,7 @@
 
 /// Runs one scenario in one mode, and counts by class what its callers get.
 pub(crate) fn outcome(scenario: Scenario, mode: Mode, seed: u64) -> Outcome {
-    world::World::new(scenario, mode, seed).outcome()
+    world::World::new(scenario, mode, seed).outcome(seed)
 }
 
 /// Runs one scenario in one mode.
--- a/bench/src/policy/draw.rs
+++ b/bench/src/policy/draw.rs
@@ -13,6 +13,11 @@
         Draw(Pcg64Mcg::seed_from_u64(seed))
     }
 
+    /// Draws of their own, which depend on nothing that is drawn here later.
+    pub(crate) fn split(&mut self) -> Draw {
+        Draw::new(self.0.next_u64())
+    }
+
     pub(crate) fn below(&mut self, count: usize) -> usize {
         ((u128::from(self.0.next_u64()) * count as u128) >> 64) as usize
     }
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -96,6 +96,12 @@
     slow: bool,
 }
 
+/// Draws that no decision can shift: two modes with the same seed have the same arrivals and spells.
+struct Apart {
+    arrivals: Vec<Draw>,
+    spells: Vec<Draw>,
+}
+
 /// One run of one scenario in one mode.
 pub(crate) struct World {
     scenario: Scenario,
@@ -105,6 +111,7 @@
     events: BTreeMap<(Instant, usize), Event>,
     order: usize,
     draw: Draw,
+    apart: Option<Apart>,
     names: Vec<Instance>,
     places: Vec<Place>,
     calls: Vec<Call>,
@@ -131,6 +138,7 @@
             events: BTreeMap::new(),
             order: 0,
             draw: Draw::new(seed),
+            apart: None,
             names: places.clone().map(name).collect(),
             places: Vec::new(),
             calls: Vec::new(),
@@ -215,7 +223,14 @@
         self.figure()
     }
 
-    pub(crate) fn outcome(mut self) -> Outcome {
+    /// Runs the scenario with draws that can be compared between modes.
+    pub(crate) fn outcome(mut self, seed: u64) -> Outcome {
+        let mut seeds = Draw::new(seed);
+        let mut draws = |count: usize| (0..count).map(|_| seeds.split()).collect();
+        self.apart = Some(Apart {
+            arrivals: draws(CALLERS.len()),
+            spells: draws(self.scenario.targets),
+        });
         self.play();
         self.count()
     }
@@ -250,7 +265,11 @@
             true => spell.length,
             false => spell.gap,
         };
-        let wait = self.draw.exponential(mean.as_nanos() as u64);
+        let draw = match &mut self.apart {
+            Some(apart) => &mut apart.spells[target],
+            None => &mut self.draw,
+        };
+        let wait = draw.exponential(mean.as_nanos() as u64);
         self.after(wait, move |world| {
             world.places[target].slow = !world.places[target].slow;
             world.pass(target, spell);
@@ -274,7 +293,11 @@
         };
         if percent > 0 {
             let rate = self.scenario.capacity() * percent;
-            let gap = self.draw.exponential(10_000_000_000_000 / rate);
+            let draw = match &mut self.apart {
+                Some(apart) => &mut apart.arrivals[caller],
+                None => &mut self.draw,
+            };
+            let gap = draw.exponential(10_000_000_000_000 / rate);
             self.after(gap, move |world| world.arrive(caller));
         }
     }
--- a/bench/tests/experiment.rs
+++ b/bench/tests/experiment.rs
@@ -64,6 +64,31 @@
     assert_ne!(alone, run(&workload, 8, 1).to_string());
 }
 
+#[test]
+fn modes_are_asked_for_the_same() {
+    // Differences are taken seed by seed, which means little if the load differs as well.
+    let directory = tempfile::tempdir().expect("a directory");
+    let json = directory.path().join("figures.json").display().to_string();
+    let workload = directory.path().join("workload.json");
+    fs::write(&workload, SMALL).expect("written");
+    let ended = experiment(&[&workload.display().to_string(), "--json", &json]);
+    assert!(ended.status.success(), "{ended:?}");
+    let figures = fs::read_to_string(&json).expect("figures");
+    let figures: serde_json::Value = serde_json::from_str(&figures).expect("JSON");
+    let came = |mode: usize| -> Vec<f64> {
+        let seconds = figures["modes"][mode]["seconds"]
+            .as_array()
+            .expect("seconds");
+        let sum = |second: &serde_json::Value| {
+            let counts = second.as_array().expect("counts").iter();
+            counts.filter_map(serde_json::Value::as_f64).sum()
+        };
+        seconds.iter().map(sum).collect()
+    };
+    assert!(came(0).iter().sum::<f64>() > 1_000.0, "{:?}", came(0));
+    assert_eq!(came(0), came(1));
+}
+
 #[test]
 fn troubles_of_the_workload_cost_callers() {
     // Targets that are never slow, and such as are slow ten times for long.
