Write claims again that the next owner of a shard has read

Cause, as far as its logs tell: the owner of the shard wrote the claim and stood still for 2 s; another became owner, read the head with the claim in it, and the store came back from a copy that lacked it. The new owner wrote again only what it had written itself, dropped the head that it knew, and granted the key.

A shard keeps the head that it knew lately when the era changes, and adds claims, ends and releases that the new head lacks.

Test: what_a_former_owner_wrote_is_written_again_by_who_has_read_it, seen to grant a claimed key again before.

--- a/crates/ledger/src/recent.rs
+++ b/crates/ledger/src/recent.rs
@@ -1,7 +1,8 @@
 //! What a shard has written lately, to be written again if the store loses it.
 //!
-//! A store that comes back from an older copy has lost the claims of its last seconds. Their owner
-//! still knows them; without it their keys would be granted again, and their requests run twice.
+//! A store that comes back from an older copy has lost the claims of its last seconds. Whoever has
+//! written or read them still knows them; else their keys would be granted again, and their requests
+//! run twice.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -10,12 +11,12 @@
 use unit::{Digest, Token};
 
 use crate::ask::What;
-use crate::claim::{Claim, Moment};
+use crate::claim::{Claim, Moment, Record};
 use crate::head::Head;
-use crate::slot::fold;
+use crate::slot::{Generation, Piece, fold};
 
 /// How long a write is remembered.
-const KEPT: Duration = Duration::from_secs(60);
+pub(crate) const KEPT: Duration = Duration::from_secs(60);
 
 /// Most writes that are remembered, the last ones.
 const MOST: usize = 20_000;
@@ -27,10 +28,15 @@
     Note(What, Moment),
 }
 
+/// Most heads of former eras that are kept until the store holds again what they held.
+const FORMERS: usize = 3;
+
 /// The writes of the last seconds, in their order.
 #[derive(Debug, Default)]
 pub(crate) struct Recent {
     writes: VecDeque<(Instant, Written)>,
+    /// The heads that were known when the store came back, the last one first.
+    formers: VecDeque<Head>,
     /// The store may have lost them.
     is_pending: bool,
 }
@@ -59,10 +65,14 @@
         }
     }
 
-    /// Notes that the store has come back from an older copy.
-    pub(crate) fn rolled_back(&mut self, now: Instant) {
+    /// Notes that the store has come back from an older copy; `head` was known before.
+    pub(crate) fn rolled_back(&mut self, now: Instant, head: Option<Head>) {
         self.prune(now);
-        self.is_pending = !self.writes.is_empty();
+        if let Some(head) = head {
+            self.formers.push_front(head);
+        }
+        self.formers.truncate(FORMERS);
+        self.is_pending = !self.writes.is_empty() || !self.formers.is_empty();
     }
 
     pub(crate) fn is_pending(&self) -> bool {
@@ -72,6 +82,7 @@
     /// Notes that the store holds them again.
     pub(crate) fn confirm(&mut self) {
         self.is_pending = false;
+        self.formers.clear();
     }
 
     /// Adds to `head` what it lacks of the writes, as long as it has fewer bytes than `most`.
@@ -92,6 +103,16 @@
                 replay = Replay::All;
             }
         }
+        for generation in self.formers.iter().flat_map(Head::generations) {
+            for key in generation.keys() {
+                if restore(head, generation, key) {
+                    replay = Replay::All;
+                    if head.weight() >= most {
+                        return Replay::Part;
+                    }
+                }
+            }
+        }
         replay
     }
 
@@ -116,6 +137,41 @@
     }
 }
 
+/// Adds to `head` what it lacks of a generation that was known in a former era; whether it lacked
+/// something.
+fn restore(head: &mut Head, generation: &Generation, key: Digest) -> bool {
+    let Some(piece) = generation.piece(key) else {
+        return false;
+    };
+    let pieces: Vec<Piece> = head
+        .generations()
+        .filter_map(|held| held.piece(key))
+        .collect();
+    let is_freed = |token: Token| {
+        let mut pieces = pieces.iter();
+        pieces.any(|piece| matches!(piece, Piece::Free(tokens) if tokens.contains(&token)))
+    };
+    match (piece, fold(pieces.iter().cloned())) {
+        (Piece::Claim(record), None) if !is_freed(record.token) => head.new.give_back(&record),
+        (
+            Piece::Claim(Record {
+                token,
+                end: Some(end),
+                ..
+            })
+            | Piece::End(token, end),
+            Some(held),
+        ) if held.token == token && held.end.is_none() => {
+            head.new.end(key, token, &end);
+        }
+        (Piece::Free(tokens), Some(held)) if held.end.is_none() && tokens.contains(&held.token) => {
+            head.new.free(key, held.token, generation.newest());
+        }
+        _ => return false,
+    }
+    true
+}
+
 impl Written {
     fn key(&self) -> Digest {
         match self {
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -22,7 +22,7 @@
 use crate::error::Kind;
 use crate::head::Head;
 use crate::index::Index;
-use crate::recent::{Recent, Written};
+use crate::recent::{self, Recent, Written};
 use crate::setting::Limit;
 use crate::slot::Generation;
 
@@ -305,7 +305,10 @@
     /// of the last writes is written again.
     pub(crate) fn enter(&mut self, era: Option<Era>, now: Instant) {
         if self.era.is_some() && era > self.era {
-            self.recent.rolled_back(now);
+            let lately = |known: &&Known| known.confirmed + recent::KEPT > now;
+            let known = self.known.as_ref().filter(lately);
+            let head = known.map(|known| known.head.clone());
+            self.recent.rolled_back(now, head);
             self.reload = true;
             self.sealed = None;
         }
--- a/crates/ledger/src/slot.rs
+++ b/crates/ledger/src/slot.rs
@@ -131,6 +131,23 @@
         self.put(claim.key, Slot::Taken(taken), at);
     }
 
+    /// Adds a claim as it stood in another generation, with its end.
+    pub(crate) fn give_back(&mut self, record: &Record) {
+        let taken = Taken {
+            body: record.body,
+            token: record.token.0.to_be_bytes(),
+            caller: self.name(record.caller.as_str()),
+            entry: self.name(record.entry.as_str()),
+            rule: self.name(&record.rule),
+            at: record.at,
+            end: None,
+        };
+        self.put(record.key, Slot::Taken(taken), record.at);
+        if let Some(end) = &record.end {
+            self.end(record.key, record.token, end);
+        }
+    }
+
     /// Adds the end of the claim with this token.
     pub(crate) fn end(&mut self, key: Digest, token: Token, ended: &Ended) {
         let raw = token.0.to_be_bytes();
--- a/crates/ledger/tests/ledger/era.rs
+++ b/crates/ledger/tests/ledger/era.rs
@@ -7,7 +7,7 @@
 use store::{Condition, Object};
 use unit::{Outcome, Size, Token};
 
-use crate::common::{claim, end, pass};
+use crate::common::{claim, end, key, pass};
 
 fn open(platform: &Platform, name: &str) -> Ledger {
     Ledger::builder(platform.store_named(name))
@@ -65,6 +65,43 @@
     }
 }
 
+/// Guards against claims, ends and releases of a former owner that the next one has read and forgets.
+#[tokio::test(start_paused = true)]
+async fn what_a_former_owner_wrote_is_written_again_by_who_has_read_it() {
+    let platform = Platform::builder().open();
+    let [first, next] = ["a", "b"].map(|name| open(&platform, name));
+    grant(&first, 0, 1).await;
+    grant(&first, 1, 2).await;
+    let copy = platform.snapshot();
+    grant(&first, 2, 3).await;
+    grant(&first, 3, 4).await;
+    first.end(end(3, 4, Outcome::Ran)).await.expect("noted");
+    first.release(key(1), Token(2)).await.expect("noted");
+    pass(1_000).await;
+    // The shard goes over to another daemon, and the former owner dies.
+    grant(&next, 4, 5).await;
+    drop(first);
+    platform.restore(copy);
+    // This write meets the new era.
+    grant(&next, 5, 6).await;
+    let running = next.claim(claim(2, 100)).await.expect("answered");
+    assert!(
+        matches!(running, Claimed::Running(ref record) if record.token == Token(3)),
+        "{running:?}"
+    );
+    let done = next.claim(claim(3, 101)).await.expect("answered");
+    assert!(
+        matches!(done, Claimed::Done(ref record) if record.token == Token(4)),
+        "{done:?}"
+    );
+    grant(&next, 1, 102).await;
+    let kept = next.claim(claim(0, 103)).await.expect("answered");
+    assert!(
+        matches!(kept, Claimed::Running(ref record) if record.token == Token(1)),
+        "{kept:?}"
+    );
+}
+
 /// Guards against a released claim that the copy brings back: its key would be dead.
 #[tokio::test(start_paused = true)]
 async fn a_release_that_was_lost_with_the_copy_still_counts() {
