Ask a ledger's head for a key, and write a log's line, in one place each

Six places collected what the generations of a head say of a key, and two looked for a released token there: Head::pieces and Head::has_released. A claim is added by way of the record that a former head gives back. Flight::claims serves what is remembered and what was open. The log chose its format twice, the page of an experiment set up each plot; both do it once.

A line of a log is read as JSON before it is read as text, as a JSON message may hold at= and part=. No other behaviour changes.

--- a/bench/src/experiment/page.rs
+++ b/bench/src/experiment/page.rs
@@ -3,6 +3,7 @@
 use std::error::Error;
 
 use maud::{DOCTYPE, Markup, PreEscaped, html};
+use plotters::coord::Shift;
 use plotters::prelude::*;
 
 use super::compare::{Comparison, FIGURES, Row};
@@ -76,6 +77,19 @@
     html! { td { (mean) br; small class=[class] { (interval) } } }
 }
 
+/// Draws one plot as SVG.
+fn plot(
+    draw: impl FnOnce(&DrawingArea<SVGBackend<'_>, Shift>) -> Result<(), Box<dyn Error>>,
+) -> Result<String, Box<dyn Error>> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        draw(&area)?;
+        area.present()?;
+    }
+    Ok(svg)
+}
+
 /// Requests answered in time for each second of arrival, a line for each mode.
 fn over_time(comparison: &Comparison) -> Result<String, Box<dyn Error>> {
     let seconds = comparison
@@ -84,10 +98,8 @@
         .map_or(0, |side| side.seconds.len());
     let counts = comparison.modes.iter().flat_map(|side| &side.seconds);
     let most = counts.map(|second| second[0]).fold(1.0, f64::max);
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        let mut chart = ChartBuilder::on(&area)
+    plot(|area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(10)
             .x_label_area_size(35)
             .y_label_area_size(60)
@@ -104,9 +116,8 @@
         }
         let mut labels = chart.configure_series_labels();
         labels.background_style(WHITE.mix(0.8)).draw()?;
-        area.present()?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
 
 /// The difference of each mode to the first in requests in time, over all classes, with its interval.
@@ -121,10 +132,8 @@
         .collect();
     let ends = bars.iter().map(|(_, bar)| bar.mean.abs() + bar.margin);
     let most = ends.filter(|end| end.is_finite()).fold(0.1, f64::max) * 1.1;
-    let mut svg = String::new();
-    {
-        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
-        let mut chart = ChartBuilder::on(&area)
+    plot(|area| {
+        let mut chart = ChartBuilder::on(area)
             .margin(10)
             .x_label_area_size(35)
             .y_label_area_size(180)
@@ -149,7 +158,6 @@
             chart.draw_series([body])?;
             chart.draw_series([whisker])?;
         }
-        area.present()?;
-    }
-    Ok(svg)
+        Ok(())
+    })
 }
--- a/bin/appleshore/src/trace.rs
+++ b/bin/appleshore/src/trace.rs
@@ -88,7 +88,7 @@
 
 /// The line with the id that it is about, if that is the request `id` or a call below it.
 fn parse(id: &str, line: &str) -> Option<(String, Line)> {
-    let (origin, Object { at, part, message }) = parse_text(line).or_else(|| parse_json(line))?;
+    let (origin, Object { at, part, message }) = parse_json(line).or_else(|| parse_text(line))?;
     let (_, rest) = message.split_once("id=")?;
     let (found, text) = rest.split_once(' ').unwrap_or((rest, ""));
     let below = found.strip_prefix(id)?;
--- a/crates/appleshore/src/logging.rs
+++ b/crates/appleshore/src/logging.rs
@@ -86,10 +86,7 @@
         .level_for("gotham", LevelFilter::Warn)
         .format(move |out, message, record| {
             let line = Line::of(SystemTime::now(), record.level(), &message.to_string());
-            match format {
-                LogFormat::Text => out.finish(format_args!("{line}")),
-                LogFormat::Json => out.finish(format_args!("{}", line.json())),
-            }
+            out.finish(format_args!("{}", line.written(format)));
         })
         .chain(fern::Output::call(take))
         .apply()?;
@@ -151,10 +148,8 @@
         if left_out > told {
             let message = format!("log: left_out={}.", left_out - told);
             let line = Line::of(SystemTime::now(), Level::Warn, &message);
-            match format {
-                LogFormat::Text => text.push_str(&format!("{line}\n")),
-                LogFormat::Json => text.push_str(&format!("{}\n", line.json())),
-            }
+            text.push_str(&line.written(format));
+            text.push('\n');
             told = left_out;
         }
         let mut out = stdout().lock();
--- a/crates/appleshore/src/logging/line.rs
+++ b/crates/appleshore/src/logging/line.rs
@@ -6,6 +6,7 @@
 use log::Level;
 use serde::Serialize;
 use serde_json::{Map, Value};
+use setting::LogFormat;
 
 /// One line of the log, before it is written in one of the formats.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,6 +43,14 @@
         }
     }
 
+    /// The line in `format`, without a line's end.
+    pub fn written(&self, format: LogFormat) -> String {
+        match format {
+            LogFormat::Text => self.to_string(),
+            LogFormat::Json => self.json(),
+        }
+    }
+
     /// The line as one JSON object, without a line's end.
     ///
     /// The pairs of the text stand in `fields`. All values are texts, so that a field has one type in
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -80,7 +80,7 @@
     }
 
     /// Whether requests wait in the lanes.
-    pub(crate) fn has_waiting(&self) -> bool {
+    fn has_waiting(&self) -> bool {
         self.lanes.iter().any(|lane| lane.len() > 0)
     }
 
--- a/crates/ledger/src/build.rs
+++ b/crates/ledger/src/build.rs
@@ -174,8 +174,7 @@
 
     fn look(&self, ask: &Ask, known: &Known) -> Look {
         let key = ask.want.key();
-        let generations = known.head.generations();
-        let mut pieces: Vec<Piece> = generations.filter_map(|held| held.piece(key)).collect();
+        let mut pieces: Vec<Piece> = known.head.pieces(key).collect();
         let claimed = pieces.iter().any(|piece| matches!(piece, Piece::Claim(_)));
         if !claimed {
             let hits = self.index.hits(key);
@@ -208,11 +207,7 @@
     let Want::Claim(claim) = &ask.want else {
         return false;
     };
-    let mut pieces = known
-        .head
-        .generations()
-        .filter_map(|held| held.piece(claim.key));
-    pieces.any(|piece| matches!(piece, Piece::Free(freed) if freed.contains(&claim.token)))
+    known.head.has_released(claim.key, claim.token)
 }
 
 fn covers(probed: &Probed, hits: &[u64]) -> bool {
--- a/crates/ledger/src/head.rs
+++ b/crates/ledger/src/head.rs
@@ -12,9 +12,9 @@
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
-use unit::Digest;
+use unit::{Digest, Token};
 
-use crate::slot::Generation;
+use crate::slot::{Generation, Piece};
 
 /// The format that this crate reads and writes.
 const FORMAT: u8 = 1;
@@ -68,6 +68,17 @@
     pub(crate) fn generations(&self) -> impl Iterator<Item = &Generation> {
         std::iter::once(&self.new).chain(&self.old)
     }
+
+    /// What the generations say of a key, the newest first.
+    pub(crate) fn pieces(&self, key: Digest) -> impl Iterator<Item = Piece> {
+        self.generations().filter_map(move |held| held.piece(key))
+    }
+
+    /// Whether the release of a claim stands here.
+    pub(crate) fn has_released(&self, key: Digest, token: Token) -> bool {
+        let mut pieces = self.pieces(key);
+        pieces.any(|piece| matches!(piece, Piece::Free(freed) if freed.contains(&token)))
+    }
 }
 
 /// Encodes a frozen generation as a segment.
--- a/crates/ledger/src/peek.rs
+++ b/crates/ledger/src/peek.rs
@@ -11,15 +11,13 @@
     /// What is known of a key here, pending notes counted in, without the sealed segments.
     pub(crate) fn peek(&self, key: Digest) -> Option<Record> {
         let noted = self.noted(key);
-        let generations = self.known.iter().flat_map(|known| known.head.generations());
-        fold(noted.chain(generations.filter_map(|generation| generation.piece(key))))
+        fold(noted.chain(self.held(key)))
     }
 
     /// Whether an end or a release of this try was reported here.
     pub(crate) fn is_over(&self, key: Digest, token: Token) -> bool {
         let noted = self.noted(key);
-        let generations = self.known.iter().flat_map(|known| known.head.generations());
-        let said = noted.chain(generations.filter_map(|generation| generation.piece(key)));
+        let said = noted.chain(self.held(key));
         said.into_iter().any(|piece| match piece {
             Piece::Claim(record) => record.token != token || record.end.is_some(),
             Piece::End(of, _) => of == token,
@@ -27,6 +25,12 @@
         })
     }
 
+    /// What the head says of a key.
+    fn held(&self, key: Digest) -> impl Iterator<Item = Piece> {
+        let heads = self.known.iter().map(|known| &known.head);
+        heads.flat_map(move |head| head.pieces(key))
+    }
+
     fn noted(&self, key: Digest) -> impl Iterator<Item = Piece> {
         let newest_first = self.notes.iter().rev();
         let of_key = newest_first.filter(move |note| note.what.key() == key);
--- a/crates/ledger/src/recent.rs
+++ b/crates/ledger/src/recent.rs
@@ -100,34 +100,36 @@
             if head.weight() >= most {
                 return Replay::Part;
             }
-            let key = written.key();
-            let before = head.new.piece(key);
-            match written {
-                Written::Claim(claim, at) => self.claim(head, claim, *at),
-                Written::Note(What::End(end), _) => head.new.end(key, end.token, &end.ended()),
-                Written::Note(What::Free(_, token), at) => head.new.free(key, *token, *at),
-            }
-            if head.new.piece(key) != before {
+            if self.rewrite(head, written) {
                 replay = Replay::All;
             }
         }
-        for former in &self.formers {
-            for said in former.pieces() {
-                if restore(head, said) {
-                    replay = Replay::All;
-                    if head.weight() >= most {
-                        return Replay::Part;
-                    }
+        for said in self.formers.iter().flat_map(Former::pieces) {
+            if restore(head, said) {
+                replay = Replay::All;
+                if head.weight() >= most {
+                    return Replay::Part;
                 }
             }
         }
         replay
     }
 
+    /// Adds a write to `head`; whether it lacked that.
+    fn rewrite(&self, head: &mut Head, written: &Written) -> bool {
+        let key = written.key();
+        let before = head.new.piece(key);
+        match written {
+            Written::Claim(claim, at) => self.claim(head, claim, *at),
+            Written::Note(What::End(end), _) => head.new.end(key, end.token, &end.ended()),
+            Written::Note(What::Free(_, token), at) => head.new.free(key, *token, *at),
+        }
+        head.new.piece(key) != before
+    }
+
     /// Adds a claim, unless its key is held: by this one, or by one that came after it.
     fn claim(&self, head: &mut Head, claim: &Claim, at: Moment) {
-        let pieces = head.generations().filter_map(|held| held.piece(claim.key));
-        match fold(pieces) {
+        match fold(head.pieces(claim.key)) {
             None => head.new.take(claim, at),
             Some(record) if self.has_written(claim.key, record.token) => {}
             Some(record) => log::error!(
@@ -155,23 +157,22 @@
             pieces.collect::<Vec<_>>()
         };
         let pieces = self.head.generations().flat_map(of);
-        let is_open = |piece: &Piece| matches!(piece, Piece::Claim(record) if self.open.contains(&record.token));
+        let is_open = |piece: &Piece| {
+            let Piece::Claim(Record { token, .. }) = piece else {
+                return false;
+            };
+            self.open.contains(token)
+        };
         pieces.filter(move |(_, piece, _)| !is_open(piece))
     }
 }
 
 /// Adds to `head` what was said of a key until `newest` in a former era; whether it lacked that.
 fn restore(head: &mut Head, (key, piece, newest): (Digest, Piece, Moment)) -> bool {
-    let pieces: Vec<Piece> = head
-        .generations()
-        .filter_map(|held| held.piece(key))
-        .collect();
-    let is_freed = |token: Token| {
-        let mut pieces = pieces.iter();
-        pieces.any(|piece| matches!(piece, Piece::Free(tokens) if tokens.contains(&token)))
-    };
-    match (piece, fold(pieces.iter().cloned())) {
-        (Piece::Claim(record), None) if !is_freed(record.token) => head.new.insert(&record),
+    match (piece, fold(head.pieces(key))) {
+        (Piece::Claim(record), None) if !head.has_released(key, record.token) => {
+            head.new.insert(&record);
+        }
         (
             Piece::Claim(Record {
                 token,
--- a/crates/ledger/src/shard.rs
+++ b/crates/ledger/src/shard.rs
@@ -14,10 +14,10 @@
 use bytes::Bytes;
 use store::{Bucket, Condition};
 use tokio::time::Instant;
-use unit::{Era, Token, Version};
+use unit::{Era, Version};
 
 use crate::ask::{Ask, Note, Verdict, Want};
-use crate::claim::{Claimed, Moment};
+use crate::claim::{Claim, Claimed, Moment};
 use crate::dump::Count;
 use crate::error::Kind;
 use crate::head::Head;
@@ -77,10 +77,9 @@
 }
 
 impl Flight {
-    /// The tokens of its claims.
-    fn tokens(&self) -> impl Iterator<Item = Token> {
+    fn claims(&self) -> impl Iterator<Item = &Claim> {
         self.asks.iter().filter_map(|ask| match &ask.want {
-            Want::Claim(claim) => Some(claim.token),
+            Want::Claim(claim) => Some(claim),
             _ => None,
         })
     }
@@ -299,11 +298,9 @@
     }
 
     fn remember(&mut self, now: Instant, flight: &Flight) {
-        for ask in &flight.asks {
-            if let Want::Claim(claim) = &ask.want {
-                let written = Written::Claim(claim.clone(), flight.moment);
-                self.recent.push(now, written);
-            }
+        for claim in flight.claims() {
+            let written = Written::Claim(claim.clone(), flight.moment);
+            self.recent.push(now, written);
         }
         for note in &flight.notes {
             let written = Written::Note(note.what.clone(), flight.moment);
@@ -319,7 +316,12 @@
             let known = self.known.as_ref().filter(lately);
             let former = known.map(|known| Former {
                 head: known.head.clone(),
-                open: self.flight.iter().flat_map(Flight::tokens).collect(),
+                open: self
+                    .flight
+                    .iter()
+                    .flat_map(Flight::claims)
+                    .map(|claim| claim.token)
+                    .collect(),
             });
             self.recent.rolled_back(now, former);
             self.reload = true;
--- a/crates/ledger/src/slot.rs
+++ b/crates/ledger/src/slot.rs
@@ -119,16 +119,16 @@
 
     /// Adds a claim; what the generation held of the key before is settled by then.
     pub(crate) fn take(&mut self, claim: &Claim, at: Moment) {
-        let taken = Taken {
+        self.insert(&Record {
+            key: claim.key,
             body: body_part(claim.body),
-            token: claim.token.0.to_be_bytes(),
-            caller: self.name(claim.caller.as_str()),
-            entry: self.name(claim.entry.as_str()),
-            rule: self.name(&claim.rule),
+            token: claim.token,
+            caller: claim.caller.clone(),
+            entry: claim.entry.clone(),
+            rule: claim.rule.clone(),
             at,
             end: None,
-        };
-        self.put(claim.key, Slot::Taken(taken), at);
+        });
     }
 
     /// Adds a claim as it stood in another generation, with its end.
