--- a/bench/src/capacity/entry.rs
+++ b/bench/src/capacity/entry.rs
@@ -73,6 +73,7 @@
             zone: format!("zone-{}", number % ZONES).parse()?,
             incarnation: Incarnation(1),
             leaving: false,
+            evacuated: false,
         })
     };
     (0..size).map(target).collect()
--- a/bench/src/history/parts.rs
+++ b/bench/src/history/parts.rs
@@ -150,6 +150,7 @@
             zone: zone.clone(),
             incarnation: life,
             leaving: false,
+            evacuated: false,
         });
         targets.collect()
     }
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -211,6 +211,7 @@
             zone: self.zone(place),
             incarnation: Incarnation(self.places[place].life),
             leaving: false,
+            evacuated: false,
         };
         let targets: Vec<Target> = self.living(ms(0)).into_iter().map(target).collect();
         for place in &self.places {
--- a/bin/appleshore/src/main.rs
+++ b/bin/appleshore/src/main.rs
@@ -9,6 +9,7 @@
 mod drain;
 mod dump;
 mod error;
+mod evacuate;
 mod explain;
 mod file;
 mod output;
@@ -47,6 +48,9 @@
     Dump(dump::Arguments),
     /// Shows gates and targets, live.
     Top(top::Arguments),
+    /// Evacuates availability zones, and ends evacuations.
+    #[command(subcommand)]
+    Evacuate(evacuate::Command),
     /// Begins a planned stop of a daemon.
     Drain(drain::Arguments),
     /// Prints the record of a request that runs at most once.
@@ -76,6 +80,7 @@
         Command::Rules(command) => rules::run(&command),
         Command::Dump(arguments) => dump::run(&arguments),
         Command::Top(arguments) => top::run(&arguments),
+        Command::Evacuate(command) => evacuate::run(&command),
         Command::Drain(arguments) => drain::run(&arguments),
         Command::Claim(arguments) => claim::run(&arguments),
         Command::Completions(arguments) => shell::completions(&arguments, Arguments::command()),
--- a/bin/appleshore/src/top/state.rs
+++ b/bin/appleshore/src/top/state.rs
@@ -45,6 +45,9 @@
     pub(super) paused: bool,
     pub(super) down: bool,
     pub(super) leaving: bool,
+    /// Daemons of earlier versions don't say it.
+    #[serde(default)]
+    pub(super) evacuated: bool,
 }
 
 #[derive(Deserialize)]
--- a/bin/appleshore/src/top/view.rs
+++ b/bin/appleshore/src/top/view.rs
@@ -107,6 +107,7 @@
     let flags = [
         (gate.down, "down".to_string()),
         (gate.leaving, "leaving".to_string()),
+        (gate.evacuated, "evacuated".to_string()),
         (gate.paused, "paused".to_string()),
         (gate.report.slow, "slow".to_string()),
         (gate.report.hot, "hot".to_string()),
--- a/bin/appleshore/tests/it/kit.rs
+++ b/bin/appleshore/tests/it/kit.rs
@@ -75,6 +75,11 @@
 }
 
 impl Served {
+    /// Where the platform is served.
+    pub fn address(&self) -> std::net::SocketAddr {
+        self.handle.address()
+    }
+
     /// Puts rules in force beside the command line.
     pub async fn write(&self, text: &str) -> Version {
         let value = Bytes::from(text.to_string());
--- a/bin/appleshore/tests/it/main.rs
+++ b/bin/appleshore/tests/it/main.rs
@@ -2,6 +2,7 @@
 
 mod daemon;
 mod document;
+mod evacuate;
 mod kit;
 mod race;
 mod top;
--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -11,7 +11,7 @@
 use roster::{Record, Shared};
 use setting::Setting;
 use store::Store;
-use target::{Heartbeats, Server};
+use target::{ColdLimits, Heartbeats, Server};
 use tokio_util::task::TaskTracker;
 use unit::{Depth, Fingerprint, Incarnation};
 use wire::Dialer;
@@ -72,14 +72,34 @@
 }
 
 fn heartbeats(setting: &Setting, period: Duration, current: &Arc<Current>) -> Heartbeats {
-    let (service, current) = (setting.service.clone(), current.clone());
+    let (service, rules) = (setting.service.clone(), current.clone());
     let health_path = move || {
-        let rules = current.get()?;
+        let rules = rules.get()?;
         rules.document.target(&service)?.health.clone()
     };
+    let (service, rules, cold) = (setting.service.clone(), current.clone(), setting.cold);
+    let cold_target = move || {
+        let Some(cold) = cold else {
+            return ColdLimits::default();
+        };
+        let Some(rules) = rules.get() else {
+            // Nothing may be sent to a cold target before it is known what the target bears.
+            return ColdLimits {
+                max_starts: Some(0),
+                warmup: None,
+            };
+        };
+        let target = rules.document.target(&service);
+        let rate = target.and_then(|target| target.cold_rate);
+        ColdLimits {
+            max_starts: rate.map(|rate| cold.max_starts(rate)),
+            warmup: target.and_then(|target| target.warmup),
+        }
+    };
     Heartbeats {
         period,
         health_path: Arc::new(health_path),
+        cold_target: Arc::new(cold_target),
     }
 }
 
@@ -155,6 +175,7 @@
     pub(crate) store: &'a Store,
     pub(crate) roster: &'a Arc<Shared>,
     pub(crate) current: &'a Arc<Current>,
+    pub(crate) evacuations: &'a Arc<evacuation::Shared>,
     pub(crate) dialer: &'a Arc<Dialer>,
     pub(crate) profile: &'a Profile,
 }
@@ -169,9 +190,11 @@
         store,
         roster,
         current,
+        evacuations,
         dialer,
         profile,
     } = *sources;
+    let evacuation_prefix = setting.evacuation_prefix.as_deref();
     let linked = dialer.clone();
     let linked = move || {
         linked
@@ -185,6 +208,7 @@
         .carrier(feed::over(dialer.clone()))
         .prefix(&setting.announce_prefix)
         .rules_key(&setting.rules_key)
+        .evacuations(evacuation_prefix, evacuations.clone())
         .on_change(changed)
         .linked_peers(linked)
         .mistaken(move || dials.mistaken())
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -31,7 +31,7 @@
 use crate::profile::{Links, Profile};
 use crate::state::State;
 use crate::suspicion::Suspicions;
-use crate::{measuring, operator, port};
+use crate::{evacuated, measuring, operator, port};
 
 /// Bytes of answers kept for requests that may not be repeated, and for how long.
 const HELD: Size = Size::of(8_000_000);
@@ -109,7 +109,8 @@
         let policy = profile.policy.clone();
         let roster = Roster::new(Instant::now(), record, policy, rand::random());
         let roster = Arc::new(roster::Shared::new(roster));
-        let directory = Arc::new(Directory::new(roster.clone()));
+        let evacuations = Arc::new(evacuation::Shared::default());
+        let directory = Arc::new(Directory::new(roster.clone(), evacuations.clone()));
         let hands = Arc::new(Hands::default());
         let (listener, dialer) = life.links(&setting, &roster, &directory, &hands).await?;
         let (listener, dialer) = (Arc::new(listener), Arc::new(dialer));
@@ -135,6 +136,7 @@
             store: &store,
             roster: &roster,
             current: &current,
+            evacuations: &evacuations,
             dialer: &dialer,
             profile: &profile,
         };
@@ -151,6 +153,7 @@
             desk,
             roster,
             current,
+            evacuations,
             dialer,
             feed,
             profile,
@@ -223,7 +226,15 @@
         let changed = Arc::new(Notify::new());
         let kept = directory.clone();
         self.tasks
-            .spawn(kept.keep(state.entry.clone(), stale, changed.clone()));
+            .spawn(kept.keep(state.entry.clone(), stale.clone(), changed.clone()));
+        let zone = state.setting.zone.clone();
+        let evacuated = evacuated::run(
+            state.evacuations.subscribe(),
+            zone,
+            state.server.clone(),
+            stale,
+        );
+        self.tasks.spawn(evacuated);
         let gate = state.server.gate().clone();
         let hearers = Arc::new(Hearers::default());
         let suspicions = Arc::new(Suspicions {
--- a/crates/appleshore/src/directory.rs
+++ b/crates/appleshore/src/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use entry::Entry;
+use evacuation::Zones;
 use feed::peer;
 use parking_lot::RwLock;
 use roster::{Record, Shared, State};
@@ -25,6 +26,7 @@
 /// Addresses and certificates of all instances, in a form that is cheap to read on each call.
 pub(crate) struct Directory {
     roster: Arc<Shared>,
+    evacuations: Arc<evacuation::Shared>,
     snapshot: RwLock<Arc<Snapshot>>,
 }
 
@@ -38,9 +40,10 @@
 }
 
 impl Directory {
-    pub(crate) fn new(roster: Arc<Shared>) -> Directory {
+    pub(crate) fn new(roster: Arc<Shared>, evacuations: Arc<evacuation::Shared>) -> Directory {
         Directory {
             roster,
+            evacuations,
             snapshot: RwLock::default(),
         }
     }
@@ -80,8 +83,8 @@
         self.snapshot.read().live.clone()
     }
 
-    /// Reads the roster anew whenever `stale` is told that it has changed, and tells `entry` and
-    /// `changed`, for ever. The first change of a row is read at once.
+    /// Reads the roster anew whenever `stale` is told that it or the evacuations have changed, and
+    /// tells `entry` and `changed`, for ever. The first change of a row is read at once.
     pub(crate) async fn keep(
         self: Arc<Directory>,
         entry: Arc<Entry>,
@@ -108,8 +111,9 @@
         snapshot.live = Arc::new(live(&self.roster, &snapshot.services));
         let snapshot = Arc::new(snapshot);
         let before = std::mem::replace(&mut *self.snapshot.write(), snapshot.clone());
+        let evacuated = self.evacuations.zones();
         for service in before.services.union(&snapshot.services) {
-            entry.set_targets(service, &targets(&self.roster, service));
+            entry.set_targets(service, &targets(&self.roster, service, &evacuated));
         }
     }
 }
@@ -139,7 +143,7 @@
     live
 }
 
-fn targets(roster: &Shared, service: &Service) -> Vec<pick::Target> {
+fn targets(roster: &Shared, service: &Service, evacuated: &Zones) -> Vec<pick::Target> {
     let live = roster.live(service);
     let some_heard = live.iter().any(|target| !target.suspect);
     let targets = live.iter().map(|target| pick::Target {
@@ -148,6 +152,7 @@
         incarnation: target.incarnation,
         // A suspect is passed over while others are left.
         leaving: target.suspect && some_heard,
+        evacuated: evacuated.contains(&target.zone),
     });
     targets.collect()
 }
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -25,6 +25,7 @@
 mod directory;
 mod dump;
 mod error;
+mod evacuated;
 pub mod file;
 mod inbound;
 mod keeper;
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -152,6 +152,7 @@
     connections: u64,
     store: store::Count,
     era: u64,
+    evacuated: bool,
     left_out: u64,
 }
 
@@ -166,6 +167,7 @@
             connections: state.server.connections(),
             store: feed.store,
             era: feed.era.unwrap_or_default().0,
+            evacuated: state.evacuations.zones().contains(&state.setting.zone),
             left_out: crate::logging::left_out(),
         }
     }
@@ -181,6 +183,7 @@
             connections,
             store,
             era,
+            evacuated,
             left_out,
         } = &self.0;
         counter(
@@ -279,6 +282,12 @@
             "Newest era of the store that is known",
             *era,
         )?;
+        gauge(
+            &mut encoder,
+            "evacuated",
+            "Whether the zone of this instance is evacuated",
+            u64::from(*evacuated),
+        )?;
         counter(
             &mut encoder,
             "log_left_out",
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -23,6 +23,7 @@
     pub(crate) desk: Arc<Desk>,
     pub(crate) roster: Arc<Shared>,
     pub(crate) current: Arc<Current>,
+    pub(crate) evacuations: Arc<evacuation::Shared>,
     pub(crate) dialer: Arc<Dialer>,
     pub(crate) feed: Feed,
     pub(crate) profile: Profile,
--- a/crates/appleshore/tests/silent.rs
+++ b/crates/appleshore/tests/silent.rs
@@ -162,6 +162,7 @@
         zone: name("longbien"),
         incarnation: Incarnation(1),
         leaving: false,
+        evacuated: false,
     };
     let claims = Claims {
         claim: Box::new(|claim| {
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -46,6 +46,8 @@
     pub not_run: Option<HeaderName>,
     /// The load that a target tells of itself.
     pub load: Option<Load>,
+    /// Whole milliseconds for which a target stays cold, in its answers to health checks.
+    pub cold: Option<HeaderName>,
     /// Whether callers understand parts of a second in `Retry-After`.
     pub exact_retry: bool,
 }
@@ -116,6 +118,18 @@
         headers.get(self.life.as_ref()?)?.to_str().ok()
     }
 
+    /// How long a target stays cold, by its answer to a health check; zero if it is warm. `None` if
+    /// targets don't report it, or this one can't be read.
+    pub fn cold_remaining(&self, headers: &HeaderMap) -> Option<Duration> {
+        let Some(value) = headers.get(self.cold.as_ref()?) else {
+            return Some(Duration::ZERO);
+        };
+        let millis: Decimal = value.to_str().ok()?.trim().parse().ok()?;
+        // A fraction counts as a whole millisecond, because the target is still cold then.
+        let remaining = Duration::from_millis(millis.up()?);
+        Some(remaining.min(MAX_LEFT))
+    }
+
     /// Whether an answer says that the request was not run.
     pub fn says_not_run(&self, headers: &HeaderMap) -> bool {
         let name = self.not_run.as_ref();
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -276,7 +276,10 @@
 /// How a refusal counts for the choice among targets.
 fn kind_of_refusal(cause: wire::Cause) -> Kind {
     match cause {
-        wire::Cause::Down | wire::Cause::Leaving | wire::Cause::Misdirected => Kind::Closed,
+        wire::Cause::Down
+        | wire::Cause::Leaving
+        | wire::Cause::Evacuated
+        | wire::Cause::Misdirected => Kind::Closed,
         // The target declined a request that its gate had admitted, which counts as a failure.
         wire::Cause::Declined => Kind::Error,
         _ => Kind::Refused,
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -275,9 +275,13 @@
 
     fn no_target_left(&mut self) -> Refusal {
         let service = &self.job.service;
+        let (reason, cause) = match self.job.upstream.pick.is_evacuated() {
+            true => (Reason::Evacuated, "every zone with a target is evacuated"),
+            false => (Reason::NoTarget, "no target may be chosen"),
+        };
         let none = || {
-            Refusal::not_run(Reason::NoTarget)
-                .detail(format!("no target of {service} may be chosen"))
+            Refusal::not_run(reason)
+                .detail(format!("{service}: {cause}"))
                 .retry_after(Duration::from_secs(1))
         };
         let refusal = self.last_refusal.take().unwrap_or_else(none);
@@ -312,6 +316,7 @@
     match cause {
         wire::Cause::Deadline => Reason::Deadline,
         wire::Cause::Suspect => Reason::Suspect,
+        wire::Cause::Evacuated => Reason::Evacuated,
         wire::Cause::Down | wire::Cause::Leaving | wire::Cause::Misdirected => Reason::NoTarget,
         wire::Cause::Full
         | wire::Cause::Fenced
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -47,6 +47,9 @@
     /// No target of the service is known or may be chosen.
     #[display("no-target")]
     NoTarget,
+    /// All zones in which the service has targets are evacuated.
+    #[display("evacuated")]
+    Evacuated,
     /// The gates that were asked are at capacity.
     #[display("full")]
     Full,
@@ -238,6 +241,7 @@
         Reason::TooDeep => StatusCode::LOOP_DETECTED,
         Reason::Lost => StatusCode::BAD_GATEWAY,
         Reason::NoTarget
+        | Reason::Evacuated
         | Reason::Full
         | Reason::Deadline
         | Reason::Leaving
--- a/crates/feed/examples/link.rs
+++ b/crates/feed/examples/link.rs
@@ -38,6 +38,7 @@
         total: u64::MAX / 3,
         rules: Version::of(70_000),
         era: Some(Era(1)),
+        evacuations: 0,
     };
     let rules = |length: usize| {
         Message::Rules(Push {
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -35,6 +35,8 @@
     carrier: Carrier,
     prefix: String,
     rules_key: String,
+    evacuation_prefix: Option<String>,
+    evacuations: Arc<evacuation::Shared>,
     on_change: Box<dyn Fn() + Send + Sync>,
     linked_peers: Box<dyn Fn() -> Vec<Instance> + Send + Sync>,
     mistaken: Box<dyn Fn() -> u64 + Send + Sync>,
@@ -87,6 +89,8 @@
             carrier: unreachable,
             prefix: "instances/".to_string(),
             rules_key: "rules".to_string(),
+            evacuation_prefix: None,
+            evacuations: Arc::default(),
             on_change: Box::new(|| ()),
             linked_peers: Box::new(Vec::new),
             mistaken: Box::new(|| 0),
@@ -115,6 +119,18 @@
         self
     }
 
+    /// Follows the evacuations under the key prefix `prefix`, and puts them into `evacuations`. By
+    /// default they come from other daemons only.
+    pub fn evacuations(
+        mut self,
+        prefix: Option<&str>,
+        evacuations: Arc<evacuation::Shared>,
+    ) -> Builder {
+        self.evacuation_prefix = prefix.map(str::to_string);
+        self.evacuations = evacuations;
+        self
+    }
+
     /// Sets a callback for when readers of the roster may see a change. Calls do not overlap. It
     /// must not call back into the feed.
     pub fn on_change(mut self, on_change: impl Fn() + Send + Sync + 'static) -> Builder {
@@ -170,6 +186,8 @@
             carrier: self.carrier,
             prefix: self.prefix,
             rules_key: self.rules_key,
+            evacuation_prefix: self.evacuation_prefix,
+            evacuations: self.evacuations,
             on_change: Mutex::new(self.on_change),
             published: Mutex::default(),
             linked_peers: self.linked_peers,
--- a/crates/feed/src/era.rs
+++ b/crates/feed/src/era.rs
@@ -72,6 +72,12 @@
     );
 }
 
+/// Whether the store was restored so recently that entries may yet be rewritten.
+pub(crate) fn is_restored(inner: &Inner) -> bool {
+    let since = *inner.rolled_back.lock();
+    since.is_some_and(|since| since.elapsed() < REWRITE_WINDOW)
+}
+
 /// Waits until entries lost in a restoration have had time to be rewritten.
 pub(crate) async fn wait_for_rewrites(inner: &Inner) {
     loop {
--- /dev/null
+++ b/crates/feed/src/evacuations.rs
@@ -0,0 +1,140 @@
+//! Follows the evacuations in the store, and spreads them to all daemons.
+//!
+//! The watchers of each zone read them. A change goes down the trees of all zones at once; a daemon
+//! that it has missed notices by the digest in the next heartbeat, and compares.
+
+use std::collections::BTreeSet;
+
+use evacuation::Record;
+use store::{Change, Consistency, Object};
+use unit::{Instance, Version, Zone};
+
+use crate::feed::Inner;
+use crate::job::Job;
+use crate::message::{Answer, Message};
+use crate::{Error, carrier, era, platform, relay};
+
+/// Lists all evacuations for the zone. Returns the revision from which a watch may start.
+pub(crate) async fn list(inner: &Inner) -> Result<Version, Error> {
+    let Some(prefix) = &inner.evacuation_prefix else {
+        return Ok(Version::NONE);
+    };
+    let read = || inner.store.list_with(prefix, Consistency::Linearizable);
+    let listing = platform::within_budget(read).await?;
+    let objects = listing.objects.iter();
+    let listed: Vec<Record> = objects.filter_map(|object| begun(inner, object)).collect();
+    let new = match era::is_restored(inner) {
+        true => inner
+            .evacuations
+            .apply_restored_listing(&listed, listing.revision),
+        false => inner.evacuations.apply_listing(&listed, listing.revision),
+    };
+    publish(inner, new);
+    Ok(listing.revision)
+}
+
+/// Applies a change reported by a watch on the evacuations.
+pub(crate) fn apply(inner: &Inner, change: &Change) {
+    let begun = change.changed.iter();
+    let begun = begun.filter_map(|object| begun_at(inner, &object.key, object.version));
+    let ended = change.deleted.iter().filter_map(|deletion| {
+        let zone = zone(inner, &deletion.key)?;
+        Some(Record {
+            zone,
+            version: deletion.version,
+            evacuated: false,
+        })
+    });
+    let records: Vec<Record> = begun.chain(ended).collect();
+    publish(inner, inner.evacuations.merge(&records));
+}
+
+/// Resolves once evacuations that a restored store lacks may have ended: the operator has had time
+/// to write them again. Never resolves if there are none.
+pub(crate) async fn may_end_later(inner: &Inner) {
+    let era = inner.store.eras().newest().unwrap_or_default();
+    let records = inner.evacuations.records();
+    let is_former = |record: &Record| record.evacuated && record.version.era < era;
+    match era::is_restored(inner) && records.iter().any(is_former) {
+        true => era::wait_for_rewrites(inner).await,
+        false => std::future::pending().await,
+    }
+}
+
+/// The record of an object. Its existence alone evacuates the zone, whatever its value is.
+fn begun(inner: &Inner, object: &Object) -> Option<Record> {
+    begun_at(inner, &object.key, object.version)
+}
+
+fn begun_at(inner: &Inner, key: &str, version: Version) -> Option<Record> {
+    let zone = zone(inner, key)?;
+    Some(Record {
+        zone,
+        version,
+        evacuated: true,
+    })
+}
+
+/// The zone that a key names. An object whose name is not one of a zone evacuates nothing.
+fn zone(inner: &Inner, key: &str) -> Option<Zone> {
+    let name = key.strip_prefix(inner.evacuation_prefix.as_deref()?)?;
+    let zone = name.parse();
+    zone.inspect_err(|error| log::warn!("feed: object {key} evacuates nothing: {error}."))
+        .ok()
+}
+
+/// Sends records that were read here to all zones.
+fn publish(inner: &Inner, new: Vec<Record>) {
+    if !new.is_empty() && inner.relayed.lock().mark_update(relay::tree_seed(&new)) {
+        inner.enqueue(Job::RelayEvacuations(new));
+    }
+}
+
+/// Relays records to the children in the tree and to the roots of all zones.
+pub(crate) async fn relay(inner: &Inner, records: Vec<Record>) {
+    let seed = relay::tree_seed(&records);
+    let mut to: BTreeSet<Instance> = relay::children(inner, seed).into_iter().collect();
+    if inner.with(|roster| roster.is_watcher()) {
+        to.extend(inner.with(|roster| roster.roots()));
+    }
+    relay::deliver(inner, seed, Message::Evacuations(records), to).await;
+}
+
+/// Takes records that came down the tree, and relays them once.
+pub(crate) fn received(inner: &Inner, records: Vec<Record>) -> Answer {
+    inner.evacuations.merge(&records);
+    let is_first = inner.relayed.lock().mark_update(relay::tree_seed(&records));
+    if is_first {
+        inner.enqueue(Job::RelayEvacuations(records));
+    }
+    Answer::Done
+}
+
+/// Compares evacuations with a daemon that reported another digest of them.
+pub(crate) fn check_digest(inner: &Inner, from: &Instance, digest: u64) {
+    if digest != inner.evacuations.digest() {
+        inner.enqueue(Job::CompareEvacuations(from.clone()));
+    }
+}
+
+/// Exchanges all evacuations with another daemon.
+pub(crate) async fn compare(inner: &Inner, with: &Instance) {
+    if let Err(error) = exchange(inner, with).await {
+        log::debug!("feed: comparison of evacuations failed: {error}.");
+    }
+}
+
+async fn exchange(inner: &Inner, with: &Instance) -> Result<(), Error> {
+    let message = Message::CompareEvacuations(inner.evacuations.records());
+    let Answer::Evacuations(records) = inner.ask(with, &message).await? else {
+        return Err(carrier::unexpected_answer(with));
+    };
+    inner.evacuations.merge(&records);
+    Ok(())
+}
+
+/// Takes the evacuations that another daemon knows, and returns those known here.
+pub(crate) fn compared(inner: &Inner, records: &[Record]) -> Answer {
+    inner.evacuations.merge(records);
+    Answer::Evacuations(inner.evacuations.records())
+}
--- a/crates/feed/src/fallback.rs
+++ b/crates/feed/src/fallback.rs
@@ -9,7 +9,7 @@
 
 use crate::feed::Inner;
 use crate::platform::{self, Role};
-use crate::{Error, heartbeat};
+use crate::{Error, evacuations, heartbeat};
 
 /// Interval of the checks whether updates have arrived.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -76,5 +76,9 @@
 
 async fn read(inner: &Inner) -> Result<(), Error> {
     platform::list(inner, Role::Reader, Consistency::Linearizable).await?;
-    platform::rules(inner, Role::Reader, Consistency::Linearizable).await
+    platform::rules(inner, Role::Reader, Consistency::Linearizable).await?;
+    if inner.evacuation_prefix.is_some() {
+        evacuations::list(inner).await?;
+    }
+    Ok(())
 }
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -46,6 +46,9 @@
     pub(crate) carrier: Carrier,
     pub(crate) prefix: String,
     pub(crate) rules_key: String,
+    /// The key prefix of evacuations in the store; `None` if they are not followed.
+    pub(crate) evacuation_prefix: Option<String>,
+    pub(crate) evacuations: Arc<evacuation::Shared>,
     pub(crate) on_change: Mutex<Box<dyn Fn() + Send + Sync>>,
     /// The roster version for which `on_change` was last called.
     pub(crate) published: Mutex<Version>,
@@ -82,6 +85,8 @@
     pub era: Option<Era>,
     /// Whether this daemon watches the platform for its zone.
     pub watcher: bool,
+    /// The zones that are or were evacuated.
+    pub evacuations: Vec<evacuation::Record>,
     /// The calls made to the store.
     pub store: store::Count,
     /// Messages and bytes by kind.
@@ -189,6 +194,7 @@
             rules: self.inner.current.version(),
             era: self.inner.store.eras().newest(),
             watcher: self.inner.with(|roster| roster.is_watcher()),
+            evacuations: self.inner.evacuations.records(),
             store: self.inner.meter.count(),
             flows: self.inner.count.flows(),
         }
--- a/crates/feed/src/heartbeat.rs
+++ b/crates/feed/src/heartbeat.rs
@@ -11,7 +11,7 @@
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Answer, Message};
-use crate::{Error, carrier, fetch};
+use crate::{Error, carrier, evacuations, fetch};
 
 /// Interval between two reviews.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
@@ -71,7 +71,8 @@
 async fn exchange(inner: &Inner, to: &Instance) -> Result<Beat, Error> {
     let rules = inner.current.version();
     let era = inner.store.eras().newest();
-    let beat = inner.with(|roster| roster.heartbeat(rules, era));
+    let evacuations = inner.evacuations.digest();
+    let beat = inner.with(|roster| roster.heartbeat(rules, era, evacuations));
     match inner.ask(to, &Message::Beat(beat)).await? {
         Answer::Beat(theirs) => Ok(theirs),
         _ => Err(carrier::unexpected_answer(to)),
@@ -94,6 +95,7 @@
     let differs = inner.with(|roster| roster.heartbeat_received(now, from, theirs));
     fetch::add_holder(inner, from, theirs.rules);
     learn_era(inner, theirs);
+    evacuations::check_digest(inner, from, theirs.evacuations);
     if differs {
         inner.enqueue(Job::Sync(from.clone(), theirs.total));
     }
--- a/crates/feed/src/job.rs
+++ b/crates/feed/src/job.rs
@@ -8,7 +8,7 @@
 use crate::feed::Inner;
 use crate::message::Update;
 use crate::repair::Stale;
-use crate::{fetch, heartbeat, relay, repair, rules, sync};
+use crate::{evacuations, fetch, heartbeat, relay, repair, rules, sync};
 
 /// A piece of queued work.
 #[derive(Debug)]
@@ -27,6 +27,10 @@
     Vote(Vote),
     /// Compare rosters with a daemon that reported this digest.
     Sync(Instance, u64),
+    /// Relay records of evacuations to the children in the tree.
+    RelayEvacuations(Vec<evacuation::Record>),
+    /// Exchange all evacuations with a daemon that reported another digest of them.
+    CompareEvacuations(Instance),
     /// Rewrite objects that the store has lost.
     Restore(Vec<Record>),
     /// Delete objects of instances that are gone.
@@ -42,6 +46,8 @@
         Job::Probe(to) => heartbeat::probe(&inner, &to).await,
         Job::Vote(vote) => heartbeat::vote(&inner, vote).await,
         Job::Sync(with, total) => sync::sync(&inner, &with, total).await,
+        Job::RelayEvacuations(records) => evacuations::relay(&inner, records).await,
+        Job::CompareEvacuations(with) => evacuations::compare(&inner, &with).await,
         Job::Restore(records) => repair::restore(&inner, records).await,
         Job::DeleteStale(stale) => repair::delete_stale(&inner, stale).await,
     }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -1,4 +1,4 @@
-//! Distributes rules and roster to every daemon.
+//! Distributes rules, roster and evacuations to every daemon.
 //!
 //! A [`Feed`] is the part of one daemon. Three daemons of each zone watch the platform and relay
 //! what they read down a fan-out tree to the rest of the zone. Heartbeats carry the digest of the
@@ -29,6 +29,7 @@
 mod current;
 mod era;
 mod error;
+mod evacuations;
 mod fallback;
 mod feed;
 mod fetch;
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -31,6 +31,11 @@
     Repair(Vec<Record>),
     /// The sender's verdict on an instance. Answered by [`Answer::Done`].
     Vote(Vote),
+    /// New records of evacuations, to be relayed down the zone's tree. Answered by
+    /// [`Answer::Done`].
+    Evacuations(Vec<evacuation::Record>),
+    /// All evacuations that the sender knows. Answered by [`Answer::Evacuations`].
+    CompareEvacuations(Vec<evacuation::Record>),
 }
 
 /// The answer to a [`Message`].
@@ -46,6 +51,8 @@
     Pages(Vec<Page>),
     /// Records that supersede those of a [`Message::Repair`].
     Records(Vec<Record>),
+    /// All evacuations that the answering daemon knows.
+    Evacuations(Vec<evacuation::Record>),
 }
 
 /// Updated records that are relayed down a zone's tree.
@@ -103,6 +110,9 @@
     /// [`Message::Vote`].
     #[display("vote")]
     Vote,
+    /// [`Message::Evacuations`] and [`Message::CompareEvacuations`].
+    #[display("evacuations")]
+    Evacuations,
 }
 
 impl Message {
@@ -116,6 +126,7 @@
             Message::Summary(_) => Kind::Summary,
             Message::Repair(_) => Kind::Repair,
             Message::Vote(_) => Kind::Vote,
+            Message::Evacuations(_) | Message::CompareEvacuations(_) => Kind::Evacuations,
         }
     }
 }
--- a/crates/feed/src/note.rs
+++ b/crates/feed/src/note.rs
@@ -11,7 +11,7 @@
 use crate::job::Job;
 use crate::message::{Answer, Message, Push, Update};
 use crate::rules::{Arrival, Origin};
-use crate::{Error, fetch, heartbeat, rules, sync};
+use crate::{Error, evacuations, fetch, heartbeat, rules, sync};
 
 pub(crate) fn answer(inner: &Inner, from: &Instance, payload: &[u8]) -> Result<Bytes, Error> {
     // Links identify their peers by certificate; a name that isn't in the roster has none.
@@ -36,6 +36,8 @@
         Message::Summary(summary) => Ok(Answer::Pages(sync::pages(inner, &summary))),
         Message::Repair(records) => Ok(Answer::Records(sync::repair(inner, records))),
         Message::Vote(vote) => vote_received(inner, from, vote),
+        Message::Evacuations(records) => Ok(evacuations::received(inner, records)),
+        Message::CompareEvacuations(records) => Ok(evacuations::compared(inner, &records)),
     }
 }
 
@@ -45,10 +47,11 @@
     heartbeat::learn_era(inner, beat);
     let rules = inner.current.version();
     let era = inner.store.eras().newest();
+    let evacuations = inner.evacuations.digest();
     inner.with(|roster| {
         // The sender receives this digest with the answer, and compares.
         roster.heartbeat_received(now, from, beat);
-        roster.heartbeat(rules, era)
+        roster.heartbeat(rules, era, evacuations)
     })
 }
 
--- a/crates/feed/src/relay.rs
+++ b/crates/feed/src/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use futures_util::future::join_all;
 use roster::Record;
+use serde::Serialize;
 use unit::{Digest, Instance, Version};
 
 use crate::feed::Inner;
@@ -63,7 +64,7 @@
 /// Derives the tree's seed from the records alone, wherever they were found.
 ///
 /// The three watchers of a zone, which read the same change, thus use one tree instead of three.
-fn tree_seed(records: &[Record]) -> u64 {
+pub(crate) fn tree_seed<T: Serialize>(records: &[T]) -> u64 {
     let packed = records.iter().filter_map(|r| wire::codec::pack(r).ok());
     let digests = packed.map(|bytes| Digest::of(&bytes).0 as u64);
     digests.fold(0, u64::wrapping_add)
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -7,9 +7,9 @@
 use tokio::time::{Instant, sleep};
 use unit::Version;
 
-use crate::Error;
 use crate::feed::Inner;
 use crate::platform::{self, Role};
+use crate::{Error, evacuations};
 
 /// Interval at which a daemon checks whether it is a watcher.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -40,12 +40,22 @@
 enum Part {
     Instances,
     Rules,
+    Evacuations,
 }
 
 /// Reads the platform once, then watches it whenever this daemon is a watcher of its zone.
 pub(crate) async fn run(inner: Arc<Inner>) {
     start(&inner).await;
-    tokio::join!(watch(&inner, Part::Instances), watch(&inner, Part::Rules));
+    let evacuations = async {
+        if inner.evacuation_prefix.is_some() {
+            watch(&inner, Part::Evacuations).await;
+        }
+    };
+    tokio::join!(
+        watch(&inner, Part::Instances),
+        watch(&inner, Part::Rules),
+        evacuations
+    );
 }
 
 fn backoff(inner: &Inner) -> Backoff {
@@ -118,7 +128,7 @@
 
 fn is_watcher(inner: &Inner, part: Part) -> bool {
     inner.with(|roster| match part {
-        Part::Rules => roster.is_watcher(),
+        Part::Rules | Part::Evacuations => roster.is_watcher(),
         Part::Instances => {
             let watchers = roster.watchers(roster.zone(), INSTANCE_WATCHERS);
             watchers.contains(roster.me())
@@ -132,6 +142,7 @@
     let since = match part {
         Part::Instances => platform::list(inner, Role::Watcher, Consistency::Linearizable).await?,
         Part::Rules => platform::rules_at(inner).await?,
+        Part::Evacuations => evacuations::list(inner).await?,
     };
     log::info!("feed: watches {part:?} on the platform from {since}.");
     let era = inner.store.eras().newest();
@@ -141,6 +152,7 @@
             Ok(())
         }
         result = follow(inner, part, since, backoff) => result,
+        () = evacuations::may_end_later(inner), if part == Part::Evacuations => Ok(()),
         () = no_longer_watcher(inner, part) => {
             log::info!("feed: stops watching {part:?}, other daemons watch it now.");
             Ok(())
@@ -179,16 +191,18 @@
     mut since: Version,
     backoff: &mut Backoff,
 ) -> Result<(), Error> {
+    let pace = &inner.pace;
     let (key, wait, pause) = match part {
         Part::Instances => (
-            &inner.prefix,
-            inner.pace.instances_wait,
-            inner.pace.instances_pause,
+            inner.prefix.as_str(),
+            pace.instances_wait,
+            pace.instances_pause,
         ),
-        Part::Rules => (
-            &inner.rules_key,
-            inner.pace.rules_wait,
-            inner.pace.rules_pause,
+        Part::Rules => (inner.rules_key.as_str(), pace.rules_wait, pace.rules_pause),
+        Part::Evacuations => (
+            inner.evacuation_prefix.as_deref().unwrap_or_default(),
+            pace.rules_wait,
+            pace.rules_pause,
         ),
     };
     loop {
@@ -207,6 +221,7 @@
 fn apply(inner: &Inner, part: Part, change: &Change) {
     match part {
         Part::Instances => platform::apply_instances(inner, change),
+        Part::Evacuations => evacuations::apply(inner, change),
         Part::Rules => {
             let objects = change.changed.iter();
             for object in objects.filter(|object| object.key == inner.rules_key) {
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod bulk;
 mod cost;
 mod era;
+mod evacuation;
 mod fault;
 mod parted;
 mod piece;
--- a/crates/feed/tests/it/piece.rs
+++ b/crates/feed/tests/it/piece.rs
@@ -111,6 +111,7 @@
                 total: 0,
                 rules,
                 era: None,
+                evacuations: 0,
             };
             pack(&Message::Beat(beat)).expect("packs")
         };
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -20,6 +20,7 @@
 /// One way between two daemons, and the time that each call on the platform takes.
 pub const HOP: Duration = Duration::from_millis(5);
 pub const RULES: &str = "rules";
+pub const EVACUATIONS: &str = "evacuations/";
 
 const ZONES: [&str; 4] = ["longbien", "gialam", "caugiay", "dongda"];
 
@@ -38,6 +39,8 @@
     aside: Mutex<BTreeSet<Instance>>,
     /// What the daemons run on.
     mode: Mode,
+    /// Whether they follow evacuations in the store.
+    evacuations: bool,
     /// Bytes a second that each daemon can send; no bound if it is `None`.
     bandwidth: Mutex<Option<u64>>,
     /// Held by a daemon while one slice of one message leaves it.
@@ -67,6 +70,7 @@
     pub feed: Feed,
     pub roster: Arc<Shared>,
     pub current: Arc<Current>,
+    pub evacuations: Arc<evacuation::Shared>,
     task: JoinHandle<()>,
 }
 
@@ -177,6 +181,7 @@
         let roster = Roster::new(Instant::now(), record, policy, seed);
         let roster = Arc::new(Shared::new(roster));
         let current = Arc::new(Current::default());
+        let evacuations = Arc::new(evacuation::Shared::default());
         let (way, from) = (net.clone(), name.clone());
         let carrier: Carrier = Arc::new(move |peer, payload| {
             let (way, from) = (way.clone(), from.clone());
@@ -188,6 +193,7 @@
         let feed = Feed::builder(store, roster.clone(), current.clone())
             .carrier(carrier)
             .rules_key(RULES)
+            .evacuations(net.evacuations.then_some(EVACUATIONS), evacuations.clone())
             .standing(standing)
             .pace(pace(net.mode))
             .mistaken(move || dials.mistaken(&dialler))
@@ -202,6 +208,7 @@
             feed,
             roster,
             current,
+            evacuations,
             task,
         }
     }
@@ -217,6 +224,10 @@
         self.roster.with(|roster| roster.get(of).cloned())
     }
 
+    pub fn zone(&self) -> unit::Zone {
+        self.roster.with(|roster| roster.zone().clone())
+    }
+
     pub fn is_watcher(&self) -> bool {
         self.roster.with(|roster| roster.is_watcher())
     }
@@ -248,7 +259,25 @@
 
     /// `count` daemons in four zones where announcements outlive a restart, some seconds after their start.
     pub async fn settled(count: usize) -> World {
-        let world = World::on(Mode::Greeting, count, ZONES.len()).await;
+        World::on(Mode::Greeting, count, ZONES.len())
+            .await
+            .settle()
+            .await
+    }
+
+    /// The same, where daemons follow evacuations in the store.
+    pub async fn evacuable(count: usize) -> World {
+        let net = Net {
+            mode: Mode::Greeting,
+            evacuations: true,
+            ..Net::default()
+        };
+        World::with(net, count, ZONES.len()).await.settle().await
+    }
+
+    /// Waits until all know all, and for some seconds more.
+    async fn settle(self) -> World {
+        let world = self;
         let has_rules = |node: &Node| node.rules() > Version::NONE;
         let whole = || world.is_whole() && world.nodes.iter().all(has_rules);
         world.until(20, whole).await.expect("all know all");
@@ -258,11 +287,15 @@
 
     /// Daemons that have just started on something.
     pub async fn on(mode: Mode, count: usize, zones: usize) -> World {
-        let platform = Platform::builder().latency(HOP).lag(LAG).open();
         let net = Net {
             mode,
             ..Net::default()
         };
+        World::with(net, count, zones).await
+    }
+
+    async fn with(net: Net, count: usize, zones: usize) -> World {
+        let platform = Platform::builder().latency(HOP).lag(LAG).open();
         let mut world = World {
             platform,
             net: Arc::new(net),
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -18,6 +18,7 @@
 use crate::suspect::{self, Standing, Suspicion};
 use crate::token::{self, Fence, State, Status};
 use crate::verdict::{Event, Verdict};
+use crate::warmup::Bound;
 
 /// A request that holds a slot.
 #[derive(Debug)]
@@ -26,6 +27,8 @@
     pub(crate) since: Instant,
     pub(crate) seq: Seq,
     pub(crate) dispatched: bool,
+    /// Whether it was written to its connection.
+    pub(crate) sent: bool,
     /// The target's pace at dispatch, in hundredths; 0 if the target does not report one.
     pub(crate) pace: u16,
     /// Number of requests that held a slot at dispatch, this one included.
@@ -39,6 +42,7 @@
             since,
             seq,
             dispatched: false,
+            sent: false,
             pace: 0,
             concurrency: 0,
         }
@@ -112,6 +116,9 @@
     pub(crate) next_stall_cut: Option<Instant>,
     pub(crate) down: bool,
     pub(crate) leaving: bool,
+    /// Whether the target's zone is evacuated.
+    pub(crate) evacuated: bool,
+    pub(crate) cold_start: Bound,
     pub(crate) hot: bool,
     pub(crate) pace: Pace,
     pub(crate) answered: u32,
@@ -148,6 +155,8 @@
             next_stall_cut: None,
             down: false,
             leaving: false,
+            evacuated: false,
+            cold_start: Bound::default(),
             hot: false,
             pace: Pace::default(),
             answered: 0,
@@ -191,6 +200,9 @@
         if self.leaving {
             return Some(Cause::Leaving);
         }
+        if self.evacuated {
+            return Some(Cause::Evacuated);
+        }
         if self.down {
             return Some(Cause::Down);
         }
@@ -205,7 +217,7 @@
             Standing::Suspect if !self.quarantine.has_room() => Some(Cause::Suspect),
             Standing::Suspect => None,
             Standing::Unsuspected if self.is_better_elsewhere(now, request) => Some(Cause::Full),
-            Standing::Unsuspected if request.nested && self.has_nested_room() => None,
+            Standing::Unsuspected if request.nested && self.has_nested_room(now) => None,
             Standing::Unsuspected => self.forecast_cause(now, request),
         }
     }
@@ -298,6 +310,14 @@
         true
     }
 
+    /// Records that a dispatched request was written to its connection; see [`crate::Warmup`].
+    pub fn record_sent(&mut self, now: Instant, id: Id) {
+        if let Some(held) = self.held.get_mut(&id).filter(|held| !held.sent) {
+            held.sent = true;
+            self.cold_start.record_sent(now);
+        }
+    }
+
     /// Releases a slot without dispatch. Returns `None` if the id holds no slot or was dispatched.
     pub fn refuse(&mut self, now: Instant, id: Id, cause: Cause) -> Option<Refusal> {
         if self.held.get(&id)?.dispatched {
@@ -339,69 +359,6 @@
         }
     }
 
-    /// Starts the shutdown of the target: waiting and new requests are refused, running ones may
-    /// finish.
-    pub fn leave(&mut self, now: Instant) {
-        self.leaving = true;
-        self.refuse_all(now, Cause::Leaving);
-    }
-
-    /// Marks the target as unreachable: waiting and new requests are refused.
-    pub fn target_down(&mut self, now: Instant) {
-        self.down = true;
-        self.refuse_all(now, Cause::Down);
-    }
-
-    /// Marks the target as reachable again. Its limit starts low and grows with each answer.
-    pub fn target_up(&mut self, now: Instant) {
-        if std::mem::take(&mut self.down) {
-            self.limit.reset_cold();
-            self.advance(now);
-        }
-    }
-
-    /// Records that the target has just started and will be slower than usual for a while.
-    pub fn target_cold(&mut self) {
-        self.pace.reset_cold();
-    }
-
-    /// Resets what was learnt about the target's speed and capacity, because its process has
-    /// restarted.
-    ///
-    /// The count of answers starts again from zero, so that entries send it little at first. Tokens
-    /// are kept, because requests sent to the previous process may have run. Suspicions are kept
-    /// too, because a request that crashed the previous process would crash this one.
-    pub fn target_restarted(&mut self, now: Instant) {
-        self.answered = 0;
-        self.knee = Knee::new(now, self.limit.slots());
-        self.limit.reset_cold();
-        self.limit.follow_knee(self.knee.best());
-        self.paused_until = None;
-        self.advance(now);
-    }
-
-    /// Marks the target as accepting work with this many slots, possibly after a restart.
-    pub fn target_ready(&mut self, now: Instant, slots: u16) {
-        self.leaving = false;
-        if self.limit.slots() != usize::from(slots.max(1)) {
-            self.knee = Knee::new(now, usize::from(slots.max(1)));
-        }
-        self.limit.resize(slots);
-        self.limit.follow_knee(self.knee.best());
-        if std::mem::take(&mut self.down) {
-            self.limit.reset_cold();
-        }
-        self.advance(now);
-    }
-
-    /// Updates the target's reported pace: run time relative to the usual one, in hundredths.
-    pub fn set_pace(&mut self, now: Instant, pace: u16) {
-        if self.pace.update(now, pace) {
-            self.refuse_delayed(now);
-        }
-        self.advance(now);
-    }
-
     /// Returns how a request of this kind is treated. If suspects are not isolated, they are
     /// treated like any other request until they are convicted.
     pub(crate) fn standing(&self, now: Instant, kind: Digest) -> Standing {
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -8,6 +8,7 @@
 use crate::lane::Waiting;
 use crate::limit::Law;
 use crate::suspect::Suspicion;
+use crate::warmup::ColdStart;
 
 /// Maximum number of callers listed in a dump.
 const MAX_CALLERS: usize = 20;
@@ -39,6 +40,10 @@
     pub down: bool,
     /// Whether the target is shutting down.
     pub leaving: bool,
+    /// Whether the target's zone is evacuated.
+    pub evacuated: bool,
+    /// The bound on a cold target; `None` if it does not apply.
+    pub cold_start: Option<ColdStart>,
 }
 
 impl Core {
@@ -60,6 +65,8 @@
             paused: self.paused_until.is_some_and(|until| until > now),
             down: self.down,
             leaving: self.leaving,
+            evacuated: self.evacuated,
+            cold_start: self.cold_start.dump(now, self.unsent()),
         }
     }
 }
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -28,6 +28,10 @@
             return;
         };
         if held.dispatched {
+            if !held.sent {
+                // Part of it may have reached the target.
+                self.cold_start.record_sent(now);
+            }
             self.tokens.done(now, held.request.token);
             self.learn_from(now, &held, isolated, end);
         } else {
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -86,7 +86,13 @@
         let service = self.service_now(now);
         let slots = self.limit.slots();
         let starts = (self.held.len() + self.nested.len() + 1).saturating_sub(slots);
-        self.expected_hold(now, service) + service.mul_f64(starts as f64 / slots as f64)
+        let wait = self.expected_hold(now, service) + service.mul_f64(starts as f64 / slots as f64);
+        wait.max(self.cold_wait(now, self.nested.len()))
+    }
+
+    /// How long the bound on a cold target holds up a request behind `ahead` others.
+    fn cold_wait(&self, now: Instant, ahead: usize) -> Duration {
+        self.cold_start.delay(now, self.unsent(), ahead + 1)
     }
 
     /// Expected time during which nothing can start.
@@ -105,7 +111,8 @@
             _ => (self.non_urgent_limit(now), self.non_urgent_busy(now)),
         };
         let starts = (busy + ahead + 1).saturating_sub(limit);
-        hold + service.mul_f64(starts as f64 / limit as f64)
+        let wait = hold + service.mul_f64(starts as f64 / limit as f64);
+        wait.max(self.cold_wait(now, ahead))
     }
 
     /// Number of slots available to requests that are not urgent.
@@ -265,7 +272,7 @@
     }
 
     fn is_hot(&self, now: Instant) -> bool {
-        if self.down || self.leaving || self.paused_until.is_some() {
+        if self.is_closed() || self.paused_until.is_some() || !self.has_cold_room(now) {
             return true;
         }
         let waiting: usize = self.lanes.iter().map(|lane| lane.len()).sum();
@@ -294,16 +301,29 @@
         Report {
             running: narrow(self.held.len()),
             queued,
-            limit: narrow(self.limit.now()),
+            limit: narrow(self.limit_of_starts(now)),
             service_us: u32::try_from(service).unwrap_or(u32::MAX),
             answered: self.answered,
             pace: self.pace.current(),
             slow: self.pace.is_slow(now),
-            closed: self.down || self.leaving,
+            closed: self.is_closed(),
             hot: self.hot,
         }
     }
 
+    /// Whether the target takes no new requests, however few it runs.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.down || self.leaving || self.evacuated
+    }
+
+    /// Number of requests that may run at once, counting only those that may start now if the
+    /// target is cold. Entries thus send a cold target no more than it takes.
+    fn limit_of_starts(&self, now: Instant) -> usize {
+        let limit = self.limit.now();
+        let room = self.cold_start.room(now, self.unsent());
+        room.map_or(limit, |room| limit.min(self.held.len() + room).max(1))
+    }
+
     pub(crate) fn refusal(&self, now: Instant, request: &Request, cause: Cause) -> Refusal {
         let after = self.retry_after(now, request, cause);
         Refusal::new(request.token, cause, after, self.report(now))
@@ -314,6 +334,7 @@
             Cause::Misdirected
             | Cause::Declined
             | Cause::Leaving
+            | Cause::Evacuated
             | Cause::Fenced
             | Cause::Duplicate => Duration::ZERO,
             Cause::Down => self.setting.down_retry,
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -86,13 +86,14 @@
     }
 
     /// Whether a slot is free for a nested request.
-    pub(crate) fn has_nested_room(&self) -> bool {
-        self.paused_until.is_none() && self.held.len() < self.limit.slots()
+    pub(crate) fn has_nested_room(&self, now: Instant) -> bool {
+        let has_slot = self.held.len() < self.limit.slots();
+        self.paused_until.is_none() && has_slot && self.has_cold_room(now)
     }
 
     /// Starts the first waiting nested request that may start; see [`Request::nested`].
     fn start_nested(&mut self, now: Instant) -> bool {
-        if !self.has_nested_room() {
+        if !self.has_nested_room(now) {
             return false;
         }
         let mut waiting = self.nested.iter().copied();
@@ -110,6 +111,9 @@
 
     /// Starts or refuses one request. Returns false if there is nothing to do.
     fn start_next(&mut self, now: Instant) -> bool {
+        if !self.has_cold_room(now) {
+            return false;
+        }
         if self.start_nested(now) {
             return true;
         }
@@ -327,6 +331,7 @@
             slowdown_end,
             self.quarantine.timer(now),
             self.stall_timer(now),
+            self.cold_start.timer(now, self.unsent()),
         ];
         late.chain(others.into_iter().flatten()).min()
     }
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -2,23 +2,24 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
-use unit::{Cause, Report, Token};
+use unit::{Report, Token};
 
 use crate::builder::Builder;
 use crate::core::Core;
 use crate::dump::Dump;
+use crate::permit::Permit;
 use crate::refusal::Refusal;
-use crate::request::{End, Id, Request};
+use crate::request::{Id, Request};
 use crate::suspect::Suspicion;
 use crate::token::{Fence, Status};
 use crate::verdict::{Event, Verdict};
+use crate::warmup::Warmup;
 
 /// Admits requests to one target. Clones share the same gate.
 ///
@@ -31,7 +32,7 @@
 }
 
 #[derive(Debug)]
-struct Inner {
+pub(crate) struct Inner {
     state: Mutex<State>,
     hot: watch::Sender<bool>,
     condition: watch::Sender<Condition>,
@@ -75,10 +76,15 @@
 
 impl Inner {
     /// Changes the core, then notifies the waiters and watchers affected.
-    fn with<T>(self: &Arc<Self>, change: impl FnOnce(&mut Core, Instant) -> T) -> T {
+    pub(crate) fn with<T>(self: &Arc<Self>, change: impl FnOnce(&mut Core, Instant) -> T) -> T {
         self.with_state(|state, now| change(&mut state.core, now))
     }
 
+    /// Reads from the core.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&Core, Instant) -> T) -> T {
+        read(&self.state.lock().core, Instant::now())
+    }
+
     fn with_state<T>(self: &Arc<Self>, change: impl FnOnce(&mut State, Instant) -> T) -> T {
         let mut state = self.state.lock();
         let now = Instant::now();
@@ -95,7 +101,7 @@
     }
 
     /// Has the core decide on a request, and waits for its turn if it is queued.
-    async fn resolve(
+    pub(crate) async fn resolve(
         self: &Arc<Self>,
         decide: impl FnOnce(&mut Core, Instant) -> Verdict,
     ) -> Result<Permit, Refusal> {
@@ -141,12 +147,7 @@
     }
 
     fn permit(self: &Arc<Self>, id: Id) -> Permit {
-        Permit {
-            slot: Some(Slot {
-                inner: self.clone(),
-                id,
-            }),
-        }
+        Permit::new(self.clone(), id)
     }
 
     fn publish(&self, core: &Core, now: Instant) {
@@ -251,7 +252,7 @@
 
     /// Returns the current load of this gate.
     pub fn report(&self) -> Report {
-        self.inner.state.lock().core.report(Instant::now())
+        self.inner.read(Core::report)
     }
 
     /// Subscribes to changes of the hot state; see [`Core::hot`].
@@ -313,6 +314,33 @@
         self.inner.with(Core::target_restarted);
     }
 
+    /// Starts or ends the evacuation of the target's zone; see [`Core::set_evacuated`].
+    pub fn set_evacuated(&self, evacuated: bool) {
+        self.inner
+            .with(|core, now| core.set_evacuated(now, evacuated));
+    }
+
+    /// Sets the bound on a cold target; see [`Core::set_max_cold_starts`].
+    pub fn set_max_cold_starts(&self, max: Option<usize>) {
+        self.inner
+            .with(|core, now| core.set_max_cold_starts(now, max));
+    }
+
+    /// Updates what is known of the target's warm-up; see [`Core::set_warmup`].
+    pub fn set_warmup(&self, warmup: Warmup) {
+        self.inner.with(|core, now| core.set_warmup(now, warmup));
+    }
+
+    /// Records that a former gate may have sent requests; see [`Core::inherit_cold_starts`].
+    pub fn inherit_cold_starts(&self) {
+        self.inner.with(Core::inherit_cold_starts);
+    }
+
+    /// Records that no former gate has sent requests to the cold target; see [`Core::no_former_starts`].
+    pub fn no_former_starts(&self) {
+        self.inner.with(|core, _| core.no_former_starts());
+    }
+
     /// Updates the target's reported pace, in hundredths; see [`Core::set_pace`].
     pub fn set_pace(&self, pace: u16) {
         self.inner.with(|core, now| core.set_pace(now, pace));
@@ -320,14 +348,14 @@
 
     /// Returns the maximum number of requests that the target runs at once.
     pub fn slots(&self) -> u16 {
-        let slots = self.inner.state.lock().core.limit.slots();
+        let slots = self.inner.read(|core, _| core.limit.slots());
         u16::try_from(slots).unwrap_or(u16::MAX)
     }
 
     /// Lists the kinds of requests that are suspected or convicted here. Only those that are not
     /// `learnt` are meant to be sent to other gates.
     pub fn suspects(&self) -> Vec<Suspicion> {
-        self.inner.state.lock().core.suspects(Instant::now())
+        self.inner.read(Core::suspects)
     }
 
     /// Adopts a suspicion reported by another gate.
@@ -337,7 +365,7 @@
 
     /// Returns a snapshot of this gate's state.
     pub fn dump(&self) -> Dump {
-        self.inner.state.lock().core.dump(Instant::now())
+        self.inner.read(Core::dump)
     }
 }
 
@@ -356,120 +384,3 @@
         });
     }
 }
-
-/// A held slot; dropping it releases the slot.
-#[derive(Debug)]
-struct Slot {
-    inner: Arc<Inner>,
-    id: Id,
-}
-
-/// Permission to dispatch one request. Dropping it releases the slot, and the request has not run.
-#[derive(Debug)]
-#[must_use]
-pub struct Permit {
-    slot: Option<Slot>,
-}
-
-/// A dispatched request; dropping it without [`Running::finish`] counts as a failed run.
-///
-/// It can no longer be refused, since the target may have seen it.
-#[derive(Debug)]
-#[must_use]
-pub struct Running {
-    slot: Option<Slot>,
-    since: Instant,
-}
-
-impl Permit {
-    /// Marks the request as sent to the target; from here on it may have run.
-    pub fn dispatch(mut self) -> Running {
-        let slot = self.slot.take();
-        let since = Instant::now();
-        if let Some(slot) = &slot {
-            slot.inner.with(|core, now| core.dispatch(now, slot.id));
-        }
-        Running { slot, since }
-    }
-
-    /// Whether the target should be probed for its pace before the request is sent; see
-    /// [`Core::needs_pace_probe`].
-    pub fn needs_pace_probe(&self) -> bool {
-        let Some(slot) = &self.slot else {
-            return false;
-        };
-        let state = slot.inner.state.lock();
-        state.core.needs_pace_probe(Instant::now(), slot.id)
-    }
-
-    /// Checks again whether the request should start now, and waits again if not; see
-    /// [`Core::reconsider`].
-    ///
-    /// # Errors
-    ///
-    /// Same as [`Gate::admit`].
-    pub async fn reconsider(mut self) -> Result<Permit, Refusal> {
-        let slot = self
-            .slot
-            .take()
-            .expect("a permit holds its slot until it is consumed");
-        let id = slot.id;
-        slot.inner
-            .resolve(|core, now| core.reconsider(now, id))
-            .await
-    }
-
-    /// Releases the slot without dispatch and returns the proof of it.
-    pub fn refuse(mut self, cause: Cause) -> Refusal {
-        let slot = self
-            .slot
-            .take()
-            .expect("a permit holds its slot until it is consumed");
-        let refusal = slot
-            .inner
-            .with(|core, now| core.refuse(now, slot.id, cause));
-        refusal.expect("a permit's request is undispatched")
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        if let Some(slot) = self.slot.take() {
-            slot.inner
-                .with(|core, now| core.refuse(now, slot.id, Cause::Shed));
-        }
-    }
-}
-
-impl Running {
-    /// Ends the request and frees its slot.
-    pub fn finish(mut self, end: End) {
-        self.end(end);
-    }
-
-    /// Records the work that the run caused at the target; see [`Core::record_work`].
-    pub fn record_work(&self, work: Duration) {
-        if let Some(slot) = &self.slot {
-            slot.inner
-                .with(|core, now| core.record_work(now, slot.id, work));
-        }
-    }
-
-    /// When the request was dispatched.
-    pub fn since(&self) -> Instant {
-        self.since
-    }
-
-    fn end(&mut self, end: End) {
-        if let Some(slot) = self.slot.take() {
-            slot.inner.with(|core, now| core.finish(now, slot.id, end));
-        }
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let latency = self.since.elapsed();
-        self.end(End::Failed { latency });
-    }
-}
--- a/crates/gate/src/slowdown.rs
+++ b/crates/gate/src/slowdown.rs
@@ -37,7 +37,7 @@
     /// The state that entries are notified of at once.
     pub(crate) fn condition(&self, now: Instant) -> Condition {
         Condition {
-            closed: self.down || self.leaving,
+            closed: self.is_closed(),
             slow: self.pace.is_slow(now),
         }
     }
--- a/crates/gate/tests/all/main.rs
+++ b/crates/gate/tests/all/main.rs
@@ -9,3 +9,4 @@
 mod slowdown;
 mod suspect;
 mod token;
+mod warmup;
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -41,6 +41,7 @@
     rules: String,
     settings: String,
     services: Vec<String>,
+    zones: Vec<String>,
 }
 
 /// A running mesh.
@@ -65,6 +66,7 @@
             rules: RULES.to_string(),
             settings: String::new(),
             services: vec!["desk".to_string()],
+            zones: vec!["longbien".to_string()],
         }
     }
 
@@ -232,6 +234,12 @@
         self
     }
 
+    /// Zones of the instances in turn; all are `longbien` unless set.
+    pub fn zones(mut self, zones: &[&str]) -> Builder {
+        self.zones = zones.iter().map(ToString::to_string).collect();
+        self
+    }
+
     /// Further fields of each daemon's settings, such as `"log": "debug"`.
     pub fn settings(mut self, fields: &str) -> Builder {
         self.settings = format!(", {fields}");
@@ -270,11 +278,12 @@
         let address = |what| block.of(index, what);
         format!(
             r#"{{
-                "instance": "{}", "zone": "longbien", "service": "{}",
+                "instance": "{}", "zone": "{}", "service": "{}",
                 "callers": "{}", "outbound": "{}", "link": "{}", "operator": "{}",
                 "target": "{}", "slots": {}, "store": ["{}"]{}
             }}"#,
             name(index),
+            self.zones[index % self.zones.len()],
             self.services[index % self.services.len()],
             address(Address::Callers),
             address(Address::Outbound),
--- a/crates/pick/src/dump.rs
+++ b/crates/pick/src/dump.rs
@@ -12,6 +12,8 @@
     pub zone: Zone,
     /// Number of targets of the service, before the subset.
     pub known: usize,
+    /// Number of those in evacuated zones, which get no requests.
+    pub evacuated: usize,
     /// Choices made since the start.
     pub choices: u64,
     /// Smoothed service time over all targets, in microseconds.
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -21,6 +21,7 @@
 //!     zone: "gialam".parse()?,
 //!     incarnation: Incarnation(1),
 //!     leaving: false,
+//!     evacuated: false,
 //! };
 //! pick.set_targets(now, &[target]);
 //!
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -43,6 +43,8 @@
     random: Pcg64Mcg,
     /// Number of targets of the service, before the subset.
     known: usize,
+    /// Number of those in evacuated zones.
+    evacuated: usize,
     /// Sorted by instance.
     records: Vec<Record>,
     mean: Mean,
@@ -88,6 +90,7 @@
             setting: builder.setting,
             random: Pcg64Mcg::seed_from_u64(builder.seed),
             known: 0,
+            evacuated: 0,
             records: Vec::new(),
             mean: Mean::default(),
             choices: 0,
@@ -99,16 +102,27 @@
     /// Statistics of targets that stay are kept. The share of a new target, or of a new
     /// incarnation, grows with the answers it gives. The targets of the first set are assumed to be
     /// warm until their reports say otherwise.
+    ///
+    /// Targets in evacuated zones are left out at once, so that a subset holds others in their
+    /// place. When they come back, they may be cold and are treated like new ones.
     pub fn set_targets(&mut self, _now: Instant, targets: &[Target]) {
-        let first = self.records.is_empty();
+        let first = self.known == 0;
         self.known = targets.len();
-        let mut chosen = subset::choose(self.seed, &self.zone, targets, &self.setting);
+        let open = targets.iter().filter(|target| !target.evacuated);
+        let open: Vec<Target> = open.cloned().collect();
+        self.evacuated = targets.len() - open.len();
+        let mut chosen = subset::choose(self.seed, &self.zone, &open, &self.setting);
         chosen.sort_by(|a, b| a.instance.cmp(&b.instance));
         chosen.dedup_by(|a, b| a.instance == b.instance);
         let records = chosen.into_iter().map(|target| self.record(target, first));
         self.records = records.collect();
     }
 
+    /// Whether the service has targets, and all of them are in evacuated zones.
+    pub fn is_evacuated(&self) -> bool {
+        self.known > 0 && self.evacuated == self.known
+    }
+
     /// Chooses a target for a request; returns `None` when no target may serve it.
     pub fn choose(&mut self, now: Instant, need: &Need<'_>) -> Option<Instance> {
         let eligible = self.eligible(now, need);
@@ -219,6 +233,7 @@
         Dump {
             zone: self.zone.clone(),
             known: self.known,
+            evacuated: self.evacuated,
             choices: self.choices,
             service_us: self.mean.service_us as u64,
             targets: self
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -51,6 +51,11 @@
         self.pick.lock().set_targets(now, targets);
     }
 
+    /// See [`Pick::is_evacuated`].
+    pub fn is_evacuated(&self) -> bool {
+        self.pick.lock().is_evacuated()
+    }
+
     /// See [`Pick::choose`].
     pub fn choose(&self, now: Instant, need: &Need<'_>) -> Option<Instance> {
         self.pick.lock().choose(now, need)
--- a/crates/pick/src/target.rs
+++ b/crates/pick/src/target.rs
@@ -14,4 +14,6 @@
     pub incarnation: Incarnation,
     /// Whether it has announced that it leaves; then it gets no new requests.
     pub leaving: bool,
+    /// Whether its zone is evacuated; then it gets no requests at all.
+    pub evacuated: bool,
 }
--- a/crates/pick/tests/decisions/join.rs
+++ b/crates/pick/tests/decisions/join.rs
@@ -15,6 +15,7 @@
         zone: zone.parse().expect("a zone"),
         incarnation: Incarnation(1),
         leaving: false,
+        evacuated: false,
     }
 }
 
--- a/crates/pick/tests/decisions/world.rs
+++ b/crates/pick/tests/decisions/world.rs
@@ -18,6 +18,7 @@
         zone: zone.parse().expect("a zone"),
         incarnation: Incarnation(1),
         leaving: false,
+        evacuated: false,
     }
 }
 
--- a/crates/roster/examples/size.rs
+++ b/crates/roster/examples/size.rs
@@ -162,7 +162,7 @@
         encoded(&sent),
         encoded(&back),
     );
-    let beat = encoded(&ours.heartbeat(Version::of(2_500), None));
+    let beat = encoded(&ours.heartbeat(Version::of(2_500), None, 0));
     let dump = ours.dump(now);
     let cost = heartbeat::cost(
         Policy::default().heartbeat_interval(),
--- a/crates/roster/src/heartbeat.rs
+++ b/crates/roster/src/heartbeat.rs
@@ -39,6 +39,8 @@
     pub rules: Version,
     /// The newest era of the store that the sender knows.
     pub era: Option<Era>,
+    /// The digest of the evacuations that the sender knows; 0 if there were none.
+    pub evacuations: u64,
 }
 
 /// The network cost of heartbeats for one daemon.
@@ -74,14 +76,15 @@
         now + earliest + self.jitter(interval / JITTER * 2)
     }
 
-    /// Returns the heartbeat to send, given the version of the rules in force here and the store's
-    /// era.
-    pub fn heartbeat(&self, rules: Version, era: Option<Era>) -> Beat {
+    /// Returns the heartbeat to send, given the version of the rules in force here, the store's era
+    /// and the digest of the evacuations.
+    pub fn heartbeat(&self, rules: Version, era: Option<Era>, evacuations: u64) -> Beat {
         Beat {
             incarnation: self.own.record().incarnation,
             total: self.summary.total(),
             rules,
             era,
+            evacuations,
         }
     }
 
--- a/crates/roster/tests/it/world.rs
+++ b/crates/roster/tests/it/world.rs
@@ -153,7 +153,7 @@
             return;
         };
         let sender = self.rosters.get_mut(from).expect("known roster");
-        if receiver.heartbeat_received(self.now, from, &sender.heartbeat(Version::NONE, None)) {
+        if receiver.heartbeat_received(self.now, from, &sender.heartbeat(Version::NONE, None, 0)) {
             for bucket in receiver.differing_buckets(sender.summary()) {
                 let back = receiver.exchange(self.now, bucket, sender.bucket(bucket));
                 sender.exchange(self.now, bucket, back.reply);
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod address;
 mod check;
+mod cold;
 mod limits;
 mod read;
 mod retry;
@@ -29,6 +30,7 @@
 use log::LevelFilter;
 use unit::{Instance, Service, Zone};
 
+pub use cold::Cold;
 pub use jsonc::{Error, Fault};
 pub use limits::Limits;
 pub use retry::Retry;
@@ -104,6 +106,11 @@
     pub rules_key: String,
     /// The key prefix of announcements in the store; `instances/` by default.
     pub announce_prefix: String,
+    /// The key prefix of evacuations of availability zones in the store. By default evacuations are
+    /// not followed.
+    pub evacuation_prefix: Option<String>,
+    /// The bound on cold targets whose rules name a rate; none by default.
+    pub cold: Option<Cold>,
     /// The key prefix of the ledger in the store; `ledger/` by default.
     pub ledger_prefix: String,
     /// The resource limits of this process.
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -8,9 +8,9 @@
 use unit::{Decimal, Span};
 
 use crate::address::{self, Endpoint};
-use crate::{Limits, Links, LogFormat, Setting, check, limits, retry};
+use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, retry};
 
-const FIELDS: [&str; 26] = [
+const FIELDS: [&str; 28] = [
     "instance",
     "zone",
     "region",
@@ -37,6 +37,8 @@
     "heartbeat",
     "links",
     "retry",
+    "evacuation_prefix",
+    "cold",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -74,6 +76,7 @@
     rules: String,
     announce: String,
     ledger: String,
+    evacuation: Option<String>,
 }
 
 pub(crate) fn setting(text: &str) -> Result<Setting, Error> {
@@ -102,6 +105,8 @@
     let links = links.and_then(|value| reader.choice(value, &LINKS));
     let retry = fields.get("retry");
     let retry = retry.and_then(|value| retry::read(reader, value));
+    let cold = fields.get("cold");
+    let cold = cold.and_then(|value| cold::read(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -141,6 +146,8 @@
         rules_key: keys.rules,
         announce_prefix: keys.announce,
         ledger_prefix: keys.ledger,
+        evacuation_prefix: keys.evacuation,
+        cold,
         limits: limits.unwrap_or_else(Limits::default),
         log: log.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or_default(),
@@ -274,6 +281,9 @@
         rules: key(reader, fields, "rules_key", "rules"),
         announce: prefix(reader, fields, "announce_prefix", "instances/"),
         ledger: prefix(reader, fields, "ledger_prefix", "ledger/"),
+        evacuation: fields
+            .get("evacuation_prefix")
+            .map(|_| prefix(reader, fields, "evacuation_prefix", "evacuations/")),
     };
     check_keys(reader, fields, &keys);
     keys
@@ -281,24 +291,34 @@
 
 /// Keys that run into each other would let an announcement overwrite the rules.
 fn check_keys<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>, keys: &Keys) {
-    let (announce, ledger) = (keys.announce.as_str(), keys.ledger.as_str());
-    let nested = announce.starts_with(ledger) || ledger.starts_with(announce);
-    let holds_rules = [announce, ledger]
-        .iter()
-        .any(|prefix| keys.rules.starts_with(prefix));
-    if nested {
-        let cause = format!("{announce:?} and {ledger:?} overlap: expected separate prefixes");
-        reader.fault(
-            first_offset(fields, &["ledger_prefix", "announce_prefix"]),
-            cause,
-        );
+    let evacuation = keys.evacuation.as_ref();
+    let evacuation = evacuation.map(|prefix| ("evacuation_prefix", prefix.as_str()));
+    let prefixes = [
+        ("announce_prefix", keys.announce.as_str()),
+        ("ledger_prefix", keys.ledger.as_str()),
+    ];
+    let prefixes: Vec<(&str, &str)> = prefixes.into_iter().chain(evacuation).collect();
+    for (i, (name, prefix)) in prefixes.iter().enumerate() {
+        for (earlier_name, earlier) in &prefixes[..i] {
+            if prefix.starts_with(earlier) || earlier.starts_with(prefix) {
+                let cause =
+                    format!("{earlier:?} and {prefix:?} overlap: expected separate prefixes");
+                reader.fault(first_offset(fields, &[name, earlier_name]), cause);
+            }
+        }
     }
-    if holds_rules {
+    let mut prefixes = prefixes.iter();
+    if prefixes.any(|(_, prefix)| keys.rules.starts_with(prefix)) {
         let cause = format!(
             "{:?} lies under a prefix: expected a key outside",
             keys.rules
         );
-        let names = ["rules_key", "announce_prefix", "ledger_prefix"];
+        let names = [
+            "rules_key",
+            "announce_prefix",
+            "ledger_prefix",
+            "evacuation_prefix",
+        ];
         reader.fault(first_offset(fields, &names), cause);
     }
 }
--- a/crates/target/src/builder.rs
+++ b/crates/target/src/builder.rs
@@ -36,11 +36,25 @@
     pub period: Duration,
     /// The path of its health checks, if one is known.
     pub health_path: HealthPath,
+    /// What a cold target bears.
+    pub cold_target: ColdTarget,
+}
+
+/// What a cold target bears.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ColdLimits {
+    /// Maximum number of requests within any second; `None` if cold targets need no bound.
+    pub max_starts: Option<usize>,
+    /// How long a target stays cold after it has become so, if that is known.
+    pub warmup: Option<Duration>,
 }
 
 /// Returns the health path of the targets of the daemon's own service, if it has one.
 pub type HealthPath = Arc<dyn Fn() -> Option<String> + Send + Sync>;
 
+/// Returns what the targets of the daemon's own service bear while they are cold.
+pub type ColdTarget = Arc<dyn Fn() -> ColdLimits + Send + Sync>;
+
 impl Builder {
     pub(crate) fn new(service: Service, target: SocketAddr, gate: Gate) -> Builder {
         Builder {
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -126,6 +126,7 @@
     /// Waits for a slot, and for a fresh pace report if starting with an old one could cost much more
     /// than the wait.
     async fn admit(&self) -> Result<Permit, gate::Refusal> {
+        self.server.lift_initial_cold_bound();
         let permit = self.server.gate.admit(self.request()).await?;
         if permit.needs_pace_probe() {
             self.server.probe_pace().await;
@@ -209,7 +210,7 @@
             }
         };
         let run = self.start(permit);
-        match self.send(connection, content, &mut sender).await {
+        match self.send(&run, connection, content, &mut sender).await {
             Sent::Answer(head, connection) => self.deliver(run, head, connection, sender).await,
             failed => self.fail(failed, run, sender).await,
         }
@@ -249,13 +250,15 @@
     /// not be repeated goes on when the entry disconnects.
     async fn send(
         &self,
+        run: &Run,
         mut connection: Connection,
         content: Content,
         sender: &mut Sender,
     ) -> Sent {
         let outgoing = self.outgoing();
         let carried = connection.carried;
-        let answer = connection.send(&outgoing, content, &self.server.dialect);
+        let on_sent = || run.running.record_sent();
+        let answer = connection.send(&outgoing, content, &self.server.dialect, on_sent);
         let answered = tokio::select! {
             answered = timeout_at(self.deadline, answer) => answered,
             () = sender.stopped(), if !self.call.once => return Sent::Cancelled,
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -48,6 +48,14 @@
     }
 }
 
+impl Error {
+    /// Whether nothing listens at the target's address.
+    pub(crate) fn is_refused(&self) -> bool {
+        let kind = |cause: &io::Error| cause.kind() == io::ErrorKind::ConnectionRefused;
+        matches!(self, Error::Connect(_, cause) if kind(cause))
+    }
+}
+
 /// The head of a request to the target.
 pub(crate) struct Outgoing {
     pub(crate) method: Method,
@@ -115,7 +123,8 @@
         self.body.is_done() && !self.input.is_empty()
     }
 
-    /// Sends a request and reads the head of its answer.
+    /// Sends a request and reads the head of its answer. `on_sent` is called once the request, or
+    /// its head if the body is streamed, has been written.
     ///
     /// # Errors
     ///
@@ -125,7 +134,9 @@
         request: &Outgoing,
         content: Content,
         dialect: &Dialect,
+        on_sent: impl FnOnce(),
     ) -> Result<response::Head, Error> {
+        let mut on_sent = Some(on_sent);
         self.carried += 1;
         let mut output = BytesMut::with_capacity(1_024);
         let length = length(request, &content);
@@ -153,6 +164,11 @@
                 return Ok(head);
             }
             self.step(&mut output, &mut rest, chunked).await?;
+            if output.is_empty()
+                && let Some(on_sent) = on_sent.take()
+            {
+                on_sent();
+            }
         }
     }
 
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -27,11 +27,13 @@
 mod server;
 mod stats;
 mod verdict;
+mod warmth;
 mod watch;
 
-pub use builder::{Builder, HealthPath, Heartbeats};
+pub use builder::{Builder, ColdLimits, ColdTarget, HealthPath, Heartbeats};
 pub use connection::Error;
 pub use life::{Effect, Heartbeat, Life, Stage};
 pub use server::Server;
 pub use stats::Stats;
+pub use warmth::{Source, Warmth};
 pub use watch::watch;
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -12,6 +12,7 @@
 use crate::connection::Connection;
 use crate::life::{Effect, Heartbeat, Life, Stage};
 use crate::server::Server;
+use crate::warmth::Source;
 
 /// A life counts as alive for this many heartbeat periods after its last heartbeat.
 const ALIVE_PERIODS: u32 = 2;
@@ -26,6 +27,15 @@
             .presence
             .lock()
             .receive_heartbeat(now, heartbeat, alive_for);
+        if matches!(effect, Effect::Restarted) {
+            self.target_restarted();
+        }
+        if matches!(
+            effect,
+            Effect::Changed | Effect::Restarted | Effect::Unchanged
+        ) {
+            self.record_warmth(heartbeat.cold, Source::Heartbeat);
+        }
         match effect {
             Effect::Changed => {
                 log::info!(
@@ -36,9 +46,6 @@
                     heartbeat.sequence,
                     heartbeat.cold.as_millis()
                 );
-                if heartbeat.cold > Duration::ZERO {
-                    self.gate.target_cold();
-                }
                 self.update_gate();
             }
             Effect::Restarted => {
@@ -53,7 +60,6 @@
                     heartbeat.sequence,
                     heartbeat.cold.as_millis()
                 );
-                self.target_restarted();
                 self.update_gate();
             }
             Effect::Undated => {
@@ -96,6 +102,7 @@
     /// gate keeps its tokens and suspects.
     fn target_restarted(&self) {
         self.pool.clear();
+        self.doubt_warmth();
         self.gate.target_cold();
         self.gate.target_restarted();
     }
@@ -130,6 +137,7 @@
         }
         if self.presence.lock().mark_unreachable() {
             log::warn!("target: cannot be reached.");
+            self.doubt_warmth();
             self.update_gate();
         }
         self.check_requested.notify_one();
@@ -178,7 +186,7 @@
     }
 
     /// Requests a health check that tells which life is current.
-    fn request_life_check(&self) {
+    pub(crate) fn request_life_check(&self) {
         self.life_in_doubt.store(true, Ordering::Release);
         self.check_requested.notify_one();
     }
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -19,7 +19,8 @@
 use crate::call::Handler;
 use crate::life::Life;
 use crate::pool::Pool;
-use crate::{Builder, Heartbeats, Stats};
+use crate::warmth::Warmth;
+use crate::{Builder, ColdLimits, Heartbeats, Stats};
 
 /// Maximum time that a query for a token waits for the call to end.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -36,6 +37,10 @@
     pub(crate) dialect: Dialect,
     pub(crate) heartbeats: Option<Heartbeats>,
     pub(crate) presence: Mutex<Life>,
+    pub(crate) warmth: Mutex<Warmth>,
+    /// What the gate was last told of cold targets.
+    pub(crate) cold_limits: Mutex<ColdLimits>,
+    pub(crate) started_at: Instant,
     /// When the target last reported its load, or answered a health check without a load.
     pub(crate) load_reported_at: Mutex<Option<Instant>>,
     /// Wakes [`watch`](crate::watch()) to send a health check.
@@ -66,9 +71,15 @@
         let slots = builder.gate.slots();
         if builder.heartbeats.is_some() {
             builder.gate.target_down();
+            builder.gate.set_warmup(gate::Warmup::Unknown);
+            builder.gate.inherit_cold_starts();
         }
+        let now = Instant::now();
         Server {
-            presence: Mutex::new(Life::unknown(Instant::now(), slots)),
+            presence: Mutex::new(Life::unknown(now, slots)),
+            warmth: Mutex::new(Warmth::unknown(now)),
+            cold_limits: Mutex::default(),
+            started_at: now,
             dialect: builder.dialect,
             heartbeats: builder.heartbeats,
             load_reported_at: Mutex::new(None),
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -13,6 +13,7 @@
 use crate::connection::{Connection, Content, Outgoing};
 use crate::life::Stage;
 use crate::server::Server;
+use crate::warmth::Source;
 
 /// Interval of connection checks for a target without heartbeats. Only the gate's daemon checks, at
 /// the same rate under any load.
@@ -77,6 +78,7 @@
 async fn check_health(server: &Server) {
     let mut connection = None;
     loop {
+        server.update_cold_bound();
         let delay = next_delay(server);
         tokio::select! {
             () = sleep(delay) => {}
@@ -173,6 +175,9 @@
             Ok(connection) => connection,
             Err(error) => {
                 log::debug!("target: {error}.");
+                if error.is_refused() {
+                    server.gate.no_former_starts();
+                }
                 return server.mark_unreachable();
             }
         },
@@ -187,12 +192,13 @@
         uri: path,
         headers,
     };
+    let asked_at = Instant::now();
     let answered = connection
-        .send(&outgoing, Content::Empty, &Dialect::default())
+        .send(&outgoing, Content::Empty, &Dialect::default(), || ())
         .await;
     match answered {
         Ok(head) => {
-            record_health(server, &head);
+            record_health(server, &head, asked_at);
             while let Ok(Some(_)) = connection.piece().await {}
             if connection.is_reusable() {
                 *kept = Some(connection);
@@ -202,14 +208,22 @@
     }
 }
 
-/// Records the load, life and health that the answer to a health check reports.
-fn record_health(server: &Server, head: &response::Head) {
+/// Records the load, life, health and warm-up that the answer to a health check sent at `asked_at`
+/// reports.
+fn record_health(server: &Server, head: &response::Head, asked_at: Instant) {
     server.record_load(head);
     // Without a load in the answer, the next check must still not come before the maximum age.
     *server.load_reported_at.lock() = Some(Instant::now());
     let figures = server.dialect.figures(&head.headers);
     let slots = figures.map(|figures| figures.slots);
     if let Some(name) = server.dialect.life(&head.headers) {
-        server.receive_health(name, head.status == StatusCode::OK, slots);
+        let healthy = head.status == StatusCode::OK;
+        server.receive_health(name, healthy, slots);
+        let remaining = server.dialect.cold_remaining(&head.headers);
+        let remaining = remaining.filter(|left| healthy || !left.is_zero());
+        let is_current = server.life_name().as_deref() == Some(name);
+        if let Some(remaining) = remaining.filter(|_| is_current) {
+            server.record_warmth(remaining, Source::Health(asked_at));
+        }
     }
 }
--- a/crates/unit/src/cause.rs
+++ b/crates/unit/src/cause.rs
@@ -48,4 +48,7 @@
     /// The request is for another service, nested too deep, or malformed.
     #[display("misdirected")]
     Misdirected,
+    /// The target's zone is evacuated.
+    #[display("evacuated")]
+    Evacuated,
 }
