Keep the last third of a target's slots back until it is known not to slow down

Load: many services' targets slow down above 0.8 of their slots. With six slots the gate used all of them from the start, since the assumed slow-down (1.4) made six look better than four, and the pooled estimate above the first slots had nothing to pool.

Change: the assumed slow-down is 1.6, so six slots begin with four, and the others are explored by single runs as with seven or more. A target that doesn't slow down has all its slots open after about ten runs.

--- a/crates/gate/src/knee.rs
+++ b/crates/gate/src/knee.rs
@@ -31,7 +31,7 @@
 /// the assumption is weighted as. The value lies between a target that does not slow down and one
 /// that takes 1.7 times as long: with it, the last slots are not worth using, and about ten quick
 /// runs show that they are.
-const ASSUMED_RATIO: f64 = 1.4;
+const ASSUMED_RATIO: f64 = 1.6;
 const ASSUMED_RUNS: f64 = 4.0;
 /// Upper bound of a single ratio, so that one outlier does not close slots.
 const RATIO_CAP: f64 = 4.0;
@@ -78,7 +78,7 @@
     /// minute before finding it: in one day at 195 targets, a quarter to a third of the runs
     /// started beside five or six others and took 1.65 times as long.
     ///
-    /// If one slot is a large part of the total, as with two or six slots, it is worth using even
+    /// If one slot is a large part of the total, as with two slots, it is worth using even
     /// if the target slows down as assumed.
     fn initial_slots(slots: usize) -> usize {
         let first = ((slots as f64 * INITIAL_SHARE) as usize).max(1);
