Let callers come back at once after a target has turned their request away

Change: without a time of the target's own, such a refusal says 10 ms. Another target may take the request at once, and there is no queue to wait for.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -18,6 +18,10 @@
 /// Statuses that report a failed or unavailable target; another target may serve the request.
 const RETRYABLE_STATUSES: [u16; 4] = [500, 502, 503, 504];
 
+/// Retry time of a request that its target has turned away without naming one: another target may
+/// take it at once.
+const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(10);
+
 /// What to do after an attempt.
 enum Next {
     /// Relay this answer to the caller.
@@ -212,6 +216,8 @@
             .detail(format!("the gate refused: {}", refusal.cause));
         if !refusal.retry_after.is_zero() {
             answer = answer.retry_after(refusal.retry_after);
+        } else if refusal.cause == wire::Cause::Declined {
+            answer = answer.retry_after(DECLINED_RETRY_AFTER);
         }
         if self.may_hand_over(refusal.cause, body) {
             self.last_refusal = Some(answer);
