Explore only the next slot above a target's best concurrency, and stop when it is clear

Change: only the level above the best is explored, with up to 24 runs while it may gain, and eight once its mean says that it completes less.

Twelve runs over all levels never found a knee at nine of eleven slots (test slots_above_the_knee_stay_free), so it was dropped.

--- a/crates/gate/src/knee.rs
+++ b/crates/gate/src/knee.rs
@@ -33,6 +33,8 @@
 /// runs show that they are.
 const ASSUMED_RATIO: f64 = 1.6;
 const ASSUMED_RUNS: f64 = 4.0;
+/// Number of runs after which a level that completes less work than the best is no longer explored.
+const DISCOURAGING_RUNS: u32 = 8;
 /// Upper bound of a single ratio, so that one outlier does not close slots.
 const RATIO_CAP: f64 = 4.0;
 /// Time after which the measurements of unused slots are discarded and taken anew.
@@ -89,11 +91,19 @@
     }
 
     /// Whether a run at this concurrency would fill a gap in what is known above the current best.
+    ///
+    /// Under overload each such run may be one that takes too long. So only the next level is
+    /// explored, and only until it is clear that it does not complete more work.
     pub(crate) fn needs_samples(&self, concurrency: usize) -> bool {
-        let level = concurrency
-            .checked_sub(1)
-            .and_then(|at| self.levels.get(at));
-        concurrency > self.best && level.is_some_and(|level| level.count < TRUSTED_RUNS)
+        let Some(level) = self.levels.get(self.best) else {
+            return false;
+        };
+        let may_gain = (self.best + 1) as f64 / level.ratio.max(1.0) >= self.best as f64;
+        let runs = match may_gain {
+            true => TRUSTED_RUNS,
+            false => DISCOURAGING_RUNS,
+        };
+        concurrency == self.best + 1 && level.count < runs
     }
 
     /// Run time above the first `first` slots, relative to the usual one: the mean of all runs
--- a/crates/gate/src/permit.rs
+++ b/crates/gate/src/permit.rs
@@ -52,7 +52,7 @@
     }
 
     /// Whether the target should be probed for its pace before the request is sent; see
-    /// [`Core::needs_pace_probe`].
+    /// [`Core::needs_pace_probe`](crate::Core::needs_pace_probe).
     pub fn needs_pace_probe(&self) -> bool {
         let Some(slot) = &self.slot else {
             return false;
@@ -62,11 +62,11 @@
     }
 
     /// Checks again whether the request should start now, and waits again if not; see
-    /// [`Core::reconsider`].
+    /// [`Core::reconsider`](crate::Core::reconsider).
     ///
     /// # Errors
     ///
-    /// Same as [`Gate::admit`].
+    /// Same as [`Gate::admit`](crate::Gate::admit).
     pub async fn reconsider(mut self) -> Result<Permit, Refusal> {
         let slot = self
             .slot
@@ -106,7 +106,7 @@
         self.end(end);
     }
 
-    /// Records the work that the run caused at the target; see [`Core::record_work`].
+    /// Records the work that the run caused at the target; see [`Core::record_work`](crate::Core::record_work).
     pub fn record_work(&self, work: Duration) {
         if let Some(slot) = &self.slot {
             slot.inner
@@ -114,7 +114,7 @@
         }
     }
 
-    /// Records that the request was written to its connection; see [`Core::record_sent`].
+    /// Records that the request was written to its connection; see [`Core::record_sent`](crate::Core::record_sent).
     pub fn record_sent(&self) {
         if let Some(slot) = &self.slot {
             slot.inner.with(|core, now| core.record_sent(now, slot.id));
--- a/crates/gate/tests/all/cold_start.rs
+++ b/crates/gate/tests/all/cold_start.rs
@@ -160,7 +160,7 @@
         let (limit, over) = play(slots, knee, knee);
         assert_eq!(usize::from(limit), knee, "limit of {slots} slots");
         assert!(
-            over < 0.2,
+            over < 0.1,
             "{over:.2} of the runs of {slots} slots started above the knee"
         );
         let (limit, _) = play(slots, usize::from(slots), knee);
