Give evacuations one way to read a record, and commands one way to the store

Reading the diff: feed::evacuations built the same record in three places, the heartbeat's two cases of warmth stood in front of their match, and evacuate and rules opened the store each in its own lines. No decision changes.

--- a/bin/appleshore/src/evacuate.rs
+++ b/bin/appleshore/src/evacuate.rs
@@ -1,15 +1,13 @@
 //! `appleshore evacuate`: evacuates availability zones, and ends evacuations.
 
-use std::net::SocketAddr;
-
 use bytes::Bytes;
-use store::http::Client;
 use store::{Condition, Store};
-use unit::{Span, Zone};
+use unit::Zone;
 
 use crate::daemon::block_on;
 use crate::error::Error;
 use crate::output;
+use crate::place::Place;
 
 /// How the store's counts and logs name this command.
 const AGENT: &str = "appleshore-evacuate";
@@ -21,7 +19,7 @@
 #[derive(Debug, clap::Subcommand)]
 pub(crate) enum Command {
     /// Lists the evacuated zones, with the version of each evacuation.
-    List(Place),
+    List(Key),
     /// Evacuates a zone: its targets get no more requests.
     Begin(Arguments),
     /// Ends the evacuation of a zone.
@@ -34,28 +32,17 @@
     /// The zone's name.
     zone: Zone,
     #[command(flatten)]
-    place: Place,
+    key: Key,
 }
 
 /// Where the evacuations are.
 #[derive(Debug, clap::Args)]
-pub(crate) struct Place {
-    /// The platform's store, such as 10.0.0.2:2379,10.0.0.3:2379.
-    #[arg(long, value_delimiter = ',', required = true)]
-    store: Vec<SocketAddr>,
+pub(crate) struct Key {
+    #[command(flatten)]
+    place: Place,
     /// The key prefix of evacuations, as the daemons' settings name it.
     #[arg(long, default_value = "evacuations/")]
     prefix: String,
-    /// How long one call on the store may take.
-    #[arg(long, default_value = "3s")]
-    timeout: Span,
-}
-
-impl Place {
-    fn open(&self) -> Store {
-        let client = Client::builder().peers(&self.store).agent(AGENT);
-        client.timeout(self.timeout.0).open()
-    }
 }
 
 /// Runs one of the commands.
@@ -65,20 +52,17 @@
 /// [`Error::Store`] if the store did not confirm; the command can then be repeated.
 pub(crate) fn run(command: &Command) -> Result<(), Error> {
     match command {
-        Command::List(place) => list(place),
+        Command::List(key) => list(key),
         Command::Begin(arguments) => begin(arguments),
         Command::End(arguments) => end(arguments),
     }
 }
 
-fn list(place: &Place) -> Result<(), Error> {
-    let store = place.open();
-    let listing = block_on(async { store.list(&place.prefix).await.map_err(Error::Store) })?;
+fn list(key: &Key) -> Result<(), Error> {
+    let store = key.place.open(AGENT);
+    let listing = block_on(async { store.list(&key.prefix).await.map_err(Error::Store) })?;
     let lines = listing.objects.iter().map(|object| {
-        let name = object
-            .key
-            .strip_prefix(&place.prefix)
-            .unwrap_or(&object.key);
+        let name = object.key.strip_prefix(&key.prefix).unwrap_or(&object.key);
         format!("{name} {}\n", object.version)
     });
     output::print(&lines.collect::<String>())
@@ -106,7 +90,7 @@
 
 impl Arguments {
     fn object(&self) -> (Store, String) {
-        let key = format!("{}{}", self.place.prefix, self.zone);
-        (self.place.open(), key)
+        let key = format!("{}{}", self.key.prefix, self.zone);
+        (self.key.place.open(AGENT), key)
     }
 }
--- a/bin/appleshore/src/main.rs
+++ b/bin/appleshore/src/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod file;
 mod output;
+mod place;
 mod rules;
 mod shell;
 mod top;
--- a/bin/appleshore/src/rules.rs
+++ b/bin/appleshore/src/rules.rs
@@ -5,13 +5,11 @@
 mod put;
 mod race;
 
-use std::net::SocketAddr;
-
 use store::Store;
-use store::http::Client;
-use unit::{Span, Version};
+use unit::Version;
 
 use crate::error::Error;
+use crate::place::Place;
 
 pub(crate) use race::Race;
 
@@ -29,22 +27,17 @@
 
 /// Where the rules are.
 #[derive(Debug, clap::Args)]
-struct Place {
-    /// The platform's store, such as 10.0.0.2:2379,10.0.0.3:2379.
-    #[arg(long, value_delimiter = ',', required = true)]
-    store: Vec<SocketAddr>,
+struct Location {
+    #[command(flatten)]
+    place: Place,
     /// The key of the rules, as the daemons' settings name it.
     #[arg(long, default_value = "rules")]
     key: String,
-    /// How long one call on the store may take.
-    #[arg(long, default_value = "3s")]
-    timeout: Span,
 }
 
-impl Place {
+impl Location {
     fn open(&self) -> Store {
-        let client = Client::builder().peers(&self.store).agent(AGENT);
-        client.timeout(self.timeout.0).open()
+        self.place.open(AGENT)
     }
 }
 
--- a/bin/appleshore/src/rules/get.rs
+++ b/bin/appleshore/src/rules/get.rs
@@ -2,7 +2,7 @@
 
 use store::Object;
 
-use super::Place;
+use super::Location;
 use crate::daemon::block_on;
 use crate::error::Error;
 use crate::output;
@@ -11,7 +11,7 @@
 #[derive(Debug, clap::Args)]
 pub(crate) struct Arguments {
     #[command(flatten)]
-    place: Place,
+    location: Location,
     /// Prints only the version, to standard output.
     #[arg(long)]
     version_only: bool,
@@ -23,8 +23,8 @@
 ///
 /// [`Error::NoRules`] when there are none, [`Error::Store`] when that can't be told.
 pub(crate) fn run(arguments: &Arguments) -> Result<(), Error> {
-    let Place { key, .. } = &arguments.place;
-    let store = arguments.place.open();
+    let Location { key, .. } = &arguments.location;
+    let store = arguments.location.open();
     let object = block_on(async { store.get(key).await.map_err(Error::Store) })?;
     let Object { value, version, .. } = object.ok_or_else(|| Error::NoRules(key.clone()))?;
     if arguments.version_only {
--- a/bin/appleshore/src/rules/put.rs
+++ b/bin/appleshore/src/rules/put.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 use unit::Version;
 
-use super::{Place, Race};
+use super::{Location, Race};
 use crate::daemon::block_on;
 use crate::error::Error;
 use crate::{check, file, output};
@@ -32,7 +32,7 @@
     /// The rules document.
     file: PathBuf,
     #[command(flatten)]
-    place: Place,
+    location: Location,
     #[command(flatten)]
     condition: When,
 }
@@ -91,8 +91,8 @@
     let document = file::rules(&arguments.file)?;
     check::warn(&arguments.file, &document);
     let put = Put {
-        store: arguments.place.open(),
-        key: &arguments.place.key,
+        store: arguments.location.open(),
+        key: &arguments.location.key,
         document,
     };
     let version = block_on(put.run(&arguments.condition))?;
--- a/crates/feed/src/evacuations.rs
+++ b/crates/feed/src/evacuations.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use evacuation::Record;
-use store::{Change, Consistency, Object};
+use store::{Change, Consistency};
 use unit::{Instance, Version, Zone};
 
 use crate::feed::Inner;
@@ -22,7 +22,8 @@
     let read = || inner.store.list_with(prefix, Consistency::Linearizable);
     let listing = platform::within_budget(read).await?;
     let objects = listing.objects.iter();
-    let listed: Vec<Record> = objects.filter_map(|object| begun(inner, object)).collect();
+    let listed = objects.filter_map(|object| record(inner, &object.key, object.version, true));
+    let listed: Vec<Record> = listed.collect();
     let new = match era::is_restored(inner) {
         true => inner
             .evacuations
@@ -36,15 +37,9 @@
 /// Applies a change reported by a watch on the evacuations.
 pub(crate) fn apply(inner: &Inner, change: &Change) {
     let begun = change.changed.iter();
-    let begun = begun.filter_map(|object| begun_at(inner, &object.key, object.version));
-    let ended = change.deleted.iter().filter_map(|deletion| {
-        let zone = zone(inner, &deletion.key)?;
-        Some(Record {
-            zone,
-            version: deletion.version,
-            evacuated: false,
-        })
-    });
+    let begun = begun.filter_map(|object| record(inner, &object.key, object.version, true));
+    let ended = change.deleted.iter();
+    let ended = ended.filter_map(|object| record(inner, &object.key, object.version, false));
     let records: Vec<Record> = begun.chain(ended).collect();
     publish(inner, inner.evacuations.merge(&records));
 }
@@ -61,28 +56,20 @@
     }
 }
 
-/// The record of an object. Its existence alone evacuates the zone, whatever its value is.
-fn begun(inner: &Inner, object: &Object) -> Option<Record> {
-    begun_at(inner, &object.key, object.version)
-}
-
-fn begun_at(inner: &Inner, key: &str, version: Version) -> Option<Record> {
-    let zone = zone(inner, key)?;
+/// The record of an object that exists or was deleted at `version`. Its existence alone evacuates the
+/// zone that its key names, whatever its value is; a name that is not one of a zone evacuates nothing.
+fn record(inner: &Inner, key: &str, version: Version, exists: bool) -> Option<Record> {
+    let name = key.strip_prefix(inner.evacuation_prefix.as_deref()?)?;
+    let zone: Result<Zone, _> = name.parse();
+    let zone =
+        zone.inspect_err(|error| log::warn!("feed: object {key} evacuates nothing: {error}."));
     Some(Record {
-        zone,
+        zone: zone.ok()?,
         version,
-        evacuated: true,
+        evacuated: exists,
     })
 }
 
-/// The zone that a key names. An object whose name is not one of a zone evacuates nothing.
-fn zone(inner: &Inner, key: &str) -> Option<Zone> {
-    let name = key.strip_prefix(inner.evacuation_prefix.as_deref()?)?;
-    let zone = name.parse();
-    zone.inspect_err(|error| log::warn!("feed: object {key} evacuates nothing: {error}."))
-        .ok()
-}
-
 /// Sends records that were read here to all zones.
 fn publish(inner: &Inner, new: Vec<Record>) {
     if !new.is_empty() && inner.relayed.lock().mark_update(relay::tree_seed(&new)) {
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -74,6 +74,16 @@
     Conflicting,
 }
 
+impl Effect {
+    /// Whether the heartbeat comes from the current life and is not outdated.
+    pub(crate) fn is_accepted(self) -> bool {
+        matches!(
+            self,
+            Effect::Changed | Effect::Restarted | Effect::Unchanged
+        )
+    }
+}
+
 /// What is known of the life at the target's address.
 #[derive(Debug, Clone, Serialize)]
 pub struct Life {
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -27,13 +27,11 @@
             .presence
             .lock()
             .receive_heartbeat(now, heartbeat, alive_for);
-        if matches!(effect, Effect::Restarted) {
+        if effect == Effect::Restarted {
+            // What the former life reported must not outlast it.
             self.target_restarted();
         }
-        if matches!(
-            effect,
-            Effect::Changed | Effect::Restarted | Effect::Unchanged
-        ) {
+        if effect.is_accepted() {
             self.record_warmth(heartbeat.cold, Source::Heartbeat);
         }
         match effect {
