Tell callers when to come back also if a gate refuses for an evacuated zone

Cause: with all zones evacuated, an entry that has heard of the first only asks the gates of the second; their refusal names no time, as another gate is free in general, and it was the last. Only the entry's own refusal, once it knows of all zones, named one. Change: one second for both. The test fails without it when the entry is behind, which depends on timing; no test forces that order.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -22,6 +22,9 @@
 /// take it at once.
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(10);
 
+/// Retry time of a request for which no target is left.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What to do after an attempt.
 enum Next {
     /// Relay this answer to the caller.
@@ -214,10 +217,14 @@
         self.job.budget.settle(Kind::Refused, None);
         let mut answer = Refusal::not_run(reason_of(refusal.cause))
             .detail(format!("the gate refused: {}", refusal.cause));
-        if !refusal.retry_after.is_zero() {
-            answer = answer.retry_after(refusal.retry_after);
-        } else if refusal.cause == wire::Cause::Declined {
-            answer = answer.retry_after(DECLINED_RETRY_AFTER);
+        let retry_after = match refusal.cause {
+            _ if !refusal.retry_after.is_zero() => Some(refusal.retry_after),
+            wire::Cause::Declined => Some(DECLINED_RETRY_AFTER),
+            wire::Cause::Evacuated => Some(NO_TARGET_RETRY_AFTER),
+            _ => None,
+        };
+        if let Some(retry_after) = retry_after {
+            answer = answer.retry_after(retry_after);
         }
         if self.may_hand_over(refusal.cause, body) {
             self.last_refusal = Some(answer);
@@ -288,7 +295,7 @@
         let none = || {
             Refusal::not_run(reason)
                 .detail(format!("{service}: {cause}"))
-                .retry_after(Duration::from_secs(1))
+                .retry_after(NO_TARGET_RETRY_AFTER)
         };
         let refusal = self.last_refusal.take().unwrap_or_else(none);
         self.with_earlier_attempts(refusal)
