Log and count what a target says of its rate limit

Change: the dialect names the two headers; a line marks each change of a target's limit, with the requests and the health checks sent so far; a gauge holds the limit, a counter the requests sent. A limit is raised or ended only by the answer to a request that was sent after it was last named. What the gate lets run is unchanged.

--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -107,6 +107,16 @@
         "Questions after the target's health and load",
         target.asked,
     );
+    registry.register(
+        "sent",
+        "Requests sent to the target, without health checks",
+        target.sent,
+    );
+    registry.register(
+        "target_max_rate",
+        "Requests per second that the target limits itself to",
+        target.max_rate,
+    );
     registry.register(
         "malformed_heartbeats",
         "Heartbeats and leaves that could not be read, or were another writer's",
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 use http::{HeaderMap, HeaderName, HeaderValue};
-use unit::Decimal;
+use unit::{Decimal, Rate};
 
 /// Longest time that a caller may say it waits; more is most likely a unit mistaken for another.
 const MAX_LEFT: Duration = Duration::from_secs(86_400);
@@ -48,6 +48,11 @@
     pub load: Option<Load>,
     /// Whole milliseconds for which a target stays cold, in its answers to health checks.
     pub cold: Option<HeaderName>,
+    /// The requests per second that a target takes from all instances together, as long as its answers
+    /// say so.
+    pub max_rate: Option<HeaderName>,
+    /// Marks the answers of a target that leaves, if the value is `1`.
+    pub leaving: Option<HeaderName>,
     /// Whether callers understand parts of a second in `Retry-After`.
     pub exact_retry: bool,
 }
@@ -78,6 +83,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BadTime;
 
+/// The header holds no number, or a negative one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadRate;
+
 impl Dialect {
     /// The time that the sender of `headers` has left, if it says so.
     ///
@@ -130,6 +139,28 @@
         Some(remaining.min(MAX_LEFT))
     }
 
+    /// The requests per second that the target takes, if the answer limits them.
+    ///
+    /// # Errors
+    ///
+    /// [`BadRate`] if the header is there and can't be read.
+    pub fn max_rate(&self, headers: &HeaderMap) -> Result<Option<Rate>, BadRate> {
+        let Some(value) = self.max_rate.as_ref().and_then(|name| headers.get(name)) else {
+            return Ok(None);
+        };
+        let text = value.to_str().map_err(|_| BadRate)?;
+        let rate: Decimal = text.trim().parse().map_err(|_| BadRate)?;
+        (rate.get() >= 0.0)
+            .then_some(Some(Rate::of(rate.get())))
+            .ok_or(BadRate)
+    }
+
+    /// Whether an answer says that its target leaves.
+    pub fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        let value = self.leaving.as_ref().and_then(|name| headers.get(name));
+        value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+    }
+
     /// Whether an answer says that the request was not run.
     pub fn says_not_run(&self, headers: &HeaderMap) -> bool {
         let name = self.not_run.as_ref();
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -45,6 +45,8 @@
     running: Running,
     /// Registers the request as the parent of the calls that the target makes for it.
     parent: nest::Running,
+    /// The life of the target that the request is meant for, if one is known.
+    life: Option<String>,
     /// Keeps the answer, if the request may not be repeated.
     held: Option<held::Running>,
     /// The gate's load when the request started.
@@ -236,10 +238,12 @@
             self.server.stats().slow_starts.inc();
         }
         let running = permit.dispatch();
+        self.server.stats().sent.inc();
         let once = self.call.once;
         Run {
             running,
             parent: self.register_parent(),
+            life: self.server.life_name(),
             held: once.then(|| self.server.held.begin(self.call.token)),
             load,
             started: Instant::now(),
@@ -255,7 +259,7 @@
         content: Content,
         sender: &mut Sender,
     ) -> Sent {
-        let outgoing = self.outgoing();
+        let outgoing = self.outgoing(run.life.as_deref());
         let carried = connection.carried;
         let on_sent = || run.running.record_sent();
         let answer = connection.send(&outgoing, content, &self.server.dialect, on_sent);
@@ -292,8 +296,8 @@
         self.server.pool.put(connection);
     }
 
-    /// The request as it is sent to the target, with the headers that its dialect names.
-    fn outgoing(&self) -> Outgoing {
+    /// The request as it is sent to the `life` of the target, with the headers that its dialect names.
+    fn outgoing(&self, life: Option<&str>) -> Outgoing {
         let dialect = &self.server.dialect;
         let mut headers = Header::map(&self.call.headers);
         if dialect.attempt.is_none() {
@@ -306,8 +310,8 @@
             let left = self.deadline.saturating_duration_since(Instant::now());
             headers.insert(name, HeaderValue::from(left.as_millis() as u64));
         }
-        if let (Some(name), Some(life)) = (&dialect.expected, self.server.life_name())
-            && let Ok(value) = HeaderValue::from_str(&life)
+        if let (Some(name), Some(life)) = (&dialect.expected, life)
+            && let Ok(value) = HeaderValue::from_str(life)
         {
             headers.insert(name, value);
         }
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -4,12 +4,14 @@
 
 use gate::End;
 use held::Answer;
+use http::StatusCode;
 use http1::response;
 use wire::{Abort, Cause, Error, Sender};
 
 use super::{Handler, Run, abort, elapsed_ms, load_fields};
 use crate::answer::{self, Ended, Relay};
 use crate::connection::Connection;
+use crate::max_rate::Exchange;
 use crate::verdict::{self, Verdict};
 
 impl Handler<'_> {
@@ -26,6 +28,7 @@
         stats.waited.observe(self.waited.as_secs_f64());
         stats.ran.observe(latency.as_secs_f64());
         self.server.record_load(&head);
+        self.record_notices(&head, &run);
         match Verdict::of(&self.server.dialect, &head) {
             Verdict::Pass => self.relay(run, head, latency, connection, sender).await,
             Verdict::Declined => {
@@ -42,6 +45,17 @@
         }
     }
 
+    /// Records what the answer says of the target beside its load, if it comes from the current life.
+    fn record_notices(&self, head: &response::Head, run: &Run) {
+        let server = self.server;
+        let is_current = head.status != StatusCode::MISDIRECTED_REQUEST
+            && run.life.is_some()
+            && run.life == server.life_name();
+        if is_current {
+            server.record_max_rate(&head.headers, Exchange::Call, run.started);
+        }
+    }
+
     /// Relays a valid answer to its end.
     async fn relay(
         &self,
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -100,6 +100,7 @@
     /// gate keeps its tokens and suspects.
     fn target_restarted(&self) {
         self.pool.clear();
+        self.reset_max_rate();
         self.doubt_warmth();
         self.gate.target_cold();
         self.gate.target_restarted();
@@ -116,7 +117,7 @@
     }
 
     /// Notifies the gate of the stage and slots of the target's life.
-    fn update_gate(&self) {
+    pub(crate) fn update_gate(&self) {
         let (stage, slots) = {
             let life = self.presence.lock();
             (life.stage, life.slots)
@@ -189,8 +190,9 @@
         self.check_requested.notify_one();
     }
 
-    /// Records that the target has answered a health check as the life `name`, and updates the gate.
-    pub(crate) fn receive_health(&self, name: &str, healthy: bool, slots: Option<u16>) {
+    /// Records that the target has answered a health check as the life `name`. Returns true if that
+    /// changes what is known of it; the gate must then be updated.
+    pub(crate) fn receive_health(&self, name: &str, healthy: bool, slots: Option<u16>) -> bool {
         let now = Instant::now();
         let (changed, replaced) = {
             let mut life = self.presence.lock();
@@ -203,7 +205,7 @@
             if replaced {
                 self.target_restarted();
             }
-            self.update_gate();
         }
+        changed
     }
 }
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -18,6 +18,7 @@
 
 use crate::call::Handler;
 use crate::life::Life;
+use crate::max_rate::MaxRate;
 use crate::pool::Pool;
 use crate::warmth::Warmth;
 use crate::{Builder, ColdLimits, Heartbeats, Stats};
@@ -38,6 +39,7 @@
     pub(crate) heartbeats: Option<Heartbeats>,
     pub(crate) presence: Mutex<Life>,
     pub(crate) warmth: Mutex<Warmth>,
+    pub(crate) max_rate: Mutex<MaxRate>,
     /// What the gate was last told of cold targets.
     pub(crate) cold_limits: Mutex<ColdLimits>,
     pub(crate) started_at: Instant,
@@ -78,6 +80,7 @@
         Server {
             presence: Mutex::new(Life::unknown(now, slots)),
             warmth: Mutex::new(Warmth::unknown(now)),
+            max_rate: Mutex::default(),
             cold_limits: Mutex::default(),
             started_at: now,
             dialect: builder.dialect,
--- a/crates/target/src/stats.rs
+++ b/crates/target/src/stats.rs
@@ -1,6 +1,9 @@
 //! Metrics of the role beside a target.
 
+use std::sync::atomic::AtomicU64;
+
 use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 
 /// Histograms and counters of one target's daemon; clones share their values.
@@ -20,6 +23,10 @@
     pub declined: Counter,
     /// Health checks and pace probes sent to the target.
     pub asked: Counter,
+    /// Requests dispatched to the target.
+    pub sent: Counter,
+    /// Requests per second that the target limits itself to; infinite without a limit.
+    pub max_rate: Gauge<f64, AtomicU64>,
     /// Heartbeats and leaves that could not be parsed or came from another sender, and were ignored.
     pub malformed: Counter,
 }
@@ -27,6 +34,8 @@
 impl Default for Stats {
     fn default() -> Stats {
         let times = || Histogram::new(exponential_buckets(0.001, 2.0, 14));
+        let max_rate = Gauge::default();
+        max_rate.set(f64::INFINITY);
         Stats {
             waited: times(),
             ran: times(),
@@ -35,6 +44,8 @@
             unfit: Counter::default(),
             declined: Counter::default(),
             asked: Counter::default(),
+            sent: Counter::default(),
+            max_rate,
             malformed: Counter::default(),
         }
     }
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -12,6 +12,7 @@
 
 use crate::connection::{Connection, Content, Outgoing};
 use crate::life::Stage;
+use crate::max_rate::Exchange;
 use crate::server::Server;
 use crate::warmth::Source;
 
@@ -218,12 +219,19 @@
     let slots = figures.map(|figures| figures.slots);
     if let Some(name) = server.dialect.life(&head.headers) {
         let healthy = head.status == StatusCode::OK;
-        server.receive_health(name, healthy, slots);
+        let changed = server.receive_health(name, healthy, slots);
         let remaining = server.dialect.cold_remaining(&head.headers);
         let remaining = remaining.filter(|left| healthy || !left.is_zero());
         let is_current = server.life_name().as_deref() == Some(name);
+        if is_current {
+            server.record_max_rate(&head.headers, Exchange::HealthCheck, asked_at);
+        }
         if let Some(remaining) = remaining.filter(|_| is_current) {
             server.record_warmth(remaining, Source::Health(asked_at));
         }
+        if changed {
+            // The gate opens only now, with the bounds of the new life in place.
+            server.update_gate();
+        }
     }
 }
