Send a target that limits its rate no more than it takes

Callers saw nothing: the target got 60 to 80 requests a second where it had named a limit of 24.

Cause: no part read the limit. The class: what a target says of itself in its answers was read for load alone, and the gate had only one bound on starts, made for cold targets.

Change: the gate beside the target sees all that is sent to it, from whichever entry, so it keeps the rate in a sliding window (starts, window, throttle). What was sent before a limit appears counts. What a limit holds up for too long is refused at once, as throttled and with the time at which it would be sent, and goes to another gate. Entries learn by the reported limit how much the target runs at its rate. A cold target's bound uses the same window; requests waiting at a target that becomes cold are refused at once too, as they were held till their deadlines.

Why it works: the window counts from the slot to its length after the write, so the wait in a connection does not add up; a property test plays arrivals, limits and delays.

A limited gate sends 4 s of its rate and a quarter of a second's in 4 s at most.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -275,7 +275,7 @@
     fn has_room_elsewhere(&self, cause: wire::Cause) -> bool {
         let crowded = matches!(
             cause,
-            wire::Cause::Full | wire::Cause::Deadline | wire::Cause::Shed
+            wire::Cause::Full | wire::Cause::Deadline | wire::Cause::Shed | wire::Cause::Throttled
         );
         let need = self.need(&self.tried);
         !crowded
@@ -335,6 +335,7 @@
         | wire::Cause::Fenced
         | wire::Cause::Duplicate
         | wire::Cause::Declined
-        | wire::Cause::Shed => Reason::Full,
+        | wire::Cause::Shed
+        | wire::Cause::Throttled => Reason::Full,
     }
 }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -15,10 +15,10 @@
 use crate::quarantine::Quarantine;
 use crate::refusal::Refusal;
 use crate::request::{Id, Request};
+use crate::starts::Starts;
 use crate::suspect::{self, Standing, Suspicion};
 use crate::token::{self, Fence, State, Status};
 use crate::verdict::{Event, Verdict};
-use crate::warmup::Bound;
 
 /// A request that holds a slot.
 #[derive(Debug)]
@@ -118,7 +118,7 @@
     pub(crate) leaving: bool,
     /// Whether the target's zone is evacuated.
     pub(crate) evacuated: bool,
-    pub(crate) cold_start: Bound,
+    pub(crate) starts: Starts,
     pub(crate) hot: bool,
     pub(crate) pace: Pace,
     pub(crate) answered: u32,
@@ -156,7 +156,7 @@
             down: false,
             leaving: false,
             evacuated: false,
-            cold_start: Bound::default(),
+            starts: Starts::default(),
             hot: false,
             pace: Pace::default(),
             answered: 0,
@@ -314,7 +314,7 @@
     pub fn record_sent(&mut self, now: Instant, id: Id) {
         if let Some(held) = self.held.get_mut(&id).filter(|held| !held.sent) {
             held.sent = true;
-            self.cold_start.record_sent(now);
+            self.starts.record_sent(now);
         }
     }
 
--- a/crates/gate/src/dump.rs
+++ b/crates/gate/src/dump.rs
@@ -8,6 +8,7 @@
 use crate::lane::Waiting;
 use crate::limit::Law;
 use crate::suspect::Suspicion;
+use crate::throttle::Throttle;
 use crate::warmup::ColdStart;
 
 /// Maximum number of callers listed in a dump.
@@ -44,6 +45,8 @@
     pub evacuated: bool,
     /// The bound on a cold target; `None` if it does not apply.
     pub cold_start: Option<ColdStart>,
+    /// The bound on a target that limits its requests; `None` if it does not.
+    pub throttle: Option<Throttle>,
 }
 
 impl Core {
@@ -66,7 +69,8 @@
             down: self.down,
             leaving: self.leaving,
             evacuated: self.evacuated,
-            cold_start: self.cold_start.dump(now, self.unsent()),
+            cold_start: self.starts.dump_cold(now, self.unsent(now)),
+            throttle: self.starts.dump_throttle(now, self.unsent(now)),
         }
     }
 }
--- a/crates/gate/src/ending.rs
+++ b/crates/gate/src/ending.rs
@@ -30,7 +30,7 @@
         if held.dispatched {
             if !held.sent {
                 // Part of it may have reached the target.
-                self.cold_start.record_sent(now);
+                self.starts.record_sent(now);
             }
             self.tokens.done(now, held.request.token);
             self.learn_from(now, &held, isolated, end);
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use unit::{Cause, Report, Urgency};
+use unit::{Cause, Rate, Report, Urgency};
 
 use crate::core::{Core, Held};
 use crate::pace;
@@ -40,26 +40,32 @@
             return Some(Cause::Full);
         }
         let wait = self.wait(now, request);
-        let or_shed = |cause| match self.paused_until {
-            Some(until) if until > now => Cause::Shed,
-            _ => cause,
-        };
         if let Some(goal) = request.goal {
             let run = self.run_time(now, request) + self.latency.spread_of(request);
             let free = wait.is_zero() && self.is_worth_starting(now, request);
             let met = free || now + wait + run <= goal;
-            return (!met).then(|| or_shed(Cause::Full));
+            return (!met).then(|| self.cause_of_wait(now, Cause::Full));
         }
         let wait = wait + self.slowdown_left(now, request);
         if wait > self.setting.wait {
-            return Some(or_shed(Cause::Full));
+            return Some(self.cause_of_wait(now, Cause::Full));
         }
         let run = self.service(now, request.urgency);
         let margin = self.latency.margin(now, request.urgency).min(wait);
         let idle = self.held.is_empty() && self.waiting.is_empty() && self.paused_until.is_none();
-        let free = idle || self.probe_due(now);
+        let free = (idle || self.probe_due(now)) && self.has_start_room(now);
         let late = !free && now + wait + run + margin > request.deadline;
-        late.then(|| or_shed(Cause::Deadline))
+        late.then(|| self.cause_of_wait(now, Cause::Deadline))
+    }
+
+    /// Why a request that would wait for too long is refused: `cause`, unless the target has asked
+    /// for the wait.
+    pub(crate) fn cause_of_wait(&self, now: Instant, cause: Cause) -> Cause {
+        match self.paused_until {
+            Some(until) if until > now => Cause::Shed,
+            _ if self.is_throttled(now) => Cause::Throttled,
+            _ => cause,
+        }
     }
 
     /// Expected wait of a request that arrives now: the rest of a pause, the turn of a suspect, and
@@ -87,12 +93,12 @@
         let slots = self.limit.slots();
         let starts = (self.held.len() + self.nested.len() + 1).saturating_sub(slots);
         let wait = self.expected_hold(now, service) + service.mul_f64(starts as f64 / slots as f64);
-        wait.max(self.cold_wait(now, self.nested.len()))
+        wait.max(self.wait_for_start(now, self.nested.len()))
     }
 
-    /// How long the bound on a cold target holds up a request behind `ahead` others.
-    fn cold_wait(&self, now: Instant, ahead: usize) -> Duration {
-        self.cold_start.delay(now, self.unsent(), ahead + 1)
+    /// How long the bounds on starts hold up a request behind `ahead` others.
+    fn wait_for_start(&self, now: Instant, ahead: usize) -> Duration {
+        self.starts.delay(now, self.unsent(now), ahead + 1)
     }
 
     /// Expected time during which nothing can start.
@@ -112,7 +118,7 @@
         };
         let starts = (busy + ahead + 1).saturating_sub(limit);
         let wait = hold + service.mul_f64(starts as f64 / limit as f64);
-        wait.max(self.cold_wait(now, ahead))
+        wait.max(self.wait_for_start(now, ahead))
     }
 
     /// Number of slots available to requests that are not urgent.
@@ -272,7 +278,7 @@
     }
 
     fn is_hot(&self, now: Instant) -> bool {
-        if self.is_closed() || self.paused_until.is_some() || !self.has_cold_room(now) {
+        if self.is_closed() || self.paused_until.is_some() || !self.has_start_room(now) {
             return true;
         }
         let waiting: usize = self.lanes.iter().map(|lane| lane.len()).sum();
@@ -316,12 +322,19 @@
         self.down || self.leaving || self.evacuated
     }
 
-    /// Number of requests that may run at once, counting only those that may start now if the
-    /// target is cold. Entries thus send a cold target no more than it takes.
+    /// Number of requests that may run at once, as reported to entries. Under a bound on starts, it
+    /// is what the target can run within the bound, so that entries send it no more.
     fn limit_of_starts(&self, now: Instant) -> usize {
         let limit = self.limit.now();
-        let room = self.cold_start.room(now, self.unsent());
-        room.map_or(limit, |room| limit.min(self.held.len() + room).max(1))
+        let Some(room) = self.starts.room(now, self.unsent(now)) else {
+            return limit;
+        };
+        let limit = limit.min(self.held.len() + room);
+        // By Little's law, a rate of starts keeps so many runs going.
+        let service = self.service_now(now).as_secs_f64();
+        let running = |rate: Rate| (rate.per_second() * service).ceil() as usize;
+        let running = self.starts.max_rate().map_or(limit, running);
+        limit.min(running).max(1)
     }
 
     pub(crate) fn refusal(&self, now: Instant, request: &Request, cause: Cause) -> Refusal {
@@ -343,7 +356,7 @@
                 Standing::Convicted { remaining } => remaining,
                 _ => self.wait(now, request).clamp(RETRY_MIN, RETRY_MAX),
             },
-            Cause::Full | Cause::Deadline | Cause::Shed => self
+            Cause::Full | Cause::Deadline | Cause::Shed | Cause::Throttled => self
                 .wait_with_slowdown(now, request)
                 .clamp(RETRY_MIN, RETRY_MAX),
         }
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -65,10 +65,7 @@
     }
 
     fn refuse_until(&mut self, now: Instant, bound: impl Fn(&Core, Urgency) -> Instant) {
-        let cause = match self.paused_until {
-            Some(_) => Cause::Shed,
-            None => Cause::Deadline,
-        };
+        let cause = self.cause_of_wait(now, Cause::Deadline);
         for urgency in Urgency::ALL {
             let bound = bound(self, urgency);
             while let Some((deadline, id)) = self.deadlines[urgency.rank()].first().copied() {
@@ -88,7 +85,7 @@
     /// Whether a slot is free for a nested request.
     pub(crate) fn has_nested_room(&self, now: Instant) -> bool {
         let has_slot = self.held.len() < self.limit.slots();
-        self.paused_until.is_none() && has_slot && self.has_cold_room(now)
+        self.paused_until.is_none() && has_slot && self.has_start_room(now)
     }
 
     /// Starts the first waiting nested request that may start; see [`Request::nested`].
@@ -111,7 +108,7 @@
 
     /// Starts or refuses one request. Returns false if there is nothing to do.
     fn start_next(&mut self, now: Instant) -> bool {
-        if !self.has_cold_room(now) {
+        if !self.has_start_room(now) {
             return false;
         }
         if self.start_nested(now) {
@@ -331,7 +328,7 @@
             slowdown_end,
             self.quarantine.timer(now),
             self.stall_timer(now),
-            self.cold_start.timer(now, self.unsent()),
+            self.starts.timer(now, self.unsent(now)),
         ];
         late.chain(others.into_iter().flatten()).min()
     }
--- a/crates/gate/src/shell.rs
+++ b/crates/gate/src/shell.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep_until};
-use unit::{Report, Token};
+use unit::{Rate, Report, Token};
 
 use crate::builder::Builder;
 use crate::core::Core;
@@ -331,6 +331,12 @@
         self.inner.with(|core, now| core.set_warmup(now, warmup));
     }
 
+    /// Sets the rate to which the target limits itself; see [`Core::set_max_rate`].
+    pub fn set_max_rate(&self, max_rate: Option<Rate>) {
+        self.inner
+            .with(|core, now| core.set_max_rate(now, max_rate));
+    }
+
     /// Records that a former gate may have sent requests; see [`Core::inherit_cold_starts`].
     pub fn inherit_cold_starts(&self) {
         self.inner.with(Core::inherit_cold_starts);
--- a/crates/gate/src/target.rs
+++ b/crates/gate/src/target.rs
@@ -1,10 +1,13 @@
 //! What the daemon reports of its target: whether it takes work, and how fast it works.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
-use unit::Cause;
+use unit::{Cause, Rate};
 
 use crate::core::Core;
 use crate::knee::Knee;
+use crate::request::Id;
 use crate::warmup::Warmup;
 
 impl Core {
@@ -76,35 +79,85 @@
     /// Sets the maximum number of requests sent to a cold target within any second; `None` if
     /// cold targets need no bound, which is the default.
     pub fn set_max_cold_starts(&mut self, now: Instant, max: Option<usize>) {
-        self.cold_start.set_max(max);
-        self.advance(now);
+        self.starts.cold.set_max(max);
+        self.update_bounds(now);
     }
 
     /// Updates what is known of the target's warm-up. By default it is warm.
     pub fn set_warmup(&mut self, now: Instant, warmup: Warmup) {
-        self.cold_start.set_warmup(warmup);
-        self.advance(now);
+        self.starts.cold.set_warmup(warmup);
+        self.update_bounds(now);
+    }
+
+    /// Sets the rate of requests to which the target limits itself; `None` if it does not.
+    pub fn set_max_rate(&mut self, now: Instant, max_rate: Option<Rate>) {
+        self.starts.set_max_rate(max_rate);
+        self.update_bounds(now);
     }
 
     /// Records that a former gate may have sent requests to the same target until now. They count
     /// towards the bound on a cold target.
     pub fn inherit_cold_starts(&mut self, now: Instant) {
-        self.cold_start.inherit(now);
+        self.starts.cold.inherit(now);
     }
 
     /// Records that no former gate has sent requests to the target while it was cold.
     pub fn no_former_starts(&mut self) {
-        self.cold_start.no_former_starts();
+        self.starts.cold.no_former_starts();
     }
 
-    /// Number of requests that hold a slot and were not sent yet.
-    pub(crate) fn unsent(&self) -> usize {
+    /// Number of requests that hold a slot and were not sent yet, if a bound counts them.
+    pub(crate) fn unsent(&self, now: Instant) -> usize {
+        if !self.starts.is_bounded(now) {
+            return 0;
+        }
         self.held.values().filter(|held| !held.sent).count()
     }
 
-    /// Whether the bound on a cold target lets one more request start.
-    pub(crate) fn has_cold_room(&self, now: Instant) -> bool {
-        self.cold_start.has_room(now, self.unsent())
+    /// Whether the bounds on starts allow one more now.
+    pub(crate) fn has_start_room(&self, now: Instant) -> bool {
+        self.starts.room(now, self.unsent(now)) != Some(0)
+    }
+
+    /// Whether the target's own limit holds requests up now.
+    pub(crate) fn is_throttled(&self, now: Instant) -> bool {
+        self.starts.throttle_room(now, self.unsent(now)) == Some(0)
+    }
+
+    /// Applies a changed bound on starts: refuses the waiting requests that it holds up for too long,
+    /// and starts those that it lets go.
+    ///
+    /// They were admitted under the former bound, and would otherwise wait here until shortly before
+    /// their deadlines, while another target may have room.
+    fn update_bounds(&mut self, now: Instant) {
+        if self.starts.is_bounded(now) {
+            self.refuse_held_up(now);
+        }
+        self.advance(now);
+    }
+
+    fn refuse_held_up(&mut self, now: Instant) {
+        let mut waiting: Vec<(bool, usize, Id)> = self
+            .waiting
+            .iter()
+            .map(|(id, request)| (!request.nested, request.urgency.rank(), *id))
+            .collect();
+        waiting.sort();
+        let unsent = self.unsent(now);
+        let mut ahead = 0;
+        for (_, _, id) in waiting {
+            let Some(request) = self.waiting.get(&id) else {
+                continue;
+            };
+            let delay = self.starts.delay(now, unsent, ahead + 1);
+            let latest = request.goal.unwrap_or(request.deadline);
+            if delay > Duration::ZERO && now + delay + self.run_time(now, request) > latest {
+                let cause = self.cause_of_wait(now, Cause::Full);
+                self.refuse_waiting(now, id, cause);
+            } else {
+                ahead += 1;
+            }
+        }
     }
 
     /// Updates the target's reported pace: run time relative to the usual one, in hundredths.
--- a/crates/gate/tests/all/main.rs
+++ b/crates/gate/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod shell;
 mod slowdown;
 mod suspect;
+mod throttle;
 mod token;
 mod warmup;
--- a/crates/target/src/max_rate.rs
+++ b/crates/target/src/max_rate.rs
@@ -95,6 +95,7 @@
             return;
         }
         let limit = max_rate.limit;
+        self.gate.set_max_rate(limit);
         let stats = self.stats();
         stats
             .max_rate
--- a/crates/unit/src/cause.rs
+++ b/crates/unit/src/cause.rs
@@ -51,4 +51,7 @@
     /// The target's zone is evacuated.
     #[display("evacuated")]
     Evacuated,
+    /// The target limits the rate of its requests, and gets no more for now.
+    #[display("throttled")]
+    Throttled,
 }
