Take a target's word in an answer that it leaves

Callers whose requests came after it met a target that was about to end.

Cause: a leave was read from heartbeats alone. A target whose heartbeats are late, or that never reports one, says so in all its answers, which nobody read. The same class as the rate limit.

Change: an answer of the current life that says that it leaves counts as its leave. The gate closes, what waits moves on, and entries are told at once.

Why it works: the daemon beside the target relays the answer, so it knows before any caller does.

--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -53,6 +53,7 @@
             && run.life == server.life_name();
         if is_current {
             server.record_max_rate(&head.headers, Exchange::Call, run.started);
+            server.record_leaving(&head.headers);
         }
     }
 
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -94,6 +94,20 @@
         }
     }
 
+    /// Records whether an answer of the current life says that it leaves.
+    pub(crate) fn record_leaving(&self, headers: &HeaderMap) {
+        if !self.dialect.is_leaving(headers) {
+            return;
+        }
+        let staying = {
+            let life = self.presence.lock();
+            life.name.clone().filter(|_| !life.is_leaving())
+        };
+        if let Some(life) = staying {
+            self.receive_leave(&life, None);
+        }
+    }
+
     /// Handles a restart of the target: its connections are closed, and its state is lost.
     ///
     /// Requests sent to the former run may have run, and requests that crash targets still do, so the
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -225,6 +225,7 @@
         let is_current = server.life_name().as_deref() == Some(name);
         if is_current {
             server.record_max_rate(&head.headers, Exchange::HealthCheck, asked_at);
+            server.record_leaving(&head.headers);
         }
         if let Some(remaining) = remaining.filter(|_| is_current) {
             server.record_warmth(remaining, Source::Health(asked_at));
