Tell a gate that has started what its target has told other daemons

Callers of daemons that had passed on a target's limit or leave were sent to that target all the same, once the daemon beside it had restarted.

Cause: what a target says was known beside it alone, and was lost with that process. Until the first answer the new one took the target for one that says nothing; a late heartbeat made it ready.

Change: an answer that names a limit or a leave carries it, with a hash of the life's name, as a notice to the entry. The entry keeps the last notice of each instance and returns it with its calls. A gate adopts it if its target is that life; a limit only until it has had an answer itself.

Why it works: whoever is bound has passed the answer on, so it has the notice, and sends it with the call that it would bind. Without notices a call and an answer grow by one byte each.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -25,6 +25,9 @@
 /// Longest time that a caller may say it waits; more is most likely a unit mistaken for another.
 const MAX_LEFT: Duration = Duration::from_secs(86_400);
 
+/// Highest limit on requests per second that is kept; no target reaches it.
+const MAX_RATE: f64 = 1e6;
+
 /// The names in use; a meaning without a name is not spoken of.
 #[derive(Debug, Clone, Default)]
 pub struct Dialect {
@@ -151,7 +154,7 @@
         let text = value.to_str().map_err(|_| BadRate)?;
         let rate: Decimal = text.trim().parse().map_err(|_| BadRate)?;
         (rate.get() >= 0.0)
-            .then_some(Some(Rate::of(rate.get())))
+            .then_some(Some(Rate::of(rate.get().min(MAX_RATE))))
             .ok_or(BadRate)
     }
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -45,8 +45,9 @@
 
 impl Attempt {
     /// Sends the request to the instance of `guard` and waits for the head of the answer.
-    pub(crate) async fn run(self, guard: Guard, body: &mut RequestBody) -> AttemptOutcome {
+    pub(crate) async fn run(mut self, guard: Guard, body: &mut RequestBody) -> AttemptOutcome {
         let instance = guard.instance().clone();
+        self.call.notice = self.entry.notices.get(&instance).map(Box::new);
         let peer = (self.entry.setting.peers)(&instance);
         let Some(peer) = peer else {
             guard.end(Kind::Lost, None);
@@ -260,6 +261,8 @@
         match outcome {
             AttemptOutcome::Answer(answer) => {
                 self.upstream.observe(began.elapsed());
+                let notices = &self.entry.notices;
+                notices.record(guard.instance(), answer.reply.notice.as_deref(), began);
                 guard.end(kind_of_status(answer.reply.status), answer.reply.report);
             }
             AttemptOutcome::Refused(refusal) => {
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -134,6 +134,7 @@
             uri: self.head.uri.clone(),
             headers: self.head.headers.clone(),
             body,
+            notice: None,
         }
     }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 use unit::{Instance, Outcome, Report, Service};
 
-use crate::{Builder, InitialTimeout, Stats, Upstream};
+use crate::{Builder, InitialTimeout, Notices, Stats, Upstream};
 
 /// Largest number of routes with per-route state. Beyond it, as after many changes of the rules,
 /// the state of all routes is discarded and built up again.
@@ -28,6 +28,7 @@
     round_robins: Mutex<HashMap<String, RoundRobin>>,
     /// The estimated initial timeout of the callers of each route.
     timeouts: Mutex<HashMap<String, InitialTimeout>>,
+    pub(crate) notices: Notices,
     /// Number of entries that share the retry budget.
     members: AtomicUsize,
     closing: AtomicBool,
@@ -71,6 +72,7 @@
             caller_limits: Mutex::default(),
             round_robins: Mutex::default(),
             timeouts: Mutex::default(),
+            notices: Notices::default(),
             members: AtomicUsize::new(1),
             closing: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- a/crates/held/src/lib.rs
+++ b/crates/held/src/lib.rs
@@ -31,7 +31,7 @@
 pub const MAX_BODY: usize = 256 << 10;
 
 /// A complete answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
     /// Its head.
     pub reply: Reply,
@@ -76,7 +76,7 @@
 }
 
 /// What is known of a token.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Found {
     /// Nothing: it never began here, or was dropped for its age.
     Nothing,
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -10,10 +10,10 @@
 use http1::response;
 use nest::Context;
 use tokio::time::{Instant, timeout_at};
-use unit::{Depth, Instance, Report, Urgency};
+use unit::{Depth, Digest, Instance, Report, Urgency};
 use wire::{
-    Abort, Accepted, Call, Cause, Error, Frame, Header, Payload, Receiver, Refusal, Reply, Sender,
-    Stream,
+    Abort, Accepted, Call, Cause, Error, Frame, Header, Notice, Payload, Receiver, Refusal, Reply,
+    Sender, Stream,
 };
 
 use crate::connection::{self, Connection, Content, Outgoing};
@@ -129,6 +129,9 @@
     /// than the wait.
     async fn admit(&self) -> Result<Permit, gate::Refusal> {
         self.server.lift_initial_cold_bound();
+        if let Some(notice) = &self.call.notice {
+            self.server.adopt_notice(notice);
+        }
         let permit = self.server.gate.admit(self.request()).await?;
         if permit.needs_pace_probe() {
             self.server.probe_pace().await;
@@ -345,13 +348,27 @@
         }
     }
 
-    fn reply(&self, head: &response::Head, allowance: u8) -> Reply {
+    /// What the answer says of the target, as the entry is told.
+    fn notice(&self, head: &response::Head, life: Option<&str>) -> Option<Box<Notice>> {
+        let dialect = &self.server.dialect;
+        let max_rate = dialect.max_rate(&head.headers).ok().flatten();
+        let leaving = dialect.is_leaving(&head.headers);
+        let notice = Notice {
+            life: life.map(|name| Digest::of(name.as_bytes())),
+            max_rate,
+            leaving,
+        };
+        (leaving || max_rate.is_some()).then(|| Box::new(notice))
+    }
+
+    fn reply(&self, head: &response::Head, life: Option<&str>, allowance: u8) -> Reply {
         Reply {
             token: self.call.token,
             status: head.status.as_u16(),
             headers: Header::forward(&head.headers),
             allowance,
             report: self.server.report(&self.entry, self.call.urgency),
+            notice: self.notice(head, life),
         }
     }
 
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -66,7 +66,7 @@
         mut connection: Connection,
         mut sender: Sender,
     ) -> Result<(), Error> {
-        let reply = self.reply(&head, run.parent.allowance_left());
+        let reply = self.reply(&head, run.life.as_deref(), run.parent.allowance_left());
         // For a request that may not be repeated, the relay reads on after the entry has disconnected:
         // the answer is kept for later queries for the token.
         let relay = Relay {
--- a/crates/target/src/max_rate.rs
+++ b/crates/target/src/max_rate.rs
@@ -9,7 +9,8 @@
 
 use http::HeaderMap;
 use tokio::time::Instant;
-use unit::Rate;
+use unit::{Digest, Rate};
+use wire::Notice;
 
 use crate::server::Server;
 
@@ -31,6 +32,8 @@
     named_at: Option<Instant>,
     /// Whether answers to health checks have named it.
     in_health_checks: bool,
+    /// Whether any answer to a call has been recorded.
+    is_known: bool,
 }
 
 impl MaxRate {
@@ -61,12 +64,27 @@
             (None, Some(_))
                 if is_later && (exchange == Exchange::Call || self.in_health_checks) =>
             {
-                *self = MaxRate::default();
+                *self = MaxRate {
+                    is_known: self.is_known,
+                    ..MaxRate::default()
+                };
             }
             (None, _) => {}
         }
+        self.is_known |= exchange == Exchange::Call;
         self.limit != before
     }
+
+    /// Adopts a limit that another daemon has passed on to its callers, unless this one has had an
+    /// answer itself. Returns true if that changes the limit.
+    pub fn adopt(&mut self, limit: Rate) -> bool {
+        let is_lower = self.limit.is_none_or(|own| limit < own);
+        let adopted = is_lower && !self.is_known;
+        if adopted {
+            self.limit = Some(limit);
+        }
+        adopted
+    }
 }
 
 impl Server {
@@ -84,6 +102,20 @@
         self.update_max_rate(|max_rate| max_rate.record(Instant::now(), limit, exchange, sent_at));
     }
 
+    /// Adopts what the current life has told another daemon.
+    pub(crate) fn adopt_notice(&self, notice: &Notice) {
+        let life = self.life_name();
+        if life.as_ref().map(|name| Digest::of(name.as_bytes())) != notice.life {
+            return;
+        }
+        if let Some(limit) = notice.max_rate {
+            self.update_max_rate(|max_rate| max_rate.adopt(limit));
+        }
+        if notice.leaving {
+            self.leave_by_answer();
+        }
+    }
+
     /// Forgets the limit, because another life has begun.
     pub(crate) fn reset_max_rate(&self) {
         self.update_max_rate(|max_rate| std::mem::take(max_rate).limit.is_some());
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -96,9 +96,13 @@
 
     /// Records whether an answer of the current life says that it leaves.
     pub(crate) fn record_leaving(&self, headers: &HeaderMap) {
-        if !self.dialect.is_leaving(headers) {
-            return;
+        if self.dialect.is_leaving(headers) {
+            self.leave_by_answer();
         }
+    }
+
+    /// Records that the current life has said in an answer that it leaves.
+    pub(crate) fn leave_by_answer(&self) {
         let staying = {
             let life = self.presence.lock();
             life.name.clone().filter(|_| !life.is_leaving())
--- a/crates/target/tests/max_rate.rs
+++ b/crates/target/tests/max_rate.rs
@@ -56,3 +56,18 @@
     max_rate.record(sent + ms(110), None, Exchange::HealthCheck, sent + ms(100));
     assert_eq!(max_rate.limit(), None);
 }
+
+/// A daemon that had started again beside a limited target knew no limit until the first answer. An
+/// older word of another daemon must not outlast that answer.
+#[test]
+fn limit_that_other_daemons_have_heard_holds_until_the_first_answer() {
+    let now = Instant::now();
+    let mut max_rate = MaxRate::default();
+    assert!(max_rate.adopt(Rate::of(24.1)));
+    assert!(max_rate.adopt(Rate::of(8.5)));
+    assert!(!max_rate.adopt(Rate::of(24.1)));
+    assert_eq!(max_rate.limit(), rate(8.5));
+    max_rate.record(now, None, Exchange::Call, now);
+    assert_eq!(max_rate.limit(), None);
+    assert!(!max_rate.adopt(Rate::of(8.5)));
+}
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -3,12 +3,23 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use unit::{Caller, Cause, Depth, Digest, Report, Service, Token, Urgency};
+use unit::{Caller, Cause, Depth, Digest, Rate, Report, Service, Token, Urgency};
 
 use crate::Header;
 
+/// What a target says of itself in an answer, beside its load.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Notice {
+    /// Hash of the name of the life that says it; `None` if the target's lives have no names.
+    pub life: Option<Digest>,
+    /// Requests per second that it takes from all instances together, if it limits them.
+    pub max_rate: Option<Rate>,
+    /// Whether it leaves.
+    pub leaving: bool,
+}
+
 /// The head of a request on its way from an entry to a gate; the first frame of a call's stream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Call {
     /// Names this try; the gate runs it at most once.
     pub token: Token,
@@ -44,6 +55,9 @@
     pub headers: Vec<Header>,
     /// How the body follows.
     pub body: Payload,
+    /// The notice in the last answer of the target that the entry has passed on. The gate may have
+    /// started since.
+    pub notice: Option<Box<Notice>>,
 }
 
 /// How a request's body follows the head.
@@ -66,7 +80,7 @@
 }
 
 /// The head of a target's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
     /// The token of the call that this answers; the entry checks it.
     pub token: Token,
@@ -78,6 +92,8 @@
     pub allowance: u8,
     /// The gate's load.
     pub report: Option<Report>,
+    /// What the target says of itself.
+    pub notice: Option<Box<Notice>>,
 }
 
 /// The gate did not run the call and never will.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -6,7 +6,7 @@
 use crate::{Accepted, Ask, Call, Known, Refusal, Reply};
 
 /// What one stream carries, frame after frame.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Frame {
     /// Opens a call.
     Call(Call),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -29,7 +29,7 @@
 mod stream;
 mod tcp;
 
-pub use call::{Accepted, Ask, Call, Known, Payload, Refusal, Reply};
+pub use call::{Accepted, Ask, Call, Known, Notice, Payload, Refusal, Reply};
 pub use dialer::{Dialer, Peer};
 pub use error::Error;
 pub use frame::{Abort, Frame, Note, Topic};
--- a/crates/wire/src/tcp/record.rs
+++ b/crates/wire/src/tcp/record.rs
@@ -22,7 +22,7 @@
 pub(crate) type Number = u32;
 
 /// What one record says.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 #[expect(
     clippy::large_enum_variant,
     reason = "It is moved once, and a box would cost an allocation each."
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
-use unit::{Cause, Depth, Digest, Report, Token, Urgency};
+use unit::{Cause, Depth, Digest, Rate, Report, Token, Urgency};
 use wire::codec::{decode, encode};
 use wire::{
-    Abort, Accepted, Ask, Call, Error, Frame, Header, Known, Note, Payload, Refusal, Reply, Topic,
+    Abort, Accepted, Ask, Call, Error, Frame, Header, Known, Note, Notice, Payload, Refusal, Reply,
+    Topic,
 };
 
 fn config() -> Config {
@@ -48,9 +49,19 @@
             value: data,
         }],
         body: Payload::Streamed,
+        notice: notice(number),
     }
 }
 
+fn notice(number: u64) -> Option<Box<Notice>> {
+    let notice = Notice {
+        life: number.is_multiple_of(2).then_some(Digest(number.into())),
+        max_rate: Some(Rate::of(number as f64 / 7.0)),
+        leaving: number.is_multiple_of(5),
+    };
+    number.is_multiple_of(3).then(|| Box::new(notice))
+}
+
 fn frame() -> impl Strategy<Value = Frame> {
     let bytes = proptest::collection::vec(any::<u8>(), 0..200);
     let parts = (0_u8..11, any::<u64>(), ".{0,40}", bytes);
@@ -73,6 +84,7 @@
                 }],
                 allowance: number as u8,
                 report,
+                notice: notice(number),
             }),
             3 => Frame::Refusal(Refusal {
                 token,
