Send a target that limits its rate fewer health checks

Cause: a gate that may start a request in a slowdown asks the target for its pace first, and the health check takes a turn of the target like a request. Nothing bounds these checks by what the target has said that it takes.

Change: while a target names a limit it gets no pace probes, and a health check only if it has said nothing for two seconds.

Why it works: two checks and a quarter of a second's requests lie within what the rule leaves above the rate, at any rate. Answers to requests tell the pace too.

--- a/crates/target/src/max_rate.rs
+++ b/crates/target/src/max_rate.rs
@@ -102,6 +102,11 @@
         self.update_max_rate(|max_rate| max_rate.record(Instant::now(), limit, exchange, sent_at));
     }
 
+    /// Whether the target limits its requests.
+    pub(crate) fn is_limited(&self) -> bool {
+        self.max_rate.lock().limit().is_some()
+    }
+
     /// Adopts what the current life has told another daemon.
     pub(crate) fn adopt_notice(&self, notice: &Notice) {
         let life = self.life_name();
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -35,6 +35,10 @@
 /// notified of the end a little later.
 const MAX_AGE_SLOW_IDLE: Duration = Duration::from_millis(40);
 
+/// Maximum age of the load report of a target that limits its requests: it may count health checks
+/// among them.
+const MAX_AGE_LIMITED: Duration = Duration::from_secs(2);
+
 /// Maximum time that a request waits for a pace report before it starts. 99 % of 1,756 answers arrived
 /// within 1.4 ms; a request does not wait longer for a target that is itself stalled.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(20);
@@ -126,6 +130,9 @@
 
 /// Maximum age of the target's load report.
 fn max_load_age(server: &Server) -> Duration {
+    if server.is_limited() {
+        return MAX_AGE_LIMITED;
+    }
     let report = server.gate.report();
     let slow = report.slow;
     let waiting = report.queued.iter().any(|queued| *queued > 0);
@@ -139,8 +146,11 @@
 
 impl Server {
     /// Sends a pace probe, and waits for the report for [`PROBE_TIMEOUT`] at most. One probe serves all
-    /// requests that wait.
+    /// requests that wait. A target that limits its requests gets none.
     pub(crate) async fn probe_pace(&self) {
+        if self.is_limited() {
+            return;
+        }
         let received = self.load_received.notified();
         self.pace_wanted.store(true, Ordering::Release);
         self.check_requested.notify_one();
