Keep a target's warm-up unknown after a doubt until it is reported again

Cause: a warm-up that still ran hid the doubt, so nothing changed for the gate. Evidence: doubt_during_a_warm_up_outlasts_its_end failed before. Change: what is doubted is unknown, also while a former warm-up runs.

--- a/crates/target/src/warmth.rs
+++ b/crates/target/src/warmth.rs
@@ -68,9 +68,10 @@
     /// What the gate may assume.
     pub fn warmup(&self, now: Instant) -> Warmup {
         match self.cold_until.filter(|until| now < *until) {
+            // The gate takes the target for warm at the end of a known warm-up.
+            _ if !self.is_confirmed => Warmup::Unknown,
             Some(until) => Warmup::Until(until),
-            None if self.is_confirmed => Warmup::Done,
-            None => Warmup::Unknown,
+            None => Warmup::Done,
         }
     }
 }
--- a/crates/target/tests/warmth.rs
+++ b/crates/target/tests/warmth.rs
@@ -64,3 +64,21 @@
     let until = now + ms(2_912);
     assert_eq!(warmth.warmup(now + ms(12)), Warmup::Until(until));
 }
+
+/// A target that was cold went down and came back before its warm-up had ended, and counted as warm
+/// from that end on, although the new warm-up was not yet reported.
+#[test]
+fn doubt_during_a_warm_up_outlasts_its_end() {
+    let now = Instant::now();
+    let mut warmth = Warmth::unknown(now);
+    warmth.report(now, ms(3_000), Source::Health(now));
+    warmth.doubt(now + ms(1_000));
+    assert_eq!(warmth.warmup(now + ms(1_000)), Warmup::Unknown);
+    assert_eq!(warmth.warmup(now + ms(3_500)), Warmup::Unknown);
+    let asked_at = now + ms(1_500);
+    warmth.report(now + ms(1_501), ms(4_000), Source::Health(asked_at));
+    assert_eq!(
+        warmth.warmup(now + ms(1_501)),
+        Warmup::Until(now + ms(5_501))
+    );
+}
