Let targets without heartbeats limit their requests and leave, and soak it

The product's own interface had no names for either, so the soak, which runs the product's daemon, could not play them.

Change: x-appleshore-max-rate and x-appleshore-leaving in a target's answers. Lives have no names there: a leave lasts until the connection that it came on ends, ten seconds at most. The stand-in target says both and logs its limits; the soak injects limits that change, and leaves, and checks both promises by what callers were told and what each life ran (--notices).

Found by it: seed 37012 broke, none of four daemons recovered. Its seed stays as a test.

--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -50,6 +50,26 @@
     assert!(report.injected.contains_key("store rolls back"), "{report}");
 }
 
+/// Guards against targets that get more than they have said they take, or work behind their leave.
+#[test]
+fn promises_hold_when_targets_limit_their_requests_and_leave() {
+    let report = play(&Plan::draw(9, LENGTH, 4).with_notices(), None);
+    assert!(report.broken.is_empty(), "{report}");
+    for fault in ["target limits its requests", "target leaves"] {
+        assert!(report.injected.contains_key(fault), "{report}");
+    }
+}
+
+/// An answer that a target had sent before it left and ended came late, and closed the gate to the
+/// target that had taken its place.
+#[test]
+fn seed_37012_a_late_leave_does_not_close_the_gate_to_the_next_target() {
+    let length = Duration::from_secs(12);
+    let plan = Plan::draw(37_012, length, 4).with_links().with_notices();
+    let report = play(&plan, None);
+    assert!(report.broken.is_empty(), "{report}");
+}
+
 #[test]
 fn seed_2_rules_and_orders_survive_a_start_of_all_at_once() {
     // All daemons are killed and start again. One had listed the others before they announced their
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -67,6 +67,7 @@
     /// What the settings say of the platform.
     pub fn of(setting: &Setting) -> Profile {
         let mut profile = Profile {
+            dialect: Dialect::own(),
             links: setting.links,
             heartbeat: setting.heartbeat,
             one_port: setting.one_port,
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -26,7 +26,7 @@
 const MAX_LEFT: Duration = Duration::from_secs(86_400);
 
 /// Highest limit on requests per second that is kept; no target reaches it.
-const MAX_RATE: f64 = 1e6;
+const HIGHEST_RATE: f64 = 1e6;
 
 /// The names in use; a meaning without a name is not spoken of.
 #[derive(Debug, Clone, Default)]
@@ -90,7 +90,22 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BadRate;
 
+/// Limits the requests per second to a target, in its answers.
+pub const MAX_RATE: &str = "x-appleshore-max-rate";
+
+/// Marks the answers of a target that leaves.
+pub const LEAVING: &str = "x-appleshore-leaving";
+
 impl Dialect {
+    /// The names of the product's own interface.
+    pub fn own() -> Dialect {
+        Dialect {
+            max_rate: Some(HeaderName::from_static(MAX_RATE)),
+            leaving: Some(HeaderName::from_static(LEAVING)),
+            ..Dialect::default()
+        }
+    }
+
     /// The time that the sender of `headers` has left, if it says so.
     ///
     /// # Errors
@@ -154,7 +169,7 @@
         let text = value.to_str().map_err(|_| BadRate)?;
         let rate: Decimal = text.trim().parse().map_err(|_| BadRate)?;
         (rate.get() >= 0.0)
-            .then_some(Some(Rate::of(rate.get().min(MAX_RATE))))
+            .then_some(Some(Rate::of(rate.get().min(HIGHEST_RATE))))
             .ok_or(BadRate)
     }
 
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use address::{Address, Block};
 pub use client::{Answer, Client};
-pub use log::{Log, Run};
+pub use log::{Limit, Log, Run};
 pub use mesh::{Builder, Mesh, RULES};
 pub use process::{Process, THREAD_NAME};
 pub use relay::{Pair, Relay};
--- a/crates/mesh/src/log.rs
+++ b/crates/mesh/src/log.rs
@@ -18,6 +18,16 @@
 #[derive(Debug, Clone, Default)]
 pub struct Log {
     runs: Arc<Mutex<Vec<Run>>>,
+    limits: Arc<Mutex<Vec<Limit>>>,
+}
+
+/// A limit that a target named from some moment on, or the end of one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// From when on.
+    pub from: Instant,
+    /// Requests per second.
+    pub max_rate: Option<f64>,
 }
 
 impl Log {
@@ -30,6 +40,16 @@
         self.runs.lock().push(run);
     }
 
+    pub(crate) fn set_max_rate(&self, max_rate: Option<f64>) {
+        let from = Instant::now();
+        self.limits.lock().push(Limit { from, max_rate });
+    }
+
+    /// The limits so far, in order.
+    pub fn limits(&self) -> Vec<Limit> {
+        self.limits.lock().clone()
+    }
+
     /// The runs so far.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().clone()
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -23,7 +23,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -60,6 +60,14 @@
     running: AtomicU64,
     most: AtomicU64,
     crash: Notify,
+    notices: Mutex<Notices>,
+}
+
+/// What all answers of a target say of it.
+#[derive(Debug, Clone, Copy, Default)]
+struct Notices {
+    max_rate: Option<f64>,
+    leaving: bool,
 }
 
 impl Target {
@@ -79,6 +87,7 @@
             running: AtomicU64::new(0),
             most: AtomicU64::new(0),
             crash: Notify::new(),
+            notices: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, state.clone()));
         Target { state, task }
@@ -114,6 +123,17 @@
         self.state.most.load(Ordering::SeqCst)
     }
 
+    /// Limits the requests per second in all answers from now on, or ends the limit.
+    pub fn set_max_rate(&self, max_rate: Option<f64>) {
+        self.state.notices.lock().max_rate = max_rate;
+        self.state.log.set_max_rate(max_rate);
+    }
+
+    /// Says in all answers from now on that it leaves.
+    pub fn leave(&self) {
+        self.state.notices.lock().leaving = true;
+    }
+
     /// Closes the listener and all connections at once.
     pub async fn kill(self) {
         self.task.abort();
@@ -168,11 +188,24 @@
 }
 
 async fn serve(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let mut response = run(&state, request).await?;
+    let notices = *state.notices.lock();
+    let headers = response.headers_mut();
+    if let Some(rate) = notices.max_rate {
+        headers.insert(dialect::MAX_RATE, HeaderValue::from(rate.round() as u64));
+    }
+    if notices.leaving {
+        headers.insert(dialect::LEAVING, HeaderValue::from_static("1"));
+    }
+    Ok(response)
+}
+
+async fn run(state: &Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
     let path = request.uri().path().to_string();
     state.runs.fetch_add(1, Ordering::SeqCst);
     *state.paths.lock().entry(path.clone()).or_default() += 1;
     state.log.add(&path);
-    let _count = Count::enter(&state);
+    let _count = Count::enter(state);
     let nest = request
         .headers()
         .get(NEST)
@@ -200,11 +233,11 @@
         ["", "die", ..] => Err(io::ErrorKind::ConnectionReset.into()),
         ["", "status", code, ..] => Ok(status(number(code) as u16, &path, &body)),
         ["", "big", bytes, ..] => Ok(answer(Bytes::from(vec![b'x'; number(bytes)]))),
-        ["", "nest", ..] => Ok(nested(&state, &path["/nest".len()..], &nest).await),
+        ["", "nest", ..] => Ok(nested(state, &path["/nest".len()..], &nest).await),
         ["", "later", ms, rest @ ..] => {
             sleep(millis(ms)).await;
             let below = format!("/{}", rest.join("/"));
-            Ok(nested(&state, &below, &nest).await)
+            Ok(nested(state, &below, &nest).await)
         }
         ["", "who", ..] => Ok(answer(state.name.clone().into())),
         _ => Ok(echo(&path, &body)),
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -22,7 +22,7 @@
 const SHARE: f64 = 0.25;
 
 /// A broken promise, with what shows it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Broken {
     /// What may not be repeated ran so often.
     Twice(String, usize),
@@ -42,6 +42,10 @@
     Spread(usize, Version),
     /// An instance went from this version of the rules back to that one.
     Back(usize, Version, Version),
+    /// So many requests in four seconds at a target whose limit allows this many.
+    Limit(usize, f64),
+    /// This request reached a target that its daemon knew to leave.
+    Leave(String),
     /// A planned stop of this instance did not end by itself, or not well.
     Stop(usize),
 }
@@ -60,6 +64,13 @@
             Broken::Back(index, from, to) => {
                 write!(f, "desk-{index} went from rules {from} to {to}")
             }
+            Broken::Limit(count, allowed) => {
+                write!(
+                    f,
+                    "{count} requests in 4 s at a target that limits them; allowed {allowed:.0}"
+                )
+            }
+            Broken::Leave(path) => write!(f, "reached a target that leaves: {path}"),
             Broken::Stop(index) => write!(f, "desk-{index} did not end its planned stop"),
         }
     }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -50,9 +50,34 @@
                 self.note(Trouble::Other, from);
                 Ok(true)
             }
+            Fault::Limit(index, rate, lasts) => {
+                for max_rate in [Some(rate), Some((rate / 2.0).round())] {
+                    if !self.limit(index, max_rate).await {
+                        return Ok(false);
+                    }
+                    sleep(lasts / 2).await;
+                }
+                self.limit(index, None).await;
+                // What is over a limit may be refused.
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
+            Fault::Leave(index, lasts) => {
+                if !self.leave(index).await {
+                    return Ok(false);
+                }
+                sleep(lasts).await;
+                let mut node = self.nodes[index].lock().await;
+                node.kill_target().await;
+                node.start_target().await;
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
             Fault::Way(index, mode, lasts) => {
-                self.harm(index, lasts, mode, |node, mode| node.way.set(mode))
-                    .await
+                let harmed = self.harm(index, lasts, mode, |node, mode| node.way.set(mode));
+                let harmed = harmed.await;
+                self.note(Trouble::Way(index), from);
+                harmed
             }
             Fault::Store(index, mode, lasts) => {
                 self.harm(index, lasts, mode, |node, mode| node.store.set(mode))
@@ -101,6 +126,21 @@
         }
     }
 
+    /// Whether the node has a target, which names this limit from now on.
+    async fn limit(&self, index: usize, max_rate: Option<f64>) -> bool {
+        let node = self.nodes[index].lock().await;
+        let target = node.target();
+        target
+            .inspect(|target| target.set_max_rate(max_rate))
+            .is_some()
+    }
+
+    /// Whether the node has a target, which says from now on that it leaves.
+    async fn leave(&self, index: usize) -> bool {
+        let node = self.nodes[index].lock().await;
+        node.target().inspect(|target| target.leave()).is_some()
+    }
+
     /// Sets one of a node's proxies to `mode`, and back after the time.
     async fn harm(
         &self,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod check;
 mod fleet;
 mod node;
+pub mod notice;
 mod plan;
 mod proxy;
 mod report;
@@ -72,6 +73,9 @@
     /// Has the store come back from older copies.
     #[arg(long)]
     pub rollbacks: bool,
+    /// Has targets limit their requests and leave.
+    #[arg(long)]
+    pub notices: bool,
 }
 
 /// Runs what the command line asks for and prints each report.
@@ -115,6 +119,9 @@
         if options.rollbacks {
             plan = plan.with_rollbacks();
         }
+        if options.notices {
+            plan = plan.with_notices();
+        }
         runs.spawn(async move {
             let _turn = turns.acquire().await;
             run(&plan, &program).await
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -128,6 +128,11 @@
         &self.logs
     }
 
+    /// The target, unless it is dead.
+    pub(crate) fn target(&self) -> Option<&Target> {
+        self.target.as_ref()
+    }
+
     pub(crate) fn is_up(&self) -> bool {
         self.child.is_some()
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -13,6 +13,13 @@
 const LINKS: u64 = 0x11_4b5;
 /// The same for returns of the store.
 const ROLLBACKS: u64 = 0x5e_70e4;
+/// The same for what targets say of themselves.
+const NOTICES: u64 = 0x11_3a17;
+/// A target's limit, in requests per second.
+const MAX_RATE: std::ops::Range<f64> = 1.0..40.0;
+/// How long a target limits its requests, and how long it says that it leaves, in seconds.
+const LIMITED: std::ops::Range<f64> = 4.0..9.0;
+const LEAVING: std::ops::Range<f64> = 2.5..5.0;
 /// How old the copy is that the store comes back from, in seconds.
 const AGE: std::ops::Range<f64> = 0.5..4.0;
 /// How long the store is away before it comes back, in seconds.
@@ -47,6 +54,11 @@
     Links(usize, Mode, Duration),
     /// The store comes back from a copy of this age, after it was away for the time.
     Rollback(Duration, Duration),
+    /// The target limits its requests to so many a second for the time, and to half of it in the second
+    /// half of the time.
+    Limit(usize, f64, Duration),
+    /// The target says for the time that it leaves, ends, and lives again.
+    Leave(usize, Duration),
 }
 
 impl Fault {
@@ -64,6 +76,8 @@
             Fault::KillAll(..) => "all killed",
             Fault::Links(..) => "links to a daemon",
             Fault::Rollback(..) => "store rolls back",
+            Fault::Limit(..) => "target limits its requests",
+            Fault::Leave(..) => "target leaves",
         }
     }
 }
@@ -128,6 +142,16 @@
         self
     }
 
+    /// Adds targets that limit their requests or leave; the rest of the schedule stays as it is.
+    pub fn with_notices(mut self) -> Plan {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ NOTICES);
+        let (length, instances) = (self.length, self.instances);
+        let notices = steps(&mut random, length, |random| notice(random, instances));
+        self.steps.extend(notices);
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Whether links are carried by TCP: every other seed.
     pub fn tcp(&self) -> bool {
         self.seed % 2 == 1
@@ -166,6 +190,17 @@
     Fault::Links(which, mode(random), lasts)
 }
 
+fn notice(random: &mut Pcg64Mcg, instances: usize) -> Fault {
+    let which = random.random_range(0..instances);
+    let rate = random.random_range(MAX_RATE).round();
+    let limited = Duration::from_secs_f64(random.random_range(LIMITED));
+    let leaving = Duration::from_secs_f64(random.random_range(LEAVING));
+    match random.random_range(0..3) {
+        0 => Fault::Leave(which, leaving),
+        _ => Fault::Limit(which, rate, limited),
+    }
+}
+
 fn fault(random: &mut Pcg64Mcg, instances: usize) -> Fault {
     let which = random.random_range(0..instances);
     let lasts = Duration::from_secs_f64(random.random_range(LASTS));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -24,6 +24,7 @@
 use crate::check::{Broken, check};
 use crate::fleet::Fleet;
 use crate::node::{Node, Place};
+use crate::notice::{Life, check_notices};
 use crate::plan::Plan;
 use crate::report::Report;
 use crate::sent::Sent;
@@ -139,13 +140,21 @@
     let sent = callers.sent.lock().clone();
     broken.extend(fleet.broken.lock().drain(..));
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    let mut lives = Vec::new();
     for node in fleet.nodes.iter() {
         let node = node.lock().await;
+        lives.extend(node.logs().iter().map(|log| Life {
+            index: node.index,
+            runs: log.runs(),
+            limits: log.limits(),
+        }));
         for run in node.logs().iter().flat_map(mesh::Log::runs) {
             *runs.entry(run.path).or_default() += 1;
         }
     }
-    broken.extend(check(&sent, &runs, &fleet.windows.lock()));
+    let windows = fleet.windows.lock().clone();
+    broken.extend(check(&sent, &runs, &windows));
+    broken.extend(check_notices(&sent, &lives, &windows));
     for node in fleet.nodes.iter() {
         node.lock().await.kill().await?;
     }
--- a/crates/soak/src/sent.rs
+++ b/crates/soak/src/sent.rs
@@ -38,6 +38,10 @@
     pub whole: bool,
     /// The body.
     pub body: String,
+    /// The target's limit on requests per second, as the answer names it.
+    pub max_rate: Option<f64>,
+    /// The answer says that the target leaves.
+    pub leaving: bool,
 }
 
 /// What a trouble is to a caller.
@@ -49,6 +53,8 @@
     Paused(usize),
     /// The daemon has been asked to stop and is still there.
     Stopping(usize),
+    /// The way from the daemon to its target has trouble.
+    Way(usize),
     /// Anything else that may keep a request from its end.
     Other,
 }
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -20,6 +20,8 @@
         reason: String::new(),
         whole: true,
         body: format!("{path} "),
+        max_rate: None,
+        leaving: false,
     }
 }
 
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -48,9 +48,8 @@
     /// Records what the answer says of the target beside its load, if it comes from the current life.
     fn record_notices(&self, head: &response::Head, run: &Run) {
         let server = self.server;
-        let is_current = head.status != StatusCode::MISDIRECTED_REQUEST
-            && run.life.is_some()
-            && run.life == server.life_name();
+        let is_current =
+            head.status != StatusCode::MISDIRECTED_REQUEST && run.life == server.life_name();
         if is_current {
             server.record_max_rate(&head.headers, Exchange::Call, run.started);
             server.record_leaving(&head.headers);
@@ -87,7 +86,10 @@
                 if let (Some(held), Some(body)) = (run.held.take(), copy) {
                     held.done(Answer { reply, body });
                 }
-                self.release(connection);
+                match run.life.is_none() && self.server.dialect.is_leaving(&head.headers) {
+                    true => self.server.witness_leave(connection),
+                    false => self.release(connection),
+                }
                 self.finish(run, &head, latency);
                 if delivered {
                     sender.finish().await
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -21,6 +21,7 @@
 mod builder;
 mod call;
 mod connection;
+mod leave;
 mod life;
 mod max_rate;
 mod pool;
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -282,6 +282,24 @@
         false
     }
 
+    /// Records that the current life, if it has a name, or else the only one has said in an answer that
+    /// it leaves. Returns true if that is news.
+    pub fn leave(&mut self) -> bool {
+        let is_news = self.stage != Stage::Leaving;
+        self.stage = Stage::Leaving;
+        is_news
+    }
+
+    /// Records that another life may have begun, where lives have no names. Returns true if the former
+    /// one was leaving.
+    pub fn return_unnamed(&mut self) -> bool {
+        let returns = self.name.is_none() && self.stage == Stage::Leaving;
+        if returns {
+            self.stage = Stage::Ready;
+        }
+        returns
+    }
+
     fn add_former(&mut self, name: String, born: Option<Incarnation>) {
         self.former.push_back(Former { name, born });
         if self.former.len() > MAX_FORMER {
--- a/crates/target/src/max_rate.rs
+++ b/crates/target/src/max_rate.rs
@@ -116,7 +116,8 @@
         if let Some(limit) = notice.max_rate {
             self.update_max_rate(|max_rate| max_rate.adopt(limit));
         }
-        if notice.leaving {
+        // Of a life without a name it can't be told whether it is the one that left.
+        if notice.leaving && life.is_some() {
             self.leave_by_answer();
         }
     }
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -103,12 +103,19 @@
 
     /// Records that the current life has said in an answer that it leaves.
     pub(crate) fn leave_by_answer(&self) {
-        let staying = {
-            let life = self.presence.lock();
-            life.name.clone().filter(|_| !life.is_leaving())
-        };
-        if let Some(life) = staying {
-            self.receive_leave(&life, None);
+        if self.presence.lock().leave() {
+            log::info!("target: says in an answer that it leaves.");
+            self.update_gate();
+        }
+    }
+
+    /// Records that another life may serve in place of one without a name that has announced that it
+    /// leaves. If it is the same one, its next answer says so again.
+    pub(crate) fn return_unnamed(&self) {
+        if self.presence.lock().return_unnamed() {
+            log::info!("target: may be another one than that which left.");
+            self.reset_max_rate();
+            self.update_gate();
         }
     }
 
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -17,6 +17,7 @@
 use wire::{Ask, Call, Error, Frame, Known, Sender, Stream};
 
 use crate::call::Handler;
+use crate::leave::Witness;
 use crate::life::Life;
 use crate::max_rate::MaxRate;
 use crate::pool::Pool;
@@ -39,6 +40,7 @@
     pub(crate) heartbeats: Option<Heartbeats>,
     pub(crate) presence: Mutex<Life>,
     pub(crate) warmth: Mutex<Warmth>,
+    pub(crate) witness: Mutex<Option<Witness>>,
     pub(crate) max_rate: Mutex<MaxRate>,
     /// What the gate was last told of cold targets.
     pub(crate) cold_limits: Mutex<ColdLimits>,
@@ -80,6 +82,7 @@
         Server {
             presence: Mutex::new(Life::unknown(now, slots)),
             warmth: Mutex::new(Warmth::unknown(now)),
+            witness: Mutex::default(),
             max_rate: Mutex::default(),
             cold_limits: Mutex::default(),
             started_at: now,
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -61,6 +61,9 @@
             timeout(CHECK_TIMEOUT, TcpStream::connect(target)).await,
             Ok(Ok(_))
         );
+        if server.has_left() {
+            server.return_unnamed();
+        }
         if answers != up {
             up = answers;
             match up {
