Open the gate to the next target also when its leave came in a broken answer

Found by reading: a target whose lives have no names leaves until the connection of its answer ends.

--- a/crates/appleshore/tests/leave.rs
+++ b/crates/appleshore/tests/leave.rs
@@ -84,3 +84,25 @@
     })
     .await;
 }
+
+/// The answer in which a target said that it leaves broke off, and the gate stayed closed to the
+/// target that took its place.
+#[tokio::test]
+async fn leave_in_an_answer_that_breaks_off_does_not_outlast_its_target() {
+    let mut mesh = mesh().await;
+    mesh.target(0).leave();
+    for number in 0.. {
+        mesh.get(0, &format!("/cut/{number}")).await;
+        let gate = mesh.daemon(0).dump(appleshore::Part::Gate).state;
+        if gate["leaving"] == true {
+            break;
+        }
+    }
+    mesh.kill_target(0).await;
+    mesh.start_target(0).await;
+    until("an open gate", || {
+        let gate = mesh.daemon(0).dump(appleshore::Part::Gate).state;
+        gate["leaving"] == false && gate["down"] == false
+    })
+    .await;
+}
--- a/crates/target/src/leave.rs
+++ b/crates/target/src/leave.rs
@@ -30,6 +30,15 @@
 }
 
 impl Server {
+    /// Records that a life without a name leaves, before its answer is complete.
+    pub(crate) fn begin_unnamed_leave(&self) {
+        let since = Instant::now();
+        *self.witness.lock() = Some(Witness {
+            connection: None,
+            since,
+        });
+    }
+
     /// Keeps the connection on which a life without a name has said that it leaves.
     pub(crate) fn witness_leave(&self, connection: Connection) {
         let connection = Some(connection).filter(Connection::is_reusable);
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -103,8 +103,15 @@
 
     /// Records that the current life has said in an answer that it leaves.
     pub(crate) fn leave_by_answer(&self) {
-        if self.presence.lock().leave() {
+        let (is_news, is_named) = {
+            let mut life = self.presence.lock();
+            (life.leave(), life.name.is_some())
+        };
+        if is_news {
             log::info!("target: says in an answer that it leaves.");
+            if !is_named {
+                self.begin_unnamed_leave();
+            }
             self.update_gate();
         }
     }
