--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -43,6 +43,10 @@
 /// The header that nested calls copy on.
 const NEST: &str = "x-appleshore-call";
 
+/// How often a target tries to bind its address, and the pause between.
+const MAX_BINDS: u32 = 200;
+const BIND_PAUSE: Duration = Duration::from_millis(5);
+
 /// A running target.
 pub struct Target {
     state: Arc<State>,
@@ -73,9 +77,7 @@
 impl Target {
     /// Starts a target at `address`, which makes its nested calls at `outbound`.
     pub async fn start(name: &str, address: SocketAddr, outbound: SocketAddr) -> Target {
-        let listener = TcpListener::bind(address)
-            .await
-            .expect("the address is free");
+        let listener = bind(address).await;
         let state = Arc::new(State {
             name: name.to_string(),
             outbound,
@@ -142,6 +144,18 @@
     }
 }
 
+/// Binds an address that a former target may have used until now. A process that is just being started
+/// holds copies of all sockets of this one for a moment.
+async fn bind(address: SocketAddr) -> TcpListener {
+    for _ in 0..MAX_BINDS {
+        match TcpListener::bind(address).await {
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => sleep(BIND_PAUSE).await,
+            bound => return bound.expect("the address can be bound"),
+        }
+    }
+    panic!("{address} is not free");
+}
+
 async fn accept(listener: TcpListener, state: Arc<State>) {
     // The set aborts the connections when this task is aborted.
     let mut connections = JoinSet::new();
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -139,11 +139,6 @@
 
     pub(crate) async fn start_target(&mut self) {
         let address = self.block.of(self.index, Address::Target);
-        // A process that is just being started holds copies of all sockets for a moment.
-        mesh::until("a free address", || {
-            std::net::TcpListener::bind(address).is_ok()
-        })
-        .await;
         let outbound = self.block.of(self.index, Address::Outbound);
         let target = Target::start(&format!("desk-{}", self.index), address, outbound).await;
         self.logs.push(target.log());
