--- a/crates/appleshore/tests/leave.rs
+++ b/crates/appleshore/tests/leave.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use appleshore::Part;
 use mesh::{Answer, Mesh, Run, until};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -26,6 +27,15 @@
     answers.iter().all(|answer| answer.status == 200)
 }
 
+/// Waits until the gate beside the first target lets requests pass.
+async fn until_open(mesh: &Mesh) {
+    until("an open gate", || {
+        let gate = mesh.daemon(0).dump(Part::Gate).state;
+        gate["leaving"] == false && gate["down"] == false
+    })
+    .await;
+}
+
 /// Targets that announce nothing had no way to say what they take.
 #[tokio::test]
 async fn target_without_heartbeats_limits_its_requests() {
@@ -78,11 +88,7 @@
         mesh.kill_target(0).await;
         mesh.start_target(0).await;
     }
-    until("an open gate", || {
-        let gate = mesh.daemon(0).dump(appleshore::Part::Gate).state;
-        gate["leaving"] == false && gate["down"] == false
-    })
-    .await;
+    until_open(&mesh).await;
 }
 
 /// The answer in which a target said that it leaves broke off, and the gate stayed closed to the
@@ -93,16 +99,12 @@
     mesh.target(0).leave();
     for number in 0.. {
         mesh.get(0, &format!("/cut/{number}")).await;
-        let gate = mesh.daemon(0).dump(appleshore::Part::Gate).state;
+        let gate = mesh.daemon(0).dump(Part::Gate).state;
         if gate["leaving"] == true {
             break;
         }
     }
     mesh.kill_target(0).await;
     mesh.start_target(0).await;
-    until("an open gate", || {
-        let gate = mesh.daemon(0).dump(appleshore::Part::Gate).state;
-        gate["leaving"] == false && gate["down"] == false
-    })
-    .await;
+    until_open(&mesh).await;
 }
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -16,7 +16,7 @@
 /// The last notice of each instance's target, if its last answer had one.
 #[derive(Debug, Default)]
 pub struct Notices {
-    received: Mutex<HashMap<Instance, Received>>,
+    by_instance: Mutex<HashMap<Instance, Received>>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -28,36 +28,38 @@
 impl Notices {
     /// The notice of the target at `instance`, if there is one.
     pub fn get(&self, instance: &Instance) -> Option<Notice> {
-        let received = self.received.lock();
-        if received.is_empty() {
+        let notices = self.by_instance.lock();
+        if notices.is_empty() {
             return None;
         }
-        received.get(instance).map(|received| received.notice)
+        notices.get(instance).map(|received| received.notice)
     }
 
     /// Records the notice of an answer, or that it has none. An answer to a call that was sent before
     /// the last notice arrived doesn't end that notice, because it may be older.
     pub fn record(&self, instance: &Instance, notice: Option<&Notice>, sent_at: Instant) {
-        let mut received = self.received.lock();
+        let mut notices = self.by_instance.lock();
         let Some(notice) = notice else {
-            if received
-                .get(instance)
-                .is_some_and(|last| last.at <= sent_at)
-            {
-                received.remove(instance);
+            let is_later = |received: &Received| received.at <= sent_at;
+            if notices.get(instance).is_some_and(is_later) {
+                notices.remove(instance);
             }
             return;
         };
-        if received.len() >= MAX_NOTICES && !received.contains_key(instance) {
-            let oldest = received.iter().min_by_key(|(_, received)| received.at);
-            let oldest = oldest.map(|(instance, _)| instance.clone());
-            oldest.and_then(|instance| received.remove(&instance));
+        if notices.len() >= MAX_NOTICES && !notices.contains_key(instance) {
+            drop_oldest(&mut notices);
         }
-        let at = Instant::now();
-        let received_now = Received {
+        let received = Received {
             notice: *notice,
-            at,
+            at: Instant::now(),
         };
-        received.insert(instance.clone(), received_now);
+        notices.insert(instance.clone(), received);
+    }
+}
+
+fn drop_oldest(notices: &mut HashMap<Instance, Received>) {
+    let oldest = notices.iter().min_by_key(|(_, received)| received.at);
+    if let Some(instance) = oldest.map(|(instance, _)| instance.clone()) {
+        notices.remove(&instance);
     }
 }
