Check limits and leaves by what targets said, as callers don't see it

The soak's checks of limits and leaves could not fail: they took what a target names from the answers that callers got, and daemons pass no header of the product's own prefix on.

Now the target notes what each of its answers says; whoever got that answer whole has been told.

--- a/crates/mesh/src/log.rs
+++ b/crates/mesh/src/log.rs
@@ -6,12 +6,17 @@
 use tokio::time::Instant;
 
 /// One request that a target began to run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Run {
     /// Its path, as the target saw it.
     pub path: String,
     /// When its head came.
     pub at: Instant,
+    /// The limit on requests per second that its answer names. Daemons pass no header of their own
+    /// prefix on, so callers don't see it.
+    pub max_rate: Option<f64>,
+    /// Whether its answer says that the target leaves.
+    pub leaving: bool,
 }
 
 /// The runs of one target, in order; clones share it, so that it outlives a killed target.
@@ -31,13 +36,25 @@
 }
 
 impl Log {
-    /// Notes a run that begins now.
-    pub(crate) fn add(&self, path: &str) {
+    /// Notes a run that begins now, and returns its place.
+    pub(crate) fn add(&self, path: &str) -> usize {
         let run = Run {
             path: path.to_string(),
             at: Instant::now(),
+            max_rate: None,
+            leaving: false,
         };
-        self.runs.lock().push(run);
+        let mut runs = self.runs.lock();
+        runs.push(run);
+        runs.len() - 1
+    }
+
+    /// Notes what the answer of the run at `place` says of the target.
+    pub(crate) fn answer(&self, place: usize, max_rate: Option<f64>, leaving: bool) {
+        if let Some(run) = self.runs.lock().get_mut(place) {
+            run.max_rate = max_rate;
+            run.leaving = leaving;
+        }
     }
 
     pub(crate) fn set_max_rate(&self, max_rate: Option<f64>) {
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -202,8 +202,10 @@
 }
 
 async fn serve(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+    let place = state.log.add(request.uri().path());
     let mut response = run(&state, request).await?;
     let notices = *state.notices.lock();
+    state.log.answer(place, notices.max_rate, notices.leaving);
     let headers = response.headers_mut();
     if let Some(rate) = notices.max_rate {
         headers.insert(dialect::MAX_RATE, HeaderValue::from(rate.round() as u64));
@@ -218,7 +220,6 @@
     let path = request.uri().path().to_string();
     state.runs.fetch_add(1, Ordering::SeqCst);
     *state.paths.lock().entry(path.clone()).or_default() += 1;
-    state.log.add(&path);
     let _count = Count::enter(state);
     let nest = request
         .headers()
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -89,12 +89,6 @@
             .send(self.entries[entry], method, &path, headers, "")
             .await;
         let known = matches!(answer.outcome.as_str(), "ran" | "already-run");
-        let header = |name| {
-            answer
-                .headers
-                .get(name)
-                .and_then(|value| value.to_str().ok())
-        };
         let sent = Sent {
             path,
             kind,
@@ -103,10 +97,8 @@
             ended: Instant::now(),
             status: answer.status,
             body: answer.text(),
-            max_rate: header(dialect::MAX_RATE).and_then(|text| text.parse().ok()),
-            leaving: header(dialect::LEAVING) == Some("1"),
-            outcome: answer.outcome.clone(),
-            reason: answer.reason.clone(),
+            outcome: answer.outcome,
+            reason: answer.reason,
             whole: answer.whole,
         };
         self.sent.lock().push(sent);
--- a/crates/soak/src/notice.rs
+++ b/crates/soak/src/notice.rs
@@ -65,9 +65,10 @@
     fn over_limit(&self) -> Option<Broken> {
         let first = self.limits.iter().find(|limit| limit.max_rate.is_some())?;
         let told = |run: &Run, sent: &Sent| {
-            let before = |(_, other): &&(&Run, &Sent)| {
+            let before = |(named, other): &&(&Run, &Sent)| {
                 other.entry == sent.entry
-                    && other.max_rate.is_some()
+                    && named.max_rate.is_some()
+                    && is_passed_on(other)
                     && other.ended + TOLD <= run.at
                     && !self.is_excused(sent.entry, other.ended, run.at)
             };
@@ -110,7 +111,8 @@
 
     /// Requests that reached the target although their daemon had passed its leave on before.
     fn after_leave(&self) -> Vec<Broken> {
-        let leaves = self.runs.iter().filter(|(_, sent)| sent.leaving);
+        let leaves = self.runs.iter();
+        let leaves = leaves.filter(|(run, sent)| run.leaving && is_passed_on(sent));
         let mut told: HashMap<usize, Instant> = HashMap::new();
         for (_, sent) in leaves {
             let at = told.entry(sent.entry).or_insert(sent.ended);
@@ -147,3 +149,8 @@
         })
     }
 }
+
+/// Whether the caller got the target's answer.
+fn is_passed_on(sent: &Sent) -> bool {
+    sent.outcome == "ran" && sent.whole
+}
--- a/crates/soak/src/sent.rs
+++ b/crates/soak/src/sent.rs
@@ -38,10 +38,6 @@
     pub whole: bool,
     /// The body.
     pub body: String,
-    /// The target's limit on requests per second, as the answer names it.
-    pub max_rate: Option<f64>,
-    /// The answer says that the target leaves.
-    pub leaving: bool,
 }
 
 /// What a trouble is to a caller.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -20,8 +20,6 @@
         reason: String::new(),
         whole: true,
         body: format!("{path} "),
-        max_rate: None,
-        leaving: false,
     }
 }
 
--- a/crates/soak/tests/notice.rs
+++ b/crates/soak/tests/notice.rs
@@ -26,13 +26,13 @@
         reason: String::new(),
         whole: true,
         body: String::new(),
-        max_rate: Some(max_rate),
-        leaving: false,
     });
     let sent: Vec<Sent> = sent.collect();
     let run = |sent: &Sent| Run {
         path: sent.path.clone(),
         at: sent.at,
+        max_rate: Some(max_rate),
+        leaving: false,
     };
     let life = Life {
         index: 1,
@@ -74,9 +74,9 @@
 
 #[test]
 fn request_to_a_target_that_its_daemon_knows_to_leave_is_reported() {
-    let (mut sent, mut life) = play(Instant::now(), 1_000, 10.0);
+    let (sent, mut life) = play(Instant::now(), 1_000, 10.0);
     life.limits.clear();
-    sent[2].leaving = true;
+    life.runs[2].leaving = true;
     let broken = check_notices(&sent, &[life], &[]);
     let late = (5..10).map(|number| Broken::Leave(format!("/a{number}")));
     assert_eq!(broken, late.collect::<Vec<_>>());
