Add the hook by which an entry admits the requests of workspaces

Cause: keys, confirmations and quotas are built side by side and meet in the entry. Change: names and quotas of workspaces, and entry::Admission with closures that admit everything by default.

--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -9,7 +9,7 @@
 use unit::{Depth, Instance, Service, Size, Zone};
 use wire::{Dialer, Peer};
 
-use crate::{Claims, Entry};
+use crate::{Admission, Claims, Entry};
 
 /// Returns the rules in force; `None` before the first ones have arrived.
 pub type Rules = Arc<dyn Fn() -> Option<Arc<Document>> + Send + Sync>;
@@ -54,6 +54,7 @@
     pub(crate) limits: Limits,
     pub(crate) held: held::Table,
     pub(crate) claims: Claims,
+    pub(crate) admission: Admission,
     pub(crate) dialect: Dialect,
     pub(crate) retry: retry::Setting,
     pub(crate) max_handovers: Option<u32>,
@@ -81,6 +82,7 @@
             limits: Limits::default(),
             held: held::Table::new(Size::of(8_000_000), Duration::from_secs(120)),
             claims: Claims::none(),
+            admission: Admission::open(),
             dialect: Dialect::default(),
             retry: retry::Setting::default(),
             max_handovers: None,
@@ -128,6 +130,12 @@
         self
     }
 
+    /// Sets the functions that admit the requests of workspaces. By default all are admitted.
+    pub fn admission(mut self, admission: Admission) -> Builder {
+        self.admission = admission;
+        self
+    }
+
     /// Sets the names of the headers of requests and answers.
     pub fn dialect(mut self, dialect: Dialect) -> Builder {
         self.dialect = dialect;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -19,6 +19,7 @@
 //! assert_eq!(refusal.response().status(), 503);
 //! ```
 
+mod admission;
 mod answer;
 mod attempt;
 mod attempts;
@@ -38,6 +39,7 @@
 mod stats;
 mod upstream;
 
+pub use admission::{Admission, Exceeded, QuotaAsk, Spent, Unconfirmed};
 pub use answer::OUTCOME;
 pub use builder::{Builder, Limits, Peers, Rules};
 pub use initial_timeout::InitialTimeout;
--- a/crates/unit/src/name.rs
+++ b/crates/unit/src/name.rs
@@ -75,6 +75,10 @@
     /// A service: a group of targets that answer the same requests.
     Service, "a service"
 }
+name! {
+    /// A customer of the deployment, whose requests are known by its keys.
+    Workspace, "a workspace"
+}
 name! {
     /// Who sends a request, as the rules tell it from the request.
     Caller, "a caller"
@@ -84,6 +88,13 @@
     Member, "a member"
 }
 
+impl From<&Workspace> for Caller {
+    fn from(workspace: &Workspace) -> Caller {
+        // All names share one syntax.
+        Caller(workspace.0.clone())
+    }
+}
+
 impl Caller {
     /// The organisation of this caller: the part behind the last `@`, or the whole name.
     ///
