Hold a request while a stopping instance is asked once more

The test let 2 s of streams keep the instance open; where asking took longer, the instance had rightly ended. Change: a request that its target holds until the test lets it go keeps the instance open.

--- a/crates/appleshore/tests/stop.rs
+++ b/crates/appleshore/tests/stop.rs
@@ -126,7 +126,8 @@
     // Callers ask all instances without a pause, slow streams run, and targets are about to make
     // nested calls, when an operator stops instance 1. What runs at its target, and what it relays
     // for others, comes to its end. New work there is refused as not run or served by others; a
-    // connection may be refused, but then the request has run nowhere.
+    // connection may be refused, but then the request has run nowhere. A request that is held at its target
+    // keeps instance 1 from ending before it has been asked once more.
     let mut mesh = Mesh::builder().slots(60).start().await;
     let load = Load::start(&mesh);
     // A cold gate lets few in at first; all long ones shall be under way at the stop.
@@ -136,6 +137,12 @@
     .await;
     let streams = send_long(&mesh, "/stream/40/50/slow");
     let nests = send_long(&mesh, "/later/1000/echo/below");
+    let (client, to) = (mesh.client.clone(), mesh.callers(1));
+    let held = tokio::spawn(async move { client.send(to, Method::GET, "/hold/on", &[], "").await });
+    until("the held one", || {
+        (0..3).any(|index| mesh.target(index).paths().contains_key("/hold/on"))
+    })
+    .await;
     until("the long ones", || {
         let long = |path: &str| path.starts_with("/stream") || path.starts_with("/later");
         let paths = (0..3).flat_map(|index| mesh.target(index).paths().into_keys());
@@ -150,6 +157,8 @@
     let head = (refused.status, refused.outcome.as_str());
     assert_eq!(head, (503, "not-run"), "{refused:?}");
     assert_eq!(refused.reason, "leaving");
+    (0..3).for_each(|index| mesh.target(index).release());
+    assert_eq!(held.await.unwrap().status, 200);
     drained.await.unwrap();
     let streams = answers(streams).await;
     let nests = answers(nests).await;
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -4,6 +4,7 @@
 //! |---|---|
 //! | `/echo/…` | answers with the path and the body |
 //! | `/sleep/MS/…` | answers as `/echo`, after so many milliseconds |
+//! | `/hold/…` | answers as `/echo`, once [`Target::release`] has been called |
 //! | `/stream/N/MS/…` | answers N pieces, one in each MS milliseconds |
 //! | `/cut/…` | breaks off in the middle of its answer |
 //! | `/die/…` | closes the connection without an answer |
@@ -32,7 +33,7 @@
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -64,6 +65,7 @@
     running: AtomicU64,
     most: AtomicU64,
     crash: Notify,
+    release: watch::Sender<bool>,
     notices: Mutex<Notices>,
 }
 
@@ -89,6 +91,7 @@
             running: AtomicU64::new(0),
             most: AtomicU64::new(0),
             crash: Notify::new(),
+            release: watch::Sender::new(false),
             notices: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, state.clone()));
@@ -110,6 +113,11 @@
         self.state.log.clone()
     }
 
+    /// Lets the requests to `/hold/…` be answered, those that are still to come too.
+    pub fn release(&self) {
+        self.state.release.send_replace(true);
+    }
+
     /// How often `path` came with a body that was whole.
     pub fn whole_of(&self, path: &str) -> u64 {
         self.state.whole.lock().get(path).copied().unwrap_or(0)
@@ -239,6 +247,16 @@
             sleep(millis(ms)).await;
             Ok(echo(&path, &body))
         }
+        ["", "hold", ..] => {
+            let released = state
+                .release
+                .subscribe()
+                .wait_for(|released| *released)
+                .await
+                .is_ok();
+            debug_assert!(released, "the state holds the sender");
+            Ok(echo(&path, &body))
+        }
         ["", "stream", count, ms, ..] => Ok(pieces(number(count), millis(ms), None)),
         ["", "cut", ..] => Ok(pieces(4, Duration::from_millis(1), Some(2))),
         ["", "crash", ..] => {
