Admit requests by the keys of workspaces

Cause: a deployment serves customers who may only send what their key and quota allow, and the product knew no keys. Caller, ledger key and urgency of a keyed request are the workspace's. An object that can't be translated becomes a document that is refused, so that its version and cause are known.

--- a/bench/src/capacity/gate.rs
+++ b/bench/src/capacity/gate.rs
@@ -55,6 +55,7 @@
         goal: None,
         class: 0,
         elsewhere: false,
+        bulk: false,
     })
 }
 
--- a/bench/src/policy/world/target.rs
+++ b/bench/src/policy/world/target.rs
@@ -48,6 +48,7 @@
             goal: goal.map(|goal| call.first + goal[urgency.rank()]),
             class: 0,
             elsewhere: false,
+            bulk: false,
         }
     }
 
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -47,5 +47,5 @@
 
 pub use {
     dialect, entry, feed, gate, held, ledger, nest, pick, roster, rule, setting, store, target,
-    unit, wire,
+    unit, wire, workspace,
 };
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -21,6 +21,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue};
 use unit::{Decimal, Rate};
+use workspace::Key;
 
 /// Longest time that a caller may say it waits; more is most likely a unit mistaken for another.
 const MAX_LEFT: Duration = Duration::from_secs(86_400);
@@ -56,10 +57,34 @@
     pub max_rate: Option<HeaderName>,
     /// Marks the answers of a target that leaves, if the value is `1`.
     pub leaving: Option<HeaderName>,
+    /// The key by which a caller shows which workspace it belongs to.
+    pub credential: Option<Credential>,
+    /// The name of the workspace that a request belongs to, for its target; the entry sets it.
+    pub workspace: Option<HeaderName>,
     /// Whether callers understand parts of a second in `Retry-After`.
     pub exact_retry: bool,
 }
 
+/// Where a request carries the key of its caller.
+#[derive(Debug, Clone)]
+pub struct Credential {
+    /// The header's name.
+    pub header: HeaderName,
+    /// The word before the key, in any case, such as `Bearer`.
+    pub scheme: &'static str,
+}
+
+/// What the headers of a request say of its key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Presented<'h> {
+    /// There is no credential of this kind.
+    Nothing,
+    /// The header is given several times, or without a key.
+    Malformed,
+    /// The key.
+    Key(Key<'h>),
+}
+
 /// How a target tells its load.
 #[derive(Debug, Clone)]
 pub struct Load {
@@ -96,6 +121,25 @@
 /// Marks the answers of a target that leaves.
 pub const LEAVING: &str = "x-appleshore-leaving";
 
+impl Credential {
+    fn read<'h>(&self, headers: &'h HeaderMap) -> Presented<'h> {
+        let mut values = headers.get_all(&self.header).iter();
+        let Some(value) = values.next() else {
+            return Presented::Nothing;
+        };
+        if values.next().is_some() {
+            return Presented::Malformed;
+        }
+        let value = value.as_bytes().trim_ascii();
+        let end = value.iter().position(|byte| *byte == b' ');
+        let (scheme, key) = value.split_at(end.unwrap_or(value.len()));
+        if !scheme.eq_ignore_ascii_case(self.scheme.as_bytes()) {
+            return Presented::Nothing;
+        }
+        Key::new(key.trim_ascii()).map_or(Presented::Malformed, Presented::Key)
+    }
+}
+
 impl Dialect {
     /// The names of the product's own interface.
     pub fn own() -> Dialect {
@@ -134,6 +178,14 @@
         self.parent?(attempt)
     }
 
+    /// The key that `headers` carry.
+    pub fn credential<'h>(&self, headers: &'h HeaderMap) -> Presented<'h> {
+        let Some(credential) = &self.credential else {
+            return Presented::Nothing;
+        };
+        credential.read(headers)
+    }
+
     /// The load that an answer tells of.
     pub fn figures(&self, headers: &HeaderMap) -> Option<Figures> {
         let load = self.load.as_ref()?;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -10,6 +10,7 @@
 use wire::{Ask, Call, Error, Frame, Known, Link, Peer, Receiver, Refusal, Sender, Stream};
 
 use crate::answer::Answer;
+use crate::credit::Sent;
 use crate::request_body::RequestBody;
 use crate::{Entry, Upstream};
 
@@ -35,6 +36,8 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) call: Call,
     pub(crate) deadline: Instant,
+    /// Marked just before the request is sent.
+    pub(crate) sent: Sent,
 }
 
 /// Delay between two questions about a token while its gate can't be reached or has no answer.
@@ -102,6 +105,7 @@
             mut receiver,
         } = stream;
         sender.urgency(self.call.urgency);
+        self.sent.mark();
         sender.push(&Frame::Call(self.call.clone()))?;
         match body {
             RequestBody::Complete(bytes) => match send_complete(sender, bytes.clone()).await {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -89,8 +89,10 @@
         };
         let job = &self.job;
         let last = self.tried.last().map_or("none", Instance::as_str);
+        let workspace = job.workspace.as_ref();
+        let workspace = workspace.map_or(String::new(), |name| format!(" workspace={name}"));
         log::info!(
-            "entry: id={} service={} class={} status={status} reason={reason} sent={} refused={} \
+            "entry: id={}{workspace} service={} class={} status={status} reason={reason} sent={} refused={} \
              again={} last={last} took_ms={} left_ms={}.",
             job.id,
             job.service,
@@ -114,6 +116,9 @@
             };
             let outcome = self.attempt(guard, body).await;
             self.sent += u32::from(outcome.reached());
+            self.job
+                .credit
+                .settle(self.may_have_run || outcome.may_have_run());
             match self.next(outcome, body) {
                 Next::Answer(answer) => return Ok(answer),
                 Next::Refuse(refusal) => return Err(refusal),
@@ -152,6 +157,7 @@
             upstream: self.job.upstream.clone(),
             call,
             deadline: self.job.deadline,
+            sent: self.job.credit.sent(),
         }
     }
 
@@ -312,6 +318,14 @@
 }
 
 impl AttemptOutcome {
+    /// Whether the request has run, or may have.
+    fn may_have_run(&self) -> bool {
+        !matches!(
+            self,
+            AttemptOutcome::Refused(_) | AttemptOutcome::NotSent(_)
+        )
+    }
+
     /// Whether the request has reached a target, or may have.
     fn reached(&self) -> bool {
         match self {
--- /dev/null
+++ b/crates/entry/src/authentication.rs
@@ -0,0 +1,216 @@
+//! Which workspace a request belongs to, and whether the workspace's requests are admitted.
+
+use std::time::Duration;
+
+use dialect::{Dialect, Presented};
+use http::request::Parts;
+use http::{HeaderValue, StatusCode};
+use rule::{Document, Route};
+use tokio::time::Instant;
+use unit::Caller;
+use workspace::Workspace;
+
+use crate::credit::Credit;
+use crate::{Entry, Exceeded, Origin, QuotaAsk, Reason, Refusal, Unconfirmed};
+
+/// Longest wait for credit. It is enough for a question to the daemon that lends it.
+const MAX_QUOTA_WAIT: Duration = Duration::from_millis(150);
+
+/// The share of a route's objective that the wait for credit may take.
+const QUOTA_WAIT_SHARE: u32 = 8;
+
+/// Retry time of a call whose parent is not known here. The parent's own caller sends it again by then.
+const UNKNOWN_PARENT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a request is known.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Access<'d> {
+    /// There are no workspaces, and all requests are equal.
+    Open,
+    /// The request needs no key: its route is public, or it serves a running call.
+    Keyless,
+    /// The request belongs to this workspace.
+    Of(&'d Workspace),
+}
+
+impl<'d> Access<'d> {
+    /// The workspace that the request belongs to.
+    pub(crate) fn workspace(&self) -> Option<&'d Workspace> {
+        match self {
+            Access::Open | Access::Keyless => None,
+            Access::Of(workspace) => Some(workspace),
+        }
+    }
+
+    /// Who the request counts for in fair shares, limits and claims: its workspace, or else `caller`.
+    pub(crate) fn caller(&self, caller: Caller) -> Caller {
+        self.workspace()
+            .map_or(caller, |workspace| Caller::from(&workspace.name))
+    }
+
+    /// Removes the key from the head of the request, and sets the name of the workspace in place of
+    /// whatever the caller has sent.
+    pub(crate) fn rewrite(&self, dialect: &Dialect, parts: &mut Parts) {
+        if matches!(self, Access::Open) {
+            return;
+        }
+        if let Some(credential) = &dialect.credential {
+            parts.headers.remove(&credential.header);
+        }
+        let Some(header) = &dialect.workspace else {
+            return;
+        };
+        parts.headers.remove(header);
+        let name = self.workspace().map(|workspace| workspace.name.as_str());
+        if let Some(Ok(name)) = name.map(HeaderValue::from_str) {
+            parts.headers.insert(header.clone(), name);
+        }
+    }
+}
+
+impl Entry {
+    /// Finds the workspace of the request.
+    ///
+    /// # Errors
+    ///
+    /// A refusal of a request that needs a key and has none that is known.
+    pub(crate) fn authenticate<'d>(
+        &self,
+        document: &'d Document,
+        origin: &Origin,
+        parts: &Parts,
+        route: &Route,
+    ) -> Result<Access<'d>, Refusal> {
+        let Some(workspaces) = document.workspaces() else {
+            return Ok(Access::Open);
+        };
+        if route.public {
+            return Ok(Access::Keyless);
+        }
+        let cause = match self.setting.dialect.credential(&parts.headers) {
+            Presented::Key(key) => match workspaces.find(&key) {
+                Some(workspace) => return Ok(Access::Of(workspace)),
+                None => "the key is unknown",
+            },
+            Presented::Malformed => "the key can't be read",
+            Presented::Nothing if matches!(origin, Origin::Nested(Some(_))) => {
+                return Ok(Access::Keyless);
+            }
+            Presented::Nothing if self.names_parent(origin, parts) => {
+                let cause = "the call that this one serves is not known here";
+                log::info!(
+                    "entry: id={} workspace=none verdict=unknown-parent.",
+                    self.id(parts)
+                );
+                return Err(Refusal::not_run(Reason::NoWorkspace)
+                    .status(StatusCode::SERVICE_UNAVAILABLE)
+                    .detail(cause)
+                    .retry_after(UNKNOWN_PARENT_RETRY_AFTER));
+            }
+            Presented::Nothing => "a key is needed",
+        };
+        log::info!(
+            "entry: id={} workspace=none verdict=no-workspace cause={cause:?}.",
+            self.id(parts)
+        );
+        let refusal = Refusal::not_run(Reason::NoWorkspace).detail(cause);
+        Err(match &self.setting.dialect.credential {
+            Some(credential) => refusal.challenge(credential.scheme),
+            None => refusal,
+        })
+    }
+
+    /// Whether the request says that it serves a running call, which then isn't known here: it may have
+    /// begun before this daemon started.
+    fn names_parent(&self, origin: &Origin, parts: &Parts) -> bool {
+        let by_token =
+            matches!(origin, Origin::Nested(_)) && parts.headers.contains_key(nest::HEADER);
+        by_token || self.setting.dialect.parent(&parts.headers).is_some()
+    }
+
+    /// Admits a request of a workspace: the configuration must be confirmed, and the quota must have
+    /// credit. The request waits for credit at most for a share of the objective, and no longer than its
+    /// caller.
+    ///
+    /// # Errors
+    ///
+    /// A refusal with the time after which another try may be admitted.
+    pub(crate) async fn admit(
+        &self,
+        access: Access<'_>,
+        parts: &Parts,
+        route: &Route,
+    ) -> Result<Credit, Refusal> {
+        let Some(workspace) = access.workspace() else {
+            return Ok(Credit::default());
+        };
+        let admission = &self.setting.admission;
+        if let Err(unconfirmed) = (admission.confirmed)() {
+            return Err(self.refuse_unconfirmed(workspace, parts, unconfirmed));
+        }
+        let Some(quota) = workspace.quota else {
+            return Ok(Credit::default());
+        };
+        let now = Instant::now();
+        let share = route
+            .objective
+            .map(|objective| objective / QUOTA_WAIT_SHARE);
+        // A time left that can't be read is refused later, and the credit is returned then.
+        let left = self.setting.dialect.time_left(&parts.headers);
+        let bounds = [share, left.ok().flatten(), Some(route.timeout)];
+        let wait = bounds
+            .into_iter()
+            .flatten()
+            .fold(MAX_QUOTA_WAIT, Duration::min);
+        let ask = QuotaAsk {
+            workspace: workspace.name.clone(),
+            quota,
+            latest: now + wait,
+        };
+        let taken = (admission.quota)(ask).await;
+        let exceeded = match taken {
+            Ok(spent) => return Ok(Credit::new(spent)),
+            Err(exceeded) => exceeded,
+        };
+        let Exceeded { retry_after } = exceeded;
+        log::info!(
+            "entry: id={} workspace={} verdict=quota rate={} burst={} waited_ms={} retry_after_ms={}.",
+            self.id(parts),
+            workspace.name,
+            quota.rate,
+            quota.burst,
+            now.elapsed().as_millis(),
+            retry_after.as_millis(),
+        );
+        Err(Refusal::not_run(Reason::Quota)
+            .detail("the quota of the workspace is used up")
+            .retry_after(retry_after))
+    }
+
+    fn refuse_unconfirmed(
+        &self,
+        workspace: &Workspace,
+        parts: &Parts,
+        unconfirmed: Unconfirmed,
+    ) -> Refusal {
+        let Unconfirmed { age, retry_after } = unconfirmed;
+        let age = age.map_or("none".to_string(), |age| age.as_millis().to_string());
+        log::info!(
+            "entry: id={} workspace={} verdict=unconfirmed age_ms={age} retry_after_ms={}.",
+            self.id(parts),
+            workspace.name,
+            retry_after.as_millis(),
+        );
+        Refusal::not_run(Reason::Unconfirmed)
+            .detail("it is not confirmed that the configuration is current")
+            .retry_after(retry_after)
+    }
+
+    /// The id of the request in logs: the one that its caller has given it, or `none`.
+    pub(crate) fn id(&self, parts: &Parts) -> String {
+        let id = self.setting.dialect.attempt(&parts.headers);
+        id.map_or("none".into(), |id| {
+            String::from_utf8_lossy(id.as_bytes()).into()
+        })
+    }
+}
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -14,6 +14,8 @@
 
 use crate::answer::{self, ResponseGuard};
 use crate::attempts::Attempts;
+use crate::authentication::Access;
+use crate::credit::Credit;
 use crate::job::{Budget, Head, Job};
 use crate::once::{Once, claim_key};
 use crate::request_body::{self, REPLAYABLE_BYTES, RequestBody};
@@ -26,6 +28,7 @@
     route: &'a Route,
     depth: Depth,
     timing: Timing,
+    access: Access<'a>,
 }
 
 /// A caller that has waited for at least this long counts as retrying.
@@ -55,8 +58,8 @@
         request: Request<Body>,
     ) -> Response<Body> {
         let in_flight = self.begin_request();
-        let (parts, body) = request.into_parts();
-        let answered = self.serve(&origin, &parts, body, in_flight).await;
+        let (mut parts, body) = request.into_parts();
+        let answered = self.serve(&origin, &mut parts, body, in_flight).await;
         let mut response = answered.unwrap_or_else(|refusal| self.refuse(&parts, refusal));
         self.count_outcome(answer::outcome(&response));
         if self.is_closing() {
@@ -83,7 +86,7 @@
     async fn serve(
         self: &Arc<Self>,
         origin: &Origin,
-        parts: &Parts,
+        parts: &mut Parts,
         body: Body,
         in_flight: InFlight,
     ) -> Result<Response<Body>, Refusal> {
@@ -94,11 +97,15 @@
             return Err(Refusal::not_run(Reason::Leaving).detail("this instance is leaving"));
         }
         let document = self.document()?;
-        let matched = self.match_rule(&document, origin, parts)?;
+        let mut matched = self.match_rule(&document, origin, parts)?;
         let route = match &matched.rule.then {
             Then::Route(route) => route,
             Then::Refuse(refuse) => return Err(refused_by_rule(refuse)),
         };
+        let access = self.authenticate(&document, origin, parts, route)?;
+        access.rewrite(&self.setting.dialect, parts);
+        matched.caller = access.caller(matched.caller);
+        let credit = self.admit(access, parts, route).await?;
         let caller_limit = self.enter_caller_limit(matched.rule, route, &matched.caller)?;
         let routed = Routed {
             origin,
@@ -106,6 +113,7 @@
             route,
             depth: self.depth(origin)?,
             timing: self.timing(&matched.rule.name, origin, parts, route)?,
+            access,
         };
         let idle_timeout = self.setting.limits.idle_timeout;
         let guard = ResponseGuard {
@@ -127,6 +135,7 @@
         let rule = matched.rule.name.clone();
         let service = self.choose_service(&rule, route);
         let mut job = self.build_job(&routed, service, matched.caller, &body);
+        job.credit = credit;
         job.class = Digest::of(rule.as_bytes()).0 as u32;
         if let Some(key) = key {
             let once = Once {
@@ -153,23 +162,23 @@
             origin,
             parts,
             route,
+            access,
             ..
         } = *routed;
         let mut head = Head::new(parts.method.clone(), &parts.uri, &parts.headers);
         if let Some(name) = &self.setting.dialect.origin {
             head.set(name, self.setting.service.as_str());
         }
-        let id = self.setting.dialect.attempt(&parts.headers);
         Job {
-            id: id.map_or("none".into(), |id| {
-                String::from_utf8_lossy(id.as_bytes()).into()
-            }),
+            id: self.id(parts),
             entry: self.clone(),
             upstream: self.upstream(&service),
             service,
             route: route.clone(),
             caller,
-            urgency: urgency(origin, route),
+            workspace: access.workspace().map(|workspace| workspace.name.clone()),
+            credit: Credit::default(),
+            urgency: urgency(origin, route, access),
             depth: routed.depth,
             deadline: routed.timing.deadline,
             goal: routed.timing.goal,
@@ -346,12 +355,15 @@
         .detail(&refuse.reason)
 }
 
-/// The urgency of the request. A nested call inherits that of its enclosing call, so that an urgent
-/// look-up does not wait behind index searches one level down.
-fn urgency(origin: &Origin, route: &Route) -> Urgency {
+/// The urgency of the request: that of its workspace's priority. Otherwise a nested call inherits that of
+/// its enclosing call, so that an urgent look-up does not wait behind index searches one level down.
+fn urgency(origin: &Origin, route: &Route, access: Access<'_>) -> Urgency {
+    let workspace = access.workspace();
     match origin {
-        Origin::Nested(Some(parent)) => parent.context().urgency,
-        _ => route.urgency,
+        Origin::Nested(Some(parent)) => workspace
+            .and_then(|workspace| workspace.urgency)
+            .unwrap_or(parent.context().urgency),
+        _ => route.urgency_for(workspace),
     }
 }
 
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -7,9 +7,10 @@
 use pick::retry::{Allowance, Cause};
 use rule::{Preference, Route};
 use tokio::time::Instant;
-use unit::{Caller, Depth, Digest, Service, Token, Urgency};
+use unit::{Caller, Depth, Digest, Service, Token, Urgency, Workspace};
 use wire::{Call, Header, Payload};
 
+use crate::credit::Credit;
 use crate::{Entry, Upstream};
 
 /// How many bytes of the body go into the fingerprint of a request.
@@ -25,6 +26,10 @@
     /// The service that the request goes to; one of several if the route is split.
     pub(crate) service: Service,
     pub(crate) caller: Caller,
+    /// The workspace that the request belongs to.
+    pub(crate) workspace: Option<Workspace>,
+    /// What the request has taken out of the workspace's quota.
+    pub(crate) credit: Credit,
     pub(crate) urgency: Urgency,
     pub(crate) depth: Depth,
     pub(crate) deadline: Instant,
@@ -129,6 +134,7 @@
             depth: self.depth,
             allowance: self.budget.units(),
             once: !self.repeatable(),
+            bulk: self.route.bulk,
             kind: self.kind,
             method: self.head.method.to_string(),
             uri: self.head.uri.clone(),
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -32,6 +32,15 @@
     /// No rule matches.
     #[display("no-rule")]
     NoRule,
+    /// The request needs the key of a workspace, and has none that is known.
+    #[display("no-workspace")]
+    NoWorkspace,
+    /// It is not confirmed that the configuration is current, so that the key may have been removed.
+    #[display("unconfirmed")]
+    Unconfirmed,
+    /// The workspace has used up its quota.
+    #[display("quota")]
+    Quota,
     /// The rules require an idempotency key, and the request has none.
     #[display("no-key")]
     NoKey,
@@ -83,6 +92,8 @@
     retry_after: Option<Duration>,
     /// Whether the caller understands fractions of a second in `Retry-After`.
     subsecond: bool,
+    /// The scheme in which the caller must show a key.
+    challenge: Option<&'static str>,
 }
 
 /// `Retry-After` for a caller when no gate has given a time: a few service times.
@@ -130,6 +141,7 @@
             detail: String::new(),
             retry_after: None,
             subsecond: false,
+            challenge: None,
         }
     }
 
@@ -151,6 +163,12 @@
         self
     }
 
+    /// Asks the caller for a key in the authentication scheme `scheme`.
+    pub fn challenge(mut self, scheme: &'static str) -> Refusal {
+        self.challenge = Some(scheme);
+        self
+    }
+
     /// The outcome of the request.
     pub fn outcome(&self) -> Outcome {
         self.outcome
@@ -172,13 +190,15 @@
 
     /// Sets the retry time to at most a third of the caller's remaining time `left`, so that it can
     /// still retry in time. Applies only to refusals that a retry may overcome: those for which
-    /// nothing ran, with a server error or status 429.
+    /// nothing ran, with a server error or status 429. A time after which a quota has credit or a
+    /// confirmation is due is kept, because an earlier retry would be refused again.
     pub(crate) fn limit_retry_after(mut self, left: Duration) -> Refusal {
         let may_retry = self.outcome == Outcome::NotRun && self.status.is_server_error()
             || self.status == StatusCode::TOO_MANY_REQUESTS;
         if may_retry {
             let after = self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
-            self.retry_after = Some(after.min(left / 3));
+            let is_exact = matches!(self.reason, Reason::Quota | Reason::Unconfirmed);
+            self.retry_after = Some(if is_exact { after } else { after.min(left / 3) });
             self.subsecond = true;
         }
         self
@@ -206,6 +226,9 @@
         );
         set_header(headers, OUTCOME, &self.outcome.to_string());
         set_header(headers, REASON, &self.reason.to_string());
+        if let Some(scheme) = self.challenge {
+            set_header(headers, header::WWW_AUTHENTICATE.as_str(), scheme);
+        }
         if let Some(after) = self.retry_after {
             let text = match self.subsecond {
                 true => format!("{:.3}", after.as_secs_f64()),
@@ -237,7 +260,8 @@
         Reason::Rule => StatusCode::FORBIDDEN,
         Reason::NoRule => StatusCode::NOT_FOUND,
         Reason::KeyMismatch | Reason::AlreadyRun => StatusCode::CONFLICT,
-        Reason::CallerLimit => StatusCode::TOO_MANY_REQUESTS,
+        Reason::CallerLimit | Reason::Quota => StatusCode::TOO_MANY_REQUESTS,
+        Reason::NoWorkspace => StatusCode::UNAUTHORIZED,
         Reason::TooDeep => StatusCode::LOOP_DETECTED,
         Reason::Lost => StatusCode::BAD_GATEWAY,
         Reason::NoTarget
@@ -246,6 +270,7 @@
         | Reason::Deadline
         | Reason::Leaving
         | Reason::Suspect
-        | Reason::NoClaim => StatusCode::SERVICE_UNAVAILABLE,
+        | Reason::NoClaim
+        | Reason::Unconfirmed => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/gate/examples/cost.rs
+++ b/crates/gate/examples/cost.rs
@@ -24,6 +24,7 @@
         goal: None,
         class: 0,
         elsewhere: false,
+        bulk: false,
     }
 }
 
--- a/crates/gate/examples/queue.rs
+++ b/crates/gate/examples/queue.rs
@@ -66,6 +66,7 @@
             goal: None,
             class: 0,
             elsewhere: false,
+            bulk: false,
         };
         let verdict = self.core.offer(self.now, request);
         let (Verdict::Start(id) | Verdict::Wait(id)) = verdict else {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -73,6 +73,7 @@
 ///     goal: None,
 ///     class: 0,
 ///     elsewhere: false,
+///     bulk: false,
 /// };
 /// let mut core = Builder::new(1).core(start);
 /// let Verdict::Start(first) = core.offer(start, request(1)) else { unreachable!() };
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -26,6 +26,7 @@
 //!     goal: None,
 //!     class: 0,
 //!     elsewhere: false,
+//!     bulk: false,
 //! };
 //! let permit = gate.admit(request).await?;
 //! let running = permit.dispatch();
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -36,6 +36,8 @@
     pub class: u32,
     /// Whether its entry knew another target that was not slow when it sent the request here.
     pub elsewhere: bool,
+    /// Whether its answer may be large and may be sent later than others.
+    pub bulk: bool,
 }
 
 /// Identifies an offered request within one [`Core`](crate::Core); never reused.
--- a/crates/gate/tests/all/common.rs
+++ b/crates/gate/tests/all/common.rs
@@ -23,6 +23,7 @@
         goal: None,
         class: 0,
         elsewhere: false,
+        bulk: false,
     }
 }
 
--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -154,6 +154,7 @@
             goal: offer.goal.map(|goal| self.now + ms(goal)),
             class: u32::from(offer.kind % 3),
             elsewhere: offer.elsewhere,
+            bulk: false,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
         *known = request.deadline.max(*known);
--- a/crates/rule/src/document.rs
+++ b/crates/rule/src/document.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, HeaderName};
 use jsonc::Lines;
 use unit::{Caller, Service};
+use workspace::Directory;
 
 use crate::explain::{self, Explanation};
 use crate::index::Index;
@@ -34,6 +35,7 @@
     /// The byte offset of each rule in the text.
     offsets: Vec<usize>,
     index: Index,
+    workspaces: Option<Directory>,
 }
 
 /// The contents of a document, as parsed from its text.
@@ -44,6 +46,7 @@
     pub(crate) rules: Vec<Rule>,
     /// The byte offset of each rule in the text.
     pub(crate) offsets: Vec<usize>,
+    pub(crate) workspaces: Option<Directory>,
 }
 
 impl Document {
@@ -68,6 +71,7 @@
             index: Index::new(&content.rules),
             rules: content.rules,
             offsets: content.offsets,
+            workspaces: content.workspaces,
         })
     }
 
@@ -86,6 +90,12 @@
         self.targets.get(service)
     }
 
+    /// The workspaces, if the document has any. Then each request from outside needs a key of one of
+    /// them, unless its route is [public](crate::Route::public).
+    pub fn workspaces(&self) -> Option<&Directory> {
+        self.workspaces.as_ref()
+    }
+
     /// Whether rules match the path as it was sent instead of the normalized path.
     ///
     /// This is so if at least one rule has a prefix and none has a path pattern. Prefixes are
--- a/crates/rule/src/read.rs
+++ b/crates/rule/src/read.rs
@@ -4,12 +4,14 @@
 mod target;
 mod then;
 mod when;
+mod workspaces;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use http::HeaderName;
 use jsonc::{Error, Reader, Value};
 use unit::Urgency;
+use workspace::Directory;
 
 use crate::document::Content;
 use crate::{Document, Route, Rule, Then};
@@ -17,12 +19,30 @@
 /// Maximum length of a rule's name in bytes.
 const MAX_NAME_BYTES: usize = 128;
 
+/// Maximum priority of a route or workspace.
+const MAX_PRIORITY: u32 = 1_000;
+
+const FIELDS: [&str; 6] = [
+    "caller",
+    "rules",
+    "limits",
+    "targets",
+    "workspaces",
+    "fault",
+];
+
 pub(crate) fn content(text: &str) -> Result<Content, Error> {
     jsonc::read(text, Document::MAX_TEXT_BYTES, document)
 }
 
 fn document<'t>(reader: &mut Reader<'t>, root: &Value<'t>) -> Option<Content> {
-    let fields = reader.object(root, &["caller", "rules", "limits", "targets"])?;
+    let fields = reader.object(root, &FIELDS)?;
+    if let Some(cause) = fields.get("fault") {
+        // Whoever translated another format into this document found this fault in the original.
+        let text = reader.text(cause)?.to_string();
+        reader.fault_at(cause, text);
+        return None;
+    }
     let caller_header = fields.get("caller").and_then(|value| caller(reader, value));
     let connection_limits = fields
         .get("limits")
@@ -30,6 +50,9 @@
     let targets = fields
         .get("targets")
         .map(|value| target::targets(reader, value));
+    let workspaces = fields
+        .get("workspaces")
+        .and_then(|value| workspaces::workspaces(reader, value));
     let list = reader.required(&fields, "rules")?;
     let list = reader.list(list, Document::MAX_RULES)?;
     let mut content = Content {
@@ -38,6 +61,7 @@
         targets: targets.unwrap_or_default(),
         rules: Vec::with_capacity(list.len()),
         offsets: Vec::with_capacity(list.len()),
+        workspaces,
     };
     let mut names = BTreeMap::new();
     for value in list {
@@ -46,14 +70,15 @@
             content.offsets.push(jsonc::offset(value));
         }
     }
-    derive_urgencies(&mut content.rules);
+    derive_urgencies(&mut content.rules, content.workspaces.as_mut());
     Some(content)
 }
 
-/// Derives the urgency of routes that have a priority.
+/// Derives the urgency of routes and workspaces that have a priority.
 ///
-/// Of the priorities in use, the lowest number is urgent, the next one routine, all others batch.
-fn derive_urgencies(rules: &mut [Rule]) {
+/// Of the priorities in use, of routes and workspaces together, the lowest number is urgent, the next
+/// one routine, all others batch.
+fn derive_urgencies(rules: &mut [Rule], mut workspaces: Option<&mut Directory>) {
     let mut routes: Vec<&mut Route> = rules
         .iter_mut()
         .filter_map(|rule| match &mut rule.then {
@@ -61,14 +86,21 @@
             Then::Refuse(_) => None,
         })
         .collect();
-    let priorities: BTreeSet<u32> = routes.iter().filter_map(|route| route.priority).collect();
-    for route in &mut routes {
-        let Some(priority) = route.priority else {
-            continue;
-        };
+    let mut priorities: BTreeSet<u32> = routes.iter().filter_map(|route| route.priority).collect();
+    if let Some(workspaces) = &workspaces {
+        priorities.extend(workspaces.iter().filter_map(|workspace| workspace.priority));
+    }
+    let urgency = |priority: u32| {
         let rank = priorities.range(..priority).count();
-        let last = Urgency::ALL.len() - 1;
-        route.urgency = Urgency::ALL[rank.min(last)];
+        Urgency::ALL[rank.min(Urgency::ALL.len() - 1)]
+    };
+    for route in &mut routes {
+        if let Some(priority) = route.priority {
+            route.urgency = urgency(priority);
+        }
+    }
+    if let Some(workspaces) = &mut workspaces {
+        workspaces.set_urgencies(urgency);
     }
 }
 
--- a/crates/rule/src/read/then.rs
+++ b/crates/rule/src/read/then.rs
@@ -5,10 +5,11 @@
 use jsonc::{Fields, Reader, Value};
 use unit::{Size, Span, Urgency};
 
-use super::header_name;
+use super::workspaces::regions_of;
+use super::{MAX_PRIORITY, header_name};
 use crate::{Key, Preference, Refusal, Route, Then, WeightedService};
 
-const FIELDS: [&str; 16] = [
+const FIELDS: [&str; 19] = [
     "service",
     "urgency",
     "once",
@@ -25,13 +26,15 @@
     "objective",
     "repeat",
     "attempts",
+    "public",
+    "bulk",
+    "regions",
 ];
 
 /// Maximum timeout and objective; callers don't wait longer than this.
 const MAX_TIMEOUT: Duration = Duration::from_secs(3_600);
 const MAX_RETRIES: u32 = 10;
 const MAX_ATTEMPTS: u32 = 100;
-const MAX_PRIORITY: u32 = 1_000;
 const MAX_SPLIT_SERVICES: usize = 64;
 const MAX_SPLIT_WEIGHT: u32 = 1_000_000;
 const MAX_PER_CALLER: u32 = 100_000;
@@ -117,6 +120,11 @@
     let measuring = fields
         .get("measuring")
         .and_then(|value| measuring(reader, value));
+    let public = fields.get("public").and_then(|value| reader.flag(value));
+    let bulk = fields.get("bulk").and_then(|value| reader.flag(value));
+    let regions = fields
+        .get("regions")
+        .and_then(|value| regions_of(reader, value));
     check_hedge(reader, fields, hedge);
     check_exclusive_pairs(reader, fields);
     let default = Route::to(service?);
@@ -135,6 +143,9 @@
         weight: weight.unwrap_or(default.weight),
         zone: zone.unwrap_or(default.zone),
         measuring: measuring.unwrap_or(default.measuring),
+        public: public.unwrap_or(default.public),
+        bulk: bulk.unwrap_or(default.bulk),
+        regions,
         ..default
     })
 }
--- a/crates/rule/src/then.rs
+++ b/crates/rule/src/then.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use unit::{Service, Size, Urgency};
+use unit::{Region, Service, Size, Urgency};
+use workspace::Workspace;
 
 use crate::Key;
 
@@ -56,6 +57,12 @@
     pub zone: Preference,
     /// Bytes per second and target that reports and probes may use; 1 KB by default.
     pub measuring: Size,
+    /// Whether requests need no key although the document has workspaces; `false` by default.
+    pub public: bool,
+    /// Whether answers are large, so that they may be sent later than others; `false` by default.
+    pub bulk: bool,
+    /// The regions whose targets may serve the request; `None` for all.
+    pub regions: Option<Vec<Region>>,
 }
 
 /// A service of a route's split, with its weight.
@@ -131,6 +138,17 @@
             weight: Route::WEIGHT,
             zone: Preference::default(),
             measuring: Route::MEASURING,
+            public: false,
+            bulk: false,
+            regions: None,
         }
     }
+
+    /// The urgency of a request on this route: that of the priority of its workspace, if it has one,
+    /// and otherwise the route's.
+    pub fn urgency_for(&self, workspace: Option<&Workspace>) -> Urgency {
+        workspace
+            .and_then(|workspace| workspace.urgency)
+            .unwrap_or(self.urgency)
+    }
 }
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -175,6 +175,7 @@
             goal: self.call.goal.map(|left| Instant::now() + left),
             class: self.call.class,
             elsewhere: self.call.elsewhere,
+            bulk: self.call.bulk,
         }
     }
 
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -29,7 +29,7 @@
 pub use cause::Cause;
 pub use decimal::Decimal;
 pub use error::Error;
-pub use name::{Caller, Instance, Member, Service, Workspace, Zone};
+pub use name::{Caller, Instance, Member, Region, Service, Workspace, Zone};
 pub use number::{Depth, Digest, Fingerprint, Incarnation, Token};
 pub use outcome::Outcome;
 pub use report::Report;
--- a/crates/unit/src/name.rs
+++ b/crates/unit/src/name.rs
@@ -71,6 +71,10 @@
     /// An availability zone, such as `longbien`.
     Zone, "a zone"
 }
+name! {
+    /// A region: availability zones that are close to each other, such as `qc-east`.
+    Region, "a region"
+}
 name! {
     /// A service: a group of targets that answer the same requests.
     Service, "a service"
--- a/crates/wire/src/call.rs
+++ b/crates/wire/src/call.rs
@@ -45,6 +45,8 @@
     pub allowance: u8,
     /// The request may not be repeated, so the gate keeps its answer for a while.
     pub once: bool,
+    /// The answer may be large and may be sent later than others.
+    pub bulk: bool,
     /// Hash of what kind of request this is, for suspicion after a crash.
     pub kind: Digest,
     /// The method, such as `POST`.
--- a/crates/wire/tests/codec.rs
+++ b/crates/wire/tests/codec.rs
@@ -38,6 +38,7 @@
             .then_some(Duration::from_micros(number)),
         class: number as u32,
         elsewhere: number.is_multiple_of(3),
+        bulk: number.is_multiple_of(4),
         depth: Depth(number as u8),
         allowance: number as u8,
         once: number.is_multiple_of(5),
