Confirm the configuration of a feed

Cause: a daemon that is cut off from the store serves on with a configuration from which a key may have been removed long ago. Change: crate confirm has the clock that counts suspensions, confirmations, who reads and when; feed::confirm reads the store and asks other daemons; Feed::confirmed, confirmed_versions and check_confirmed give the outcome.

--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -13,6 +13,7 @@
 use unit::{Instance, Rate};
 
 use crate::carrier::Carrier;
+use crate::confirm::{Confirm, Confirming};
 use crate::count::Count;
 use crate::era::OwnObject;
 use crate::feed::{Feed, Inner};
@@ -43,6 +44,7 @@
     seed: u64,
     pace: Pace,
     standing: bool,
+    confirm: Option<Confirm>,
 }
 
 /// How long a feed waits for the platform.
@@ -97,6 +99,7 @@
             seed: 0,
             pace: Pace::default(),
             standing: false,
+            confirm: None,
         }
     }
 
@@ -168,6 +171,13 @@
         self
     }
 
+    /// Confirms that the rules in force, and the objects of further keys, are the newest in the
+    /// store. By default nothing is confirmed, and no message or call is made for it.
+    pub fn confirm(mut self, confirm: Confirm) -> Builder {
+        self.confirm = Some(confirm);
+        self
+    }
+
     /// Sets the seed of random waits; default 0.
     pub fn seed(mut self, seed: u64) -> Builder {
         self.seed = seed;
@@ -177,6 +187,8 @@
     /// Builds the feed. It is inactive until [`Feed::run`] is called.
     pub fn build(self) -> Feed {
         let meter = Meter::new(STORE_CALL_RATE, STORE_CALL_BURST);
+        let confirm = self.confirm;
+        let confirming = confirm.and_then(|confirm| Confirming::new(confirm, &self.rules_key));
         let (jobs, queue) = mpsc::channel(JOB_QUEUE_LEN);
         let inner = Inner {
             store: meter.over(&self.store),
@@ -206,6 +218,7 @@
             pace: self.pace,
             standing: self.standing,
             listed: CancellationToken::new(),
+            confirming,
         };
         Feed::from(inner)
     }
--- /dev/null
+++ b/crates/feed/src/confirm/read.rs
@@ -0,0 +1,171 @@
+//! Reads the store to confirm what it holds.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use confirm::{Confirmation, Moment, Place};
+use futures_util::future::try_join_all;
+use store::{Consistency, Object};
+use tokio::time::{sleep, timeout};
+use unit::Version;
+
+use super::{CHECK_INTERVAL, Confirming, place};
+use crate::feed::Inner;
+use crate::platform::{self, Role};
+
+/// Maximum time of a read. The next one is sent on a fresh call.
+const READ_TIMEOUT: Duration = Duration::from_secs(1);
+/// The wait of a watch that only asks whether something has changed.
+const NO_WAIT: Duration = Duration::from_millis(1);
+/// How long a daemon that failed to read leaves reading to the ranks behind it.
+const STEP_BACK: Duration = Duration::from_secs(5);
+/// How long after its start a daemon that knows no others waits for them. Otherwise all daemons of a
+/// fleet that starts at once would read.
+const ALONE_GRACE: Duration = Duration::from_millis(500);
+
+/// What the last read of one key has shown.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Cursor {
+    /// The revision from which the next read asks for changes; `None` if it has to read all.
+    since: Option<Version>,
+    version: Version,
+    value: Option<Bytes>,
+}
+
+/// When this daemon last read.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    last: Option<Moment>,
+    failed: Option<Moment>,
+}
+
+/// Reads whenever that is due. Never returns.
+pub(super) async fn run(inner: &Inner, confirming: &Confirming) {
+    loop {
+        if is_due(inner, confirming) {
+            read(inner, confirming).await;
+        } else {
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+}
+
+fn is_due(inner: &Inner, confirming: &Confirming) -> bool {
+    let place = place(inner, confirming);
+    let now = confirming.clock.now();
+    let is_alone = matches!(place, Place::Watcher { of: 1, .. });
+    if is_alone && now.since(confirming.started) < ALONE_GRACE {
+        return false;
+    }
+    let state = confirming.state.lock();
+    let failed = state.read.failed.map(|failed| now.since(failed));
+    let retry = confirming.schedule.retry_interval(place);
+    let last = state.read.last.map(|last| now.since(last));
+    if failed.is_some() && last.is_some_and(|last| last < retry) {
+        return false;
+    }
+    drop(state);
+    let steps_back = failed.is_some_and(|failed| failed < STEP_BACK);
+    let read_age = confirming.schedule.read_age(place, steps_back);
+    read_age.is_some_and(|due| confirming.age() >= due)
+}
+
+async fn read(inner: &Inner, confirming: &Confirming) {
+    // Taken before the calls are made: whatever was acknowledged earlier shows in their answers.
+    let began = confirming.clock.now();
+    let cursors = {
+        let mut state = confirming.state.lock();
+        state.read.last = Some(began);
+        state.reads += confirming.keys.len() as u64;
+        state.cursors.clone()
+    };
+    let reads = confirming.keys.iter().zip(cursors);
+    let reads = reads.enumerate().map(|(place, (key, cursor))| async move {
+        let is_rules = place == 0;
+        read_key(inner, key, cursor, is_rules).await
+    });
+    let result = timeout(READ_TIMEOUT, try_join_all(reads)).await;
+    let failure = match result {
+        Ok(Ok(cursors)) => {
+            let confirmation = Confirmation {
+                began,
+                versions: cursors.iter().map(|cursor| cursor.version).collect(),
+                values: cursors.iter().map(|cursor| cursor.value.clone()).collect(),
+            };
+            let mut state = confirming.state.lock();
+            state.cursors = cursors;
+            state.read.failed = None;
+            drop(state);
+            confirming.offer(confirmation);
+            return;
+        }
+        Ok(Err(error)) => error.to_string(),
+        Err(_) => "no answer in time".to_string(),
+    };
+    log::warn!("confirm: the store is not read: {failure}.");
+    let now = confirming.clock.now();
+    let mut state = confirming.state.lock();
+    state.reads_failed += 1;
+    state.read.failed = Some(now);
+    for cursor in &mut state.cursors {
+        cursor.since = None;
+    }
+}
+
+async fn read_key(
+    inner: &Inner,
+    key: &str,
+    cursor: Cursor,
+    is_rules: bool,
+) -> Result<Cursor, store::Error> {
+    if let Some(since) = cursor.since {
+        match inner.store.watch(key, since, NO_WAIT).await {
+            Ok(change) => {
+                let mut changed = change.changed.iter().map(|object| &object.key);
+                let mut deleted = change.deleted.iter().map(|deletion| &deletion.key);
+                if !changed.any(|changed| changed == key) && !deleted.any(|deleted| deleted == key)
+                {
+                    return Ok(Cursor {
+                        since: Some(change.revision),
+                        ..cursor
+                    });
+                }
+            }
+            Err(error) if error.is_compacted() => {}
+            Err(error) => return Err(error),
+        }
+    }
+    read_whole(inner, key, is_rules).await
+}
+
+/// Reads the object as a listing, which unlike a read of the object names a revision from which
+/// changes can be asked for. The object's own one may be compacted.
+async fn read_whole(inner: &Inner, key: &str, is_rules: bool) -> Result<Cursor, store::Error> {
+    let listing = inner
+        .store
+        .list_with(key, Consistency::Linearizable)
+        .await?;
+    let mut objects = listing.objects.into_iter();
+    let object = objects.find(|object| object.key == key);
+    if let Some(object) = object.as_ref().filter(|_| is_rules) {
+        offer_rules(inner, object);
+    }
+    Ok(Cursor {
+        since: Some(listing.revision),
+        version: object
+            .as_ref()
+            .map_or(Version::NONE, |object| object.version),
+        value: object.filter(|_| !is_rules).map(|object| object.value),
+    })
+}
+
+fn offer_rules(inner: &Inner, object: &Object) {
+    if object.version <= inner.current.version() {
+        return;
+    }
+    let role = match inner.with(|roster| roster.is_watcher()) {
+        true => Role::Watcher,
+        false => Role::Reader,
+    };
+    platform::offer(inner, object, role);
+}
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -11,7 +11,7 @@
 use roster::{Record, Roster, Shared};
 use serde::Serialize;
 use store::{Meter, Store};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
@@ -19,6 +19,7 @@
 
 use crate::builder::{Builder, Pace};
 use crate::carrier::{self, Carrier};
+use crate::confirm::{self, Confirmations, Confirmed, Confirming, Unconfirmed};
 use crate::count::{Count, Flow};
 use crate::era::OwnObject;
 use crate::fetch::Fetch;
@@ -26,7 +27,7 @@
 use crate::message::{Answer, Kind, Message};
 use crate::relay::Relayed;
 use crate::stats::Stats;
-use crate::{Current, Error, announce, era, fallback, heartbeat, leave, note, watch};
+use crate::{Current, Error, announce, era, fallback, heartbeat, leave, note};
 
 /// Maximum time to wait for an answer.
 pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -74,6 +75,8 @@
     pub(crate) standing: bool,
     /// Cancelled once the announcements have been listed for the first time.
     pub(crate) listed: CancellationToken,
+    /// `None` if nothing is confirmed.
+    pub(crate) confirming: Option<Confirming>,
 }
 
 /// The state of a [`Feed`], for operators.
@@ -91,6 +94,9 @@
     pub store: store::Count,
     /// Messages and bytes by kind.
     pub flows: BTreeMap<Kind, Flow>,
+    /// The age of the configuration; `None` if it is not confirmed.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub confirmations: Option<Confirmations>,
 }
 
 impl Dump {
@@ -114,12 +120,15 @@
             return;
         };
         let mut tasks = JoinSet::new();
-        tasks.spawn(watch::run(self.inner.clone()));
+        tasks.spawn(crate::watch::run(self.inner.clone()));
         tasks.spawn(announce::run(self.inner.clone()));
         tasks.spawn(heartbeat::send_loop(self.inner.clone()));
         tasks.spawn(heartbeat::review_loop(self.inner.clone()));
         tasks.spawn(fallback::run(self.inner.clone()));
         tasks.spawn(era::run(self.inner.clone()));
+        if self.inner.confirming.is_some() {
+            tasks.spawn(confirm::run(self.inner.clone()));
+        }
         loop {
             tokio::select! {
                 Some(job) = queue.recv() => {
@@ -188,6 +197,47 @@
         &self.inner.stats
     }
 
+    /// The newest confirmation; `None` before the first one and without [`Builder::confirm`].
+    ///
+    /// Its age is at most that of what it states, whatever its way here. Its rules may not be in force
+    /// here yet.
+    pub fn confirmed(&self) -> Option<Confirmed> {
+        self.inner.confirming.as_ref()?.confirmed()
+    }
+
+    /// The newest confirmed versions, changed whenever they change; empty before the first
+    /// confirmation. `None` without [`Builder::confirm`].
+    pub fn confirmed_versions(&self) -> Option<watch::Receiver<Vec<Version>>> {
+        let confirming = self.inner.confirming.as_ref();
+        confirming.map(Confirming::versions)
+    }
+
+    /// Sets whether this daemon renews its confirmation as often as a watcher does.
+    pub fn hasten_confirmations(&self, hastened: bool) {
+        if let Some(confirming) = &self.inner.confirming {
+            confirming.hasten(hastened);
+        }
+    }
+
+    /// Checks that the rules in force are confirmed as the newest. Always true without a revocation
+    /// time.
+    ///
+    /// # Errors
+    ///
+    /// [`Unconfirmed`] if the last confirmation of these or older rules is too old, or there is none.
+    pub fn check_confirmed(&self) -> Result<(), Unconfirmed> {
+        match &self.inner.confirming {
+            Some(confirming) => confirming.check(self.inner.current.version()),
+            None => Ok(()),
+        }
+    }
+
+    /// The state of confirmations; `None` without [`Builder::confirm`].
+    pub fn confirmations(&self) -> Option<Confirmations> {
+        let confirming = self.inner.confirming.as_ref()?;
+        Some(confirming.dump(self.inner.current.version()))
+    }
+
     /// The state of the feed, for operators.
     pub fn dump(&self) -> Dump {
         Dump {
@@ -197,6 +247,7 @@
             evacuations: self.inner.evacuations.records(),
             store: self.inner.meter.count(),
             flows: self.inner.count.flows(),
+            confirmations: self.confirmations(),
         }
     }
 }
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -25,6 +25,7 @@
 mod announce;
 mod builder;
 mod carrier;
+mod confirm;
 mod count;
 mod current;
 mod era;
@@ -49,6 +50,7 @@
 
 pub use builder::{Builder, Pace};
 pub use carrier::{Carrier, CarrierFuture, over, peer};
+pub use confirm::{Confirm, Confirmations, Confirmed, Unconfirmed};
 pub use count::{Flow, MESSAGE_OVERHEAD, PACKET_OVERHEAD};
 pub use current::{Current, Offer, Rules};
 pub use error::Error;
--- a/crates/feed/src/message.rs
+++ b/crates/feed/src/message.rs
@@ -4,6 +4,7 @@
 //! postcard and fit in one frame: rules are sent in pieces, records in batches of at most
 //! [`MAX_RECORDS`].
 
+use confirm::Report;
 use roster::{Beat, Bucket, Record, Summary, Vote};
 use serde::{Deserialize, Serialize};
 use unit::Version;
@@ -36,6 +37,12 @@
     Evacuations(Vec<evacuation::Record>),
     /// All evacuations that the sender knows. Answered by [`Answer::Evacuations`].
     CompareEvacuations(Vec<evacuation::Record>),
+    /// A question for the answering daemon's newest confirmation. Answered by
+    /// [`Answer::Confirmed`].
+    Confirm {
+        /// The versions of the sender's newest confirmation, whose contents it holds.
+        held: Vec<Version>,
+    },
 }
 
 /// The answer to a [`Message`].
@@ -53,6 +60,8 @@
     Records(Vec<Record>),
     /// All evacuations that the answering daemon knows.
     Evacuations(Vec<evacuation::Record>),
+    /// The answering daemon's newest confirmation; `None` if it has none.
+    Confirmed(Option<Report>),
 }
 
 /// Updated records that are relayed down a zone's tree.
@@ -113,6 +122,9 @@
     /// [`Message::Evacuations`] and [`Message::CompareEvacuations`].
     #[display("evacuations")]
     Evacuations,
+    /// [`Message::Confirm`].
+    #[display("confirm")]
+    Confirm,
 }
 
 impl Message {
@@ -127,6 +139,7 @@
             Message::Repair(_) => Kind::Repair,
             Message::Vote(_) => Kind::Vote,
             Message::Evacuations(_) | Message::CompareEvacuations(_) => Kind::Evacuations,
+            Message::Confirm { .. } => Kind::Confirm,
         }
     }
 }
--- a/crates/feed/src/note.rs
+++ b/crates/feed/src/note.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use roster::{Beat, Finding, Vote};
 use tokio::time::Instant;
-use unit::Instance;
+use unit::{Instance, Version};
 
 use crate::feed::Inner;
 use crate::job::Job;
@@ -38,6 +38,7 @@
         Message::Vote(vote) => vote_received(inner, from, vote),
         Message::Evacuations(records) => Ok(evacuations::received(inner, records)),
         Message::CompareEvacuations(records) => Ok(evacuations::compared(inner, &records)),
+        Message::Confirm { held } => Ok(confirm_asked(inner, &held)),
     }
 }
 
@@ -84,6 +85,13 @@
     Answer::Done
 }
 
+fn confirm_asked(inner: &Inner, held: &[Version]) -> Answer {
+    let confirming = inner.confirming.as_ref();
+    confirming.map_or(Answer::Confirmed(None), |confirming| {
+        confirming.answer(held)
+    })
+}
+
 fn vote_received(inner: &Inner, from: &Instance, vote: Vote) -> Result<Answer, Error> {
     if vote.observer != *from {
         let cause = "sent a vote with another instance as its observer";
--- a/crates/roster/src/observer.rs
+++ b/crates/roster/src/observer.rs
@@ -38,6 +38,20 @@
         watchers.contains(&self.me)
     }
 
+    /// The watchers of all zones, ordered by their place among those of their zone and then by the
+    /// name of the zone.
+    pub fn ranked_watchers(&self) -> Vec<Instance> {
+        let zones = self.zones();
+        let zones = zones.iter();
+        let by_zone: Vec<Vec<Instance>> = zones
+            .map(|zone| self.watchers(zone, self.policy.watchers))
+            .collect();
+        let places = 0..self.policy.watchers;
+        let ranked =
+            places.flat_map(|place| by_zone.iter().filter_map(move |zone| zone.get(place)));
+        ranked.cloned().collect()
+    }
+
     /// The instances to which an update for every zone is sent: the watchers of all zones, except
     /// this instance.
     pub fn roots(&self) -> Vec<Instance> {
