Spread confirmations down a tree, and test each failure over a fleet

Cause: with fixed intervals ages added up at each step, and the first watcher of a zone would have answered more than its control traffic allows.

--- a/crates/feed/src/confirm.rs
+++ b/crates/feed/src/confirm.rs
@@ -21,10 +21,12 @@
 use crate::feed::Inner;
 use crate::message::Answer;
 use read::Cursor;
-use source::Sources;
+use source::{Roles, Sources};
 
-/// Interval of the checks whether a read or a question is due, or a confirmation has ended.
+/// Interval of the checks whether a read or a question is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval of the checks whether a confirmation has ended.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a caller waits before its next attempt: daemons ask for confirmations more often.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -102,6 +104,7 @@
     cursors: Vec<Cursor>,
     read: read::Attempts,
     sources: Sources,
+    roles: Option<Roles>,
     reads: u64,
     reads_failed: u64,
     asked: u64,
@@ -174,7 +177,7 @@
         self.versions.subscribe()
     }
 
-    /// Sets whether this daemon asks as often as a watcher.
+    /// Sets whether this daemon is informed as soon as a watcher.
     pub(crate) fn hasten(&self, hastened: bool) {
         self.hastened.send_replace(hastened);
     }
@@ -249,23 +252,32 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The part of this daemon by the roster, taken anew at intervals.
+fn with_roles<T>(inner: &Inner, confirming: &Confirming, with: impl FnOnce(&Roles) -> T) -> T {
+    let now = confirming.clock.now();
+    let mut state = confirming.state.lock();
+    if !state
+        .roles
+        .as_ref()
+        .is_some_and(|roles| roles.is_fresh(now))
+    {
+        drop(state);
+        let hastened = *confirming.hastened.borrow();
+        let roles = inner.with(|roster| Roles::of(roster, now, hastened));
+        state = confirming.state.lock();
+        state.roles = Some(roles);
+    }
+    let roles = state.roles.get_or_insert_default();
+    with(roles)
+}
+
 /// The place of this daemon in confirming.
 fn place(inner: &Inner, confirming: &Confirming) -> Place {
-    let (me, watchers) = inner.with(|roster| (roster.me().clone(), roster.ranked_watchers()));
-    let count = |number: usize| u32::try_from(number).unwrap_or(u32::MAX);
-    match watchers.iter().position(|name| *name == me) {
-        Some(rank) => Place::Watcher {
-            rank: count(rank),
-            of: count(watchers.len()),
-        },
-        None if confirming
-            .state
-            .lock()
-            .sources
-            .is_isolated(confirming.clock.now()) =>
-        {
-            Place::Isolated
-        }
+    let watcher = with_roles(inner, confirming, Roles::watcher);
+    let now = confirming.clock.now();
+    match watcher {
+        Some(place) => place,
+        None if confirming.state.lock().sources.is_isolated(now) => Place::Isolated,
         None => Place::Member,
     }
 }
@@ -278,7 +290,7 @@
     inner.listed.cancelled().await;
     let check = async {
         loop {
-            sleep(CHECK_INTERVAL).await;
+            sleep(END_CHECK_INTERVAL).await;
             let _ = confirming.check(inner.current.version());
         }
     };
--- a/crates/feed/src/confirm/pull.rs
+++ b/crates/feed/src/confirm/pull.rs
@@ -6,58 +6,64 @@
 use tokio::time::sleep;
 use unit::{Instance, Version};
 
-use super::source::sources;
-use super::{CHECK_INTERVAL, Confirming, place};
+use super::source::Roles;
+use super::{CHECK_INTERVAL, Confirming, place, with_roles};
 use crate::feed::Inner;
 use crate::message::{Answer, Message};
 use crate::{Error, carrier};
 
-/// Interval at which a daemon asks.
-const INTERVAL: Duration = Duration::from_millis(600);
-/// The same for a watcher or a daemon that has to be informed sooner.
-const SHORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two questions at least, and between questions while there is nothing newer.
+const MIN_INTERVAL: Duration = Duration::from_millis(400);
+/// How long after the one above it in the tree a daemon asks. Ages are those of the same read
+/// everywhere, so that all ask in the order of the tree without knowing of each other.
+const LEVEL_STEP: Duration = Duration::from_millis(100);
 /// Time to wait for an answer before the next source is asked.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum number of sources asked in one interval.
+/// Maximum number of sources asked at once, one after another.
 const MAX_ASKS: usize = 3;
 /// Age above which a source that knows nothing newer is not the last that is asked: in a fleet
 /// without faults ages stay below.
 const OVERDUE_AGE: Duration = Duration::from_millis(1_800);
-/// How long before its own read a watcher asks once more, so that it does not read what the one
-/// before it in rank has just read.
-const LAST_ASK: Duration = Duration::from_millis(200);
+/// How long after its read has become due the first in rank asks others.
+const READ_SLACK: Duration = Duration::from_millis(300);
+/// Time between two rounds of questions after one that did not help.
+const OVERDUE_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Asks whenever that is due. Never returns.
 pub(super) async fn run(inner: &Inner, confirming: &Confirming) {
     // Daemons that start at once do not ask at once.
-    sleep(inner.jitter(SHORT_INTERVAL)).await;
+    sleep(inner.jitter(MIN_INTERVAL)).await;
     let mut last: Option<Moment> = None;
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = confirming.clock.now();
         let since = last.map(|last| now.since(last));
-        if since.is_none_or(|since| is_due(inner, confirming, since)) {
+        if is_due(inner, confirming, since) {
             last = Some(now);
             ask_sources(inner, confirming).await;
         }
     }
 }
 
-fn is_due(inner: &Inner, confirming: &Confirming, since: Duration) -> bool {
+/// Whether those above in the tree should know something newer, and the last question, `since` ago,
+/// was not just now.
+fn is_due(inner: &Inner, confirming: &Confirming, since: Option<Duration>) -> bool {
     let place = place(inner, confirming);
-    let is_watcher = matches!(place, Place::Watcher { .. });
-    let interval = match is_watcher || *confirming.hastened.borrow() {
-        true => SHORT_INTERVAL,
-        false => INTERVAL,
-    };
     let age = confirming.age();
-    if is_reader(place) && confirming.schedule.read_age(place, false) > Some(age) {
-        // It reads by itself before its confirmation gets old.
+    let interval = match age < OVERDUE_AGE {
+        true => MIN_INTERVAL,
+        false => OVERDUE_INTERVAL,
+    };
+    if since.is_some_and(|since| since < interval) {
         return false;
     }
+    let depth = with_roles(inner, confirming, Roles::depth);
     let read_age = confirming.schedule.read_age(place, false);
-    let reads_soon = read_age.is_some_and(|read_age| age + LAST_ASK >= read_age);
-    since >= interval || (is_watcher && reads_soon && since >= LAST_ASK)
+    if is_reader(place) {
+        // It reads by itself, and asks others only if that has failed.
+        return read_age.is_some_and(|read_age| age >= read_age + READ_SLACK);
+    }
+    age >= confirming.schedule.initial_age() + LEVEL_STEP * depth
 }
 
 /// Whether this daemon is the first in rank.
@@ -67,7 +73,7 @@
 
 /// Asks one source after another until one knows something newer.
 async fn ask_sources(inner: &Inner, confirming: &Confirming) {
-    let sources = inner.with(|roster| sources(roster));
+    let sources = with_roles(inner, confirming, Roles::sources);
     let now = confirming.clock.now();
     let first = confirming.state.lock().sources.first(now, sources.len());
     for asked in 0..sources.len().min(MAX_ASKS) {
--- a/crates/feed/src/confirm/read.rs
+++ b/crates/feed/src/confirm/read.rs
@@ -19,9 +19,9 @@
 const NO_WAIT: Duration = Duration::from_millis(1);
 /// How long a daemon that failed to read leaves reading to the ranks behind it.
 const STEP_BACK: Duration = Duration::from_secs(5);
-/// How long after its start a daemon that knows no others waits for them. Otherwise all daemons of a
-/// fleet that starts at once would read.
-const ALONE_GRACE: Duration = Duration::from_millis(500);
+/// How long after its start a daemon that knows no others waits for them: longer than it takes to
+/// list again. Otherwise all daemons of a fleet that starts for the first time would read.
+const ALONE_GRACE: Duration = Duration::from_millis(2_500);
 
 /// What the last read of one key has shown.
 #[derive(Debug, Clone, Default)]
@@ -42,7 +42,8 @@
 /// Reads whenever that is due. Never returns.
 pub(super) async fn run(inner: &Inner, confirming: &Confirming) {
     loop {
-        if is_due(inner, confirming) {
+        let place = place(inner, confirming);
+        if is_due(confirming, place) {
             read(inner, confirming).await;
         } else {
             sleep(CHECK_INTERVAL).await;
@@ -50,8 +51,7 @@
     }
 }
 
-fn is_due(inner: &Inner, confirming: &Confirming) -> bool {
-    let place = place(inner, confirming);
+fn is_due(confirming: &Confirming, place: Place) -> bool {
     let now = confirming.clock.now();
     let is_alone = matches!(place, Place::Watcher { of: 1, .. });
     if is_alone && now.since(confirming.started) < ALONE_GRACE {
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -212,7 +212,7 @@
         confirming.map(Confirming::versions)
     }
 
-    /// Sets whether this daemon renews its confirmation as often as a watcher does.
+    /// Sets whether this daemon is informed of confirmations as soon as a watcher is.
     pub fn hasten_confirmations(&self, hastened: bool) {
         if let Some(confirming) = &self.inner.confirming {
             confirming.hasten(hastened);
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Feeds in a network and on a platform that fail.
 
 mod bulk;
+mod confirm;
 mod cost;
 mod era;
 mod evacuation;
@@ -8,4 +9,5 @@
 mod parted;
 mod piece;
 mod spread;
+mod texts;
 mod world;
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -5,18 +5,20 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use feed::{Carrier, Current, Error, Feed, Pace};
+use confirm::Clock;
+use feed::{Carrier, Confirm, Current, Error, Feed, Pace};
 use parking_lot::Mutex;
-use rand::{RngExt, SeedableRng};
-use rand_pcg::Pcg64Mcg;
 use roster::{Policy, Record, Roster, Shared, State};
 use standin::Platform;
 use store::Condition;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 use unit::{Fingerprint, Incarnation, Instance, Version};
 use wire::Peer;
 
+pub use crate::texts::{long_text, many_rules, text};
+
 /// One way between two daemons, and the time that each call on the platform takes.
 pub const HOP: Duration = Duration::from_millis(5);
 pub const RULES: &str = "rules";
@@ -41,6 +43,12 @@
     mode: Mode,
     /// Whether they follow evacuations in the store.
     evacuations: bool,
+    /// Those named here neither send nor hear anything until they are thawed.
+    frozen: watch::Sender<BTreeSet<Instance>>,
+    /// How long the machine of each daemon was suspended without its monotonic clock.
+    suspended: Mutex<BTreeMap<Instance, Duration>>,
+    /// What daemons confirm, but for the clock.
+    confirm: Option<Confirm>,
     /// Bytes a second that each daemon can send; no bound if it is `None`.
     bandwidth: Mutex<Option<u64>>,
     /// Held by a daemon while one slice of one message leaves it.
@@ -91,6 +99,8 @@
 
     async fn hop(&self, from: &Instance, to: &Instance) {
         sleep(HOP).await;
+        self.thawed(from).await;
+        self.thawed(to).await;
         if !self.passes(from, to) {
             std::future::pending::<()>().await;
         }
@@ -158,6 +168,33 @@
         self.mistaken.lock().get(name).copied().unwrap_or(0)
     }
 
+    /// Freezes `names`, or thaws them if there are none.
+    pub fn freeze(&self, names: impl IntoIterator<Item = Instance>) {
+        self.frozen.send_replace(names.into_iter().collect());
+    }
+
+    async fn thawed(&self, name: &Instance) {
+        let mut frozen = self.frozen.subscribe();
+        // The sender lives as long as the network.
+        let _ = frozen.wait_for(|frozen| !frozen.contains(name)).await;
+    }
+
+    /// Suspends the machine of a daemon for a time that its monotonic clock does not count.
+    pub fn suspend(&self, name: &Instance, time: Duration) {
+        *self.suspended.lock().entry(name.clone()).or_default() += time;
+    }
+
+    /// What a daemon confirms.
+    fn confirm(self: &Arc<Net>, name: &Instance) -> Option<Confirm> {
+        let (net, name) = (self.clone(), name.clone());
+        let suspended = move || net.suspended.lock().get(&name).copied().unwrap_or_default();
+        let confirm = self.confirm.clone()?;
+        Some(Confirm {
+            clock: Clock::new(suspended),
+            ..confirm
+        })
+    }
+
     /// Parts `names` from the others; nobody is parted if there are none.
     pub fn part(&self, names: impl IntoIterator<Item = Instance>) {
         *self.aside.lock() = names.into_iter().collect();
@@ -197,8 +234,11 @@
             .standing(standing)
             .pace(pace(net.mode))
             .mistaken(move || dials.mistaken(&dialler))
-            .seed(seed)
-            .build();
+            .seed(seed);
+        let feed = match net.confirm(&name) {
+            Some(confirm) => feed.confirm(confirm).build(),
+            None => feed.build(),
+        };
         let reached = (feed.clone(), roster.clone());
         net.feeds.lock().insert(name.clone(), reached);
         let run = feed.clone();
@@ -275,8 +315,18 @@
         World::with(net, count, ZONES.len()).await.settle().await
     }
 
+    /// Daemons that have just started and confirm their configuration.
+    pub async fn confirming(confirm: Confirm, count: usize, zones: usize) -> World {
+        let net = Net {
+            mode: Mode::Greeting,
+            confirm: Some(confirm),
+            ..Net::default()
+        };
+        World::with(net, count, zones).await
+    }
+
     /// Waits until all know all, and for some seconds more.
-    async fn settle(self) -> World {
+    pub async fn settle(self) -> World {
         let world = self;
         let has_rules = |node: &Node| node.rules() > Version::NONE;
         let whole = || world.is_whole() && world.nodes.iter().all(has_rules);
@@ -423,62 +473,3 @@
         fingerprint: Fingerprint(print),
     }
 }
-
-/// A document of rules that differs by its name.
-pub fn text(name: &str) -> String {
-    format!(r#"{{ "rules": [{{ "name": "{name}", "then": {{ "service": "vault-desk" }} }}] }}"#)
-}
-
-/// A document of as many rules as said, with names and prefixes that nothing repeats.
-pub fn many_rules(name: &str, rules: usize) -> String {
-    let mut rng = Pcg64Mcg::seed_from_u64(rules as u64);
-    let mut word = |length: usize| -> String {
-        let letters = (0..length).map(|_| char::from(rng.random_range(b'a'..=b'z')));
-        letters.collect()
-    };
-    let rule = |_| {
-        let (name, prefix) = (word(6), word(8));
-        format!(
-            r#"{{"name":"{name}","then":{{"attempts":2,"objective":"800ms","priority":1,"repeat":true,"service":"vault-desk","timeout":"1500ms"}},"when":{{"host":"bade94.example","prefix":"/{prefix}/"}}}}"#
-        )
-    };
-    let rules: Vec<String> = (0..rules).map(rule).collect();
-    let last = format!(r#"{{"name":"{name}","then":{{"service":"vault-desk"}}}}"#);
-    format!(r#"{{"rules":[{},{last}]}}"#, rules.join(","))
-}
-
-/// A document of at least `bytes` bytes, most of them a comment that hardly packs.
-pub fn long_text(name: &str, bytes: usize) -> String {
-    let mut rng = Pcg64Mcg::seed_from_u64(bytes as u64);
-    let letters: Vec<char> = ('a'..='z').chain('A'..='Z').chain('0'..='9').collect();
-    let pad: String = (0..bytes)
-        .map(|_| letters[rng.random_range(0..letters.len())])
-        .collect();
-    format!("{} // {pad}", text(name))
-}
-
-/// What the daemons of a world cost together.
-#[derive(Debug)]
-pub struct Cost {
-    /// Calls on the platform begun each second.
-    pub calls: f64,
-    /// Watches that wait.
-    pub waiting: f64,
-    /// Bytes a second for each daemon, sent and received.
-    pub bytes: f64,
-}
-
-impl World {
-    /// What all cost over some seconds in which nothing happens.
-    pub async fn cost(&self, seconds: u64) -> Cost {
-        sleep(Duration::from_secs(60)).await;
-        let (calls, bytes) = (self.calls(), self.bytes());
-        sleep(Duration::from_secs(seconds)).await;
-        let each = seconds as f64 * self.nodes.len() as f64;
-        Cost {
-            calls: (self.calls() - calls) as f64 / seconds as f64,
-            waiting: f64::from(self.platform.count().waiting),
-            bytes: (self.bytes() - bytes) as f64 / each,
-        }
-    }
-}
