--- a/bin/appleshore/src/top/state.rs
+++ b/bin/appleshore/src/top/state.rs
@@ -25,6 +25,8 @@
     pub(super) roster: Roster,
     pub(super) gate: Gate,
     pub(super) entry: Entry,
+    /// Missing where a daemon does not tell.
+    pub(super) feed: Option<Feed>,
 }
 
 #[derive(Deserialize)]
@@ -50,6 +52,19 @@
     pub(super) evacuated: bool,
 }
 
+#[derive(Deserialize)]
+pub(super) struct Feed {
+    /// Missing where the configuration is not confirmed.
+    #[serde(default)]
+    pub(super) confirmations: Option<Confirmations>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct Confirmations {
+    pub(super) age_ms: Option<u64>,
+    pub(super) serving: bool,
+}
+
 #[derive(Deserialize)]
 pub(super) struct Entry {
     pub(super) outcomes: Outcomes,
@@ -90,7 +105,7 @@
     pub(super) zone: String,
 }
 
-/// Reads a daemon; all three parts have `limit` each.
+/// Reads a daemon; all four parts have `limit` each.
 pub(super) async fn sample(address: SocketAddr, limit: Duration) -> Sample {
     let state = read(address, limit).await;
     Sample {
@@ -105,6 +120,7 @@
         roster: part(address, Part::Roster, limit).await?,
         gate: part(address, Part::Gate, limit).await?,
         entry: part(address, Part::Entry, limit).await?,
+        feed: part(address, Part::Feed, limit).await.ok(),
     })
 }
 
--- a/bin/appleshore/src/top/view.rs
+++ b/bin/appleshore/src/top/view.rs
@@ -7,9 +7,9 @@
 use ratatui::widgets::{Cell, Row, Table, Widget};
 use unit::Report;
 
-use super::state::{Line, Sample, State};
+use super::state::{Confirmations, Line, Sample, State};
 
-const DAEMONS: [(&str, u16); 11] = [
+const DAEMONS: [(&str, u16); 12] = [
     ("daemon", 22),
     ("zone", 10),
     ("run/lim", 9),
@@ -20,6 +20,7 @@
     ("pace", 5),
     ("ran/s", 7),
     ("refused/s", 9),
+    ("confirmed", 9),
     ("state", 18),
 ];
 const TARGETS: [(&str, u16); 10] = [
@@ -85,6 +86,7 @@
         pace(report),
         rate(|[ran, _]| ran),
         rate(|[_, refused]| refused),
+        confirmed(state),
         daemon_state(state),
     ]
 }
@@ -101,10 +103,25 @@
     ])
 }
 
+fn confirmations(state: &State) -> Option<&Confirmations> {
+    state.feed.as_ref()?.confirmations.as_ref()
+}
+
+/// The age of the configuration; nothing where it is not confirmed.
+fn confirmed(state: &State) -> String {
+    let Some(confirmations) = confirmations(state) else {
+        return String::new();
+    };
+    let age = confirmations.age_ms;
+    age.map_or("never".to_string(), |age| format!("{age}ms"))
+}
+
 fn daemon_state(state: &State) -> String {
     let gate = &state.gate;
     let unknown = state.entry.outcomes.unknown;
+    let is_unconfirmed = confirmations(state).is_some_and(|confirmations| !confirmations.serving);
     let flags = [
+        (is_unconfirmed, "unconfirmed".to_string()),
         (gate.down, "down".to_string()),
         (gate.leaving, "leaving".to_string()),
         (gate.evacuated, "evacuated".to_string()),
--- a/bin/appleshore/tests/it/top.rs
+++ b/bin/appleshore/tests/it/top.rs
@@ -47,6 +47,9 @@
                 "services": [{ "service": "desk", "choice": { "targets": targets }, "retries": {} }],
             })
         }
+        "/dump/feed" if name == "b" => json!({
+            "confirmations": { "age_ms": 12_345, "lasts_ms": 4_500, "serving": false },
+        }),
         _ => return None,
     };
     Some(json!({ "part": path, "state": state }))
@@ -93,6 +96,9 @@
         refused > 0.0 && refused <= 100.0,
         "20 in 200 ms or more: {refused}"
     );
+    // An operator has to see which daemon refuses requests with keys, and for how long it has.
+    let row = columns(&view.out, "b ");
+    assert_eq!((row[10], row[11]), ("12345ms", "unconfirmed"));
     // Both know of b, and the entry that has heard of it last is believed.
     let lines = view.out.lines().filter(|line| line.starts_with("desk"));
     assert_eq!(lines.count(), 2, "{}", view.out);
--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use entry::{Entry, Limits};
-use feed::{Current, Feed};
+use entry::{Admission, Entry, Limits, Unconfirmed};
+use feed::{Confirm, Current, Feed};
 use gate::Gate;
 use ledger::Ledger;
 use nest::Table;
@@ -105,6 +105,7 @@
 
 /// What ties an entry to the other parts.
 pub(crate) struct Ways<'a> {
+    pub(crate) feed: &'a Feed,
     pub(crate) dialer: &'a Arc<Dialer>,
     pub(crate) current: &'a Arc<Current>,
     pub(crate) directory: &'a Arc<Directory>,
@@ -160,6 +161,7 @@
     .claims(ways.desk.claims())
     .dialect(profile.dialect.clone())
     .retry(profile.retry)
+    .admission(admission(setting, ways.feed))
     .choice(profile.choice);
     if let Some(most) = profile.hand_overs {
         entry = entry.max_handovers(most);
@@ -170,6 +172,23 @@
     entry.build()
 }
 
+/// Admits the requests of workspaces while the rules in force are confirmed as the newest.
+fn admission(setting: &Setting, feed: &Feed) -> Admission {
+    let mut admission = Admission::open();
+    if setting.revoke.is_some() {
+        let feed = feed.clone();
+        let confirmed = move || {
+            let checked = feed.check_confirmed();
+            checked.map_err(|unconfirmed| Unconfirmed {
+                age: unconfirmed.age,
+                retry_after: unconfirmed.retry_after,
+            })
+        };
+        admission.confirmed = Box::new(confirmed);
+    }
+    admission
+}
+
 /// What a feed reads and changes.
 pub(crate) struct Sources<'a> {
     pub(crate) store: &'a Store,
@@ -204,7 +223,7 @@
             .collect()
     };
     let dials = dialer.clone();
-    Feed::builder(store.clone(), roster.clone(), current.clone())
+    let feed = Feed::builder(store.clone(), roster.clone(), current.clone())
         .carrier(feed::over(dialer.clone()))
         .prefix(&setting.announce_prefix)
         .rules_key(&setting.rules_key)
@@ -214,6 +233,15 @@
         .mistaken(move || dials.mistaken())
         .seed(rand::random())
         .pace(profile.pace)
-        .standing(profile.standing)
-        .build()
+        .standing(profile.standing);
+    match setting.revoke {
+        Some(revoke) => {
+            let confirm = Confirm {
+                revoke: Some(revoke),
+                ..Confirm::default()
+            };
+            feed.confirm(confirm).build()
+        }
+        None => feed.build(),
+    }
 }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -124,14 +124,6 @@
             &current,
         ));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
-        let ways = Ways {
-            dialer: &dialer,
-            current: &current,
-            directory: &directory,
-            desk: &desk,
-            profile: &profile,
-        };
-        let entry = Arc::new(assembly::entry(&setting, &ways, held));
         let sources = Sources {
             store: &store,
             roster: &roster,
@@ -143,6 +135,15 @@
         let stale = Arc::new(Notify::new());
         let news = stale.clone();
         let feed = assembly::feed(&setting, &sources, move || news.notify_one());
+        let ways = Ways {
+            feed: &feed,
+            dialer: &dialer,
+            current: &current,
+            directory: &directory,
+            desk: &desk,
+            profile: &profile,
+        };
+        let entry = Arc::new(assembly::entry(&setting, &ways, held));
         hands.give(&feed, &entry);
         directory.refresh(&entry);
         let drain = CancellationToken::new();
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -164,6 +164,7 @@
     era: u64,
     evacuated: bool,
     left_out: u64,
+    confirmations: Option<feed::Confirmations>,
 }
 
 impl Values {
@@ -179,6 +180,7 @@
             era: feed.era.unwrap_or_default().0,
             evacuated: state.evacuations.zones().contains(&state.setting.zone),
             left_out: crate::logging::left_out(),
+            confirmations: feed.confirmations,
         }
     }
 }
@@ -195,6 +197,7 @@
             era,
             evacuated,
             left_out,
+            confirmations,
         } = &self.0;
         counter(
             &mut encoder,
@@ -304,10 +307,58 @@
             "Lines of the log that were left out",
             *left_out,
         )?;
+        if let Some(confirmations) = confirmations {
+            confirmed(&mut encoder, confirmations)?;
+        }
         gauge(&mut encoder, "links", "Links to other daemons", *links)
     }
 }
 
+/// The metrics of a daemon that confirms its configuration. The age is missing before the first
+/// confirmation.
+fn confirmed(encoder: &mut DescriptorEncoder<'_>, state: &feed::Confirmations) -> fmt::Result {
+    if let Some(age) = state.age_ms {
+        gauge(
+            encoder,
+            "confirmation_age_milliseconds",
+            "Time since the rules in force were known to be the newest",
+            age,
+        )?;
+    }
+    gauge(
+        encoder,
+        "confirmed",
+        "Whether requests with keys are served",
+        u64::from(state.serving),
+    )?;
+    let counters = [
+        (
+            "confirm_reads",
+            "Reads of the store to confirm the rules",
+            state.reads,
+        ),
+        (
+            "confirm_reads_failed",
+            "Attempts to confirm the rules at the store that failed",
+            state.reads_failed,
+        ),
+        (
+            "confirm_asked",
+            "Questions to other daemons for a confirmation",
+            state.asked,
+        ),
+        (
+            "confirm_asks_failed",
+            "Questions to other daemons for a confirmation without an answer",
+            state.asks_failed,
+        ),
+    ];
+    for (name, help, value) in counters {
+        counter(encoder, name, help, value)?;
+    }
+    Ok(())
+}
+
 fn counter(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
     let metric = ConstCounter::new(value);
     metric.encode(encoder.encode_descriptor(name, help, None, metric.metric_type())?)
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -9,5 +9,4 @@
 mod parted;
 mod piece;
 mod spread;
-mod texts;
 mod world;
--- a/crates/feed/tests/it/texts.rs
+++ b/crates/feed/tests/it/sample.rs
@@ -1,7 +1,12 @@
-//! Documents of rules.
+//! Announcements and documents of rules.
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use roster::{Record, State};
+use unit::{Fingerprint, Incarnation};
+
+/// The zones of a world, as many of them as it has.
+pub const ZONES: [&str; 4] = ["longbien", "gialam", "caugiay", "dongda"];
 
 /// A document of rules that differs by its name.
 pub fn text(name: &str) -> String {
@@ -35,3 +40,20 @@
         .collect();
     format!("{} // {pad}", text(name))
 }
+
+/// The announcement of the daemon of a number.
+pub fn record(number: usize, zones: usize) -> Record {
+    let parsed = "is a name";
+    let mut print = [0; 32];
+    print[..8].copy_from_slice(&(number as u64).to_le_bytes());
+    Record {
+        instance: format!("desk-{number}").parse().expect(parsed),
+        incarnation: Incarnation(1),
+        state: State::Live,
+        zone: ZONES[number % zones].parse().expect(parsed),
+        region: "hanoi".to_string(),
+        service: "vault-desk".parse().expect(parsed),
+        link: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7000).into(),
+        fingerprint: Fingerprint(print),
+    }
+}
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -8,7 +8,7 @@
 use confirm::Clock;
 use feed::{Carrier, Confirm, Current, Error, Feed, Pace};
 use parking_lot::Mutex;
-use roster::{Policy, Record, Roster, Shared, State};
+use roster::{Policy, Record, Roster, Shared};
 use standin::Platform;
 use store::Condition;
 use tokio::sync::watch;
@@ -17,15 +17,16 @@
 use unit::{Fingerprint, Incarnation, Instance, Version};
 use wire::Peer;
 
-pub use crate::texts::{long_text, many_rules, text};
+#[path = "sample.rs"]
+mod sample;
+
+pub use sample::*;
 
 /// One way between two daemons, and the time that each call on the platform takes.
 pub const HOP: Duration = Duration::from_millis(5);
 pub const RULES: &str = "rules";
 pub const EVACUATIONS: &str = "evacuations/";
 
-const ZONES: [&str; 4] = ["longbien", "gialam", "caugiay", "dongda"];
-
 /// The network; a message that can't pass is never answered.
 ///
 /// As over QUIC, both ends of a link show certificates, and each end refuses one that it doesn't hold
@@ -457,19 +458,28 @@
     }
 }
 
-/// The announcement of the daemon of a number.
-pub fn record(number: usize, zones: usize) -> Record {
-    let parsed = "is a name";
-    let mut print = [0; 32];
-    print[..8].copy_from_slice(&(number as u64).to_le_bytes());
-    Record {
-        instance: format!("desk-{number}").parse().expect(parsed),
-        incarnation: Incarnation(1),
-        state: State::Live,
-        zone: ZONES[number % zones].parse().expect(parsed),
-        region: "hanoi".to_string(),
-        service: "vault-desk".parse().expect(parsed),
-        link: ([10, 0, (number / 250) as u8, (number % 250) as u8], 7000).into(),
-        fingerprint: Fingerprint(print),
+/// What the daemons of a world cost together.
+#[derive(Debug)]
+pub struct Cost {
+    /// Calls on the platform begun each second.
+    pub calls: f64,
+    /// Watches that wait.
+    pub waiting: f64,
+    /// Bytes a second for each daemon, sent and received.
+    pub bytes: f64,
+}
+
+impl World {
+    /// What all cost over some seconds in which nothing happens.
+    pub async fn cost(&self, seconds: u64) -> Cost {
+        sleep(Duration::from_secs(60)).await;
+        let (calls, bytes) = (self.calls(), self.bytes());
+        sleep(Duration::from_secs(seconds)).await;
+        let each = seconds as f64 * self.nodes.len() as f64;
+        Cost {
+            calls: (self.calls() - calls) as f64 / seconds as f64,
+            waiting: f64::from(self.platform.count().waiting),
+            bytes: (self.bytes() - bytes) as f64 / each,
+        }
     }
 }
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -111,6 +111,9 @@
     pub evacuation_prefix: Option<String>,
     /// The bound on cold targets whose rules name a rate; none by default.
     pub cold: Option<Cold>,
+    /// How long after its removal a key may be used at most. If set, requests with keys are served
+    /// only while the rules in force are confirmed as the newest; `None` by default.
+    pub revoke: Option<Duration>,
     /// The key prefix of the ledger in the store; `ledger/` by default.
     pub ledger_prefix: String,
     /// The resource limits of this process.
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -10,7 +10,7 @@
 use crate::address::{self, Endpoint};
 use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, retry};
 
-const FIELDS: [&str; 28] = [
+const FIELDS: [&str; 29] = [
     "instance",
     "zone",
     "region",
@@ -39,6 +39,7 @@
     "retry",
     "evacuation_prefix",
     "cold",
+    "revoke",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -56,6 +57,9 @@
 const MAX_THREADS: u32 = 1_024;
 const MAX_KEY_BYTES: usize = 128;
 const MAX_HEARTBEAT: Duration = Duration::from_secs(600);
+/// The store is read every 0.8 s, so that confirmations that last less would end between two reads.
+const MIN_REVOKE: Duration = Duration::from_secs(1);
+const MAX_REVOKE: Duration = Duration::from_secs(600);
 
 const FORMATS: [(&str, LogFormat); 2] = [("text", LogFormat::Text), ("json", LogFormat::Json)];
 
@@ -107,6 +111,8 @@
     let retry = retry.and_then(|value| retry::read(reader, value));
     let cold = fields.get("cold");
     let cold = cold.and_then(|value| cold::read(reader, value));
+    let revoke = fields.get("revoke");
+    let revoke = revoke.and_then(|value| revocation_time(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -148,6 +154,7 @@
         ledger_prefix: keys.ledger,
         evacuation_prefix: keys.evacuation,
         cold,
+        revoke,
         limits: limits.unwrap_or_else(Limits::default),
         log: log.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or_default(),
@@ -177,6 +184,21 @@
     Some(period)
 }
 
+fn revocation_time<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Duration> {
+    let Span(revoke) = reader.parsed(value)?;
+    if !(MIN_REVOKE..=MAX_REVOKE).contains(&revoke) {
+        let cause = format!(
+            "a revocation within {}: expected {} to {}",
+            Span(revoke),
+            Span(MIN_REVOKE),
+            Span(MAX_REVOKE)
+        );
+        reader.fault_at(value, cause);
+        return None;
+    }
+    Some(revoke)
+}
+
 /// Reads the number of threads from a number of cores, rounded up because a fraction of a core
 /// needs a thread of its own.
 fn thread_count<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<u32> {
