--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -14,6 +14,7 @@
 //! # Ok::<(), unit::Error>(())
 //! ```
 
+mod bandwidth;
 mod cause;
 mod decimal;
 mod error;
@@ -26,6 +27,7 @@
 mod urgency;
 mod version;
 
+pub use bandwidth::Bandwidth;
 pub use cause::Cause;
 pub use decimal::Decimal;
 pub use error::Error;
--- a/crates/unit/tests/text.rs
+++ b/crates/unit/tests/text.rs
@@ -1,6 +1,6 @@
 //! The text forms of ids, sizes and rates.
 
-use unit::{Caller, Fingerprint, Rate, Size, Span, Token, Urgency, Zone};
+use unit::{Bandwidth, Caller, Fingerprint, Rate, Size, Span, Token, Urgency, Zone};
 
 fn round_trip<T>(text: &str)
 where
@@ -17,6 +17,8 @@
     round_trip::<Token>("000000000000000000000000000000ff");
     round_trip::<Size>("9KB");
     round_trip::<Rate>("0.5/s");
+    round_trip::<Bandwidth>("10Mbit/s");
+    round_trip::<Bandwidth>("12500kbit/s");
     round_trip::<Span>("250ms");
     round_trip::<Urgency>("routine");
     round_trip::<Fingerprint>(&"ab".repeat(32));
@@ -32,6 +34,9 @@
     assert!("".parse::<Zone>().is_err());
     assert!("a b".parse::<Caller>().is_err());
     assert!("-1/s".parse::<Rate>().is_err());
+    assert!("0Mbit/s".parse::<Bandwidth>().is_err());
+    assert!("10MB/s".parse::<Bandwidth>().is_err());
+    assert!("Mbit/s".parse::<Bandwidth>().is_err());
     assert!("+f00000000000000000000000000000f".parse::<Token>().is_err());
     assert!("é".repeat(32).parse::<Fingerprint>().is_err());
     assert!("18446744073709551615GB".parse::<Size>().is_err());
