--- a/crates/bandwidth/src/lib.rs
+++ b/crates/bandwidth/src/lib.rs
@@ -16,7 +16,7 @@
 //!
 //! // A backlog of 12.5 kB takes 10 ms, so a piece of a long answer waits.
 //! pacer.record(now, 12_500);
-//! let turn = pacer.join(now);
+//! let turn = pacer.join(now, now);
 //! assert!(matches!(pacer.claim(now, turn, 4_000), Verdict::Until(_)));
 //! # Ok::<(), unit::Error>(())
 //! ```
--- a/crates/bandwidth/src/link.rs
+++ b/crates/bandwidth/src/link.rs
@@ -79,6 +79,7 @@
         Answer {
             link: self.clone(),
             bulk,
+            began: Instant::now(),
             sent: 0,
             expected: 0,
             wait: None,
@@ -134,6 +135,7 @@
 pub struct Answer {
     link: Link,
     bulk: bool,
+    began: Instant,
     sent: u64,
     /// Bytes that were announced by [`Answer::expect`] and are not yet written.
     expected: u64,
@@ -181,7 +183,7 @@
             let now = Instant::now();
             let mut state = self.link.state.lock();
             let wait = self.wait.get_or_insert_with(|| Wait {
-                turn: state.pacer.join(now),
+                turn: state.pacer.join(now, self.began),
                 since: now,
                 timer: None,
             });
--- a/crates/bandwidth/src/pacer.rs
+++ b/crates/bandwidth/src/pacer.rs
@@ -14,6 +14,13 @@
 const PIECE_TIME: Duration = Duration::from_millis(2);
 /// Bounds of a piece in bytes. Each piece costs a frame and a system call.
 const PIECE_BYTES: (u64, u64) = (4_000, 64_000);
+/// Ages of answers that go before others: they should be complete after 2 s, and those that are older
+/// have missed it.
+const PRESSING: std::ops::Range<Duration> = Duration::from_secs(1)..Duration::from_secs(2);
+/// Pieces of pressing answers between two pieces of others. Without the bound, a link that is
+/// overloaded for long would never finish an answer that is older than 2 s.
+/// While all pieces are overdue it is one, so that each answer has its turn.
+const MAX_PRESSING_RUN: u32 = 7;
 /// An answer that has waited this long for its turn gets a piece although the backlog is long.
 const MAX_WAIT: Duration = Duration::from_millis(100);
 /// Such pieces take at most one part in this many of the link. Without the bound, many long answers
@@ -44,6 +51,14 @@
     updated: Instant,
     /// Pieces in the order of their turns, and since when they wait.
     queue: VecDeque<(Turn, Instant)>,
+    /// The piece that is next. It stays the next one until it ends, because the others don't wake by
+    /// themselves.
+    front: Option<Turn>,
+    /// The pieces at the front of the queue whose answers are pressing.
+    pressing: usize,
+    /// Pieces of pressing answers that were written since the last one of another answer.
+    pressing_run: u32,
+    max_pressing_run: u32,
     next_turn: u64,
     /// When a piece may next be written although the backlog is long.
     next_overdue: Instant,
@@ -57,6 +72,10 @@
             backlog: 0.0,
             updated: now,
             queue: VecDeque::new(),
+            front: None,
+            pressing: 0,
+            pressing_run: 0,
+            max_pressing_run: MAX_PRESSING_RUN,
             next_turn: 0,
             next_overdue: now,
         }
@@ -83,17 +102,31 @@
         (self.backlog - self.rate.bytes_in(elapsed)).max(0.0)
     }
 
-    /// Puts the next piece of a long answer at the end of the queue.
-    pub fn join(&mut self, now: Instant) -> Turn {
+    /// Puts the next piece of a long answer, which began at `began`, at the end of the queue.
+    pub fn join(&mut self, now: Instant, began: Instant) -> Turn {
         let turn = Turn(self.next_turn);
         self.next_turn += 1;
-        self.queue.push_back((turn, now));
+        let age = now.saturating_duration_since(began);
+        if PRESSING.contains(&age) {
+            self.queue.insert(self.pressing, (turn, now));
+            self.pressing += 1;
+        } else {
+            self.queue.push_back((turn, now));
+        }
+        self.front = self.front.or(Some(turn));
         turn
     }
 
     /// Removes a piece that will not be written.
     pub fn leave(&mut self, turn: Turn) {
-        self.queue.retain(|(other, _)| *other != turn);
+        let Some(at) = self.queue.iter().position(|(other, _)| *other == turn) else {
+            return;
+        };
+        self.queue.remove(at);
+        self.pressing -= usize::from(at < self.pressing);
+        if self.front == Some(turn) {
+            self.front = self.select();
+        }
     }
 
     /// Number of pieces that wait.
@@ -101,14 +134,25 @@
         self.queue.len()
     }
 
-    /// The piece that is next.
+    /// The piece that is next, until it is written or leaves.
     pub fn next(&self) -> Option<Turn> {
-        self.queue.front().map(|(turn, _)| *turn)
+        self.front
+    }
+
+    fn select(&self) -> Option<Turn> {
+        let other = self.queue.get(self.pressing);
+        let other = other.filter(|_| self.pressing_run >= self.max_pressing_run);
+        let selected = other.or(self.queue.front());
+        selected.map(|(turn, _)| *turn)
     }
 
     /// Asks to write a piece of an answer that has `bytes` left.
     pub fn claim(&mut self, now: Instant, turn: Turn, bytes: usize) -> Verdict {
-        let Some((_, since)) = self.queue.front().filter(|(next, _)| *next == turn) else {
+        if self.front != Some(turn) {
+            return Verdict::Queued;
+        }
+        let place = self.queue.iter().position(|(other, _)| *other == turn);
+        let Some((place, (_, since))) = place.and_then(|at| Some((at, self.queue.get(at)?))) else {
             return Verdict::Queued;
         };
         let backlog = self.backlog(now);
@@ -119,11 +163,17 @@
             return Verdict::Until(short_at.min(overdue_at));
         }
         let bytes = bytes.min(self.piece_bytes());
+        self.max_pressing_run = MAX_PRESSING_RUN;
         if backlog >= MAX_BACKLOG {
+            self.max_pressing_run = 1;
             let time = self.rate.time_of_bytes(bytes as f64);
             self.next_overdue = now + time * OVERDUE_SHARE;
         }
-        self.queue.pop_front();
+        self.pressing_run = match place < self.pressing {
+            true => self.pressing_run.saturating_add(1),
+            false => 0,
+        };
+        self.leave(turn);
         self.record(now, bytes as u64);
         Verdict::Write(bytes)
     }
