--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -28,7 +28,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use unit::{Instance, Service, Zone};
+use unit::{Bandwidth, Instance, Service, Zone};
 
 pub use cold::Cold;
 pub use jsonc::{Error, Fault};
@@ -111,6 +111,8 @@
     pub evacuation_prefix: Option<String>,
     /// The bound on cold targets whose rules name a rate; none by default.
     pub cold: Option<Cold>,
+    /// The rate of the machine's link, by which answers are paced. By default they are not paced.
+    pub bandwidth: Option<Bandwidth>,
     /// The key prefix of the ledger in the store; `ledger/` by default.
     pub ledger_prefix: String,
     /// The resource limits of this process.
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -5,12 +5,12 @@
 
 use jsonc::{Error, Fields, Reader, Value};
 use log::LevelFilter;
-use unit::{Decimal, Span};
+use unit::{Bandwidth, Decimal, Span};
 
 use crate::address::{self, Endpoint};
 use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, retry};
 
-const FIELDS: [&str; 28] = [
+const FIELDS: [&str; 29] = [
     "instance",
     "zone",
     "region",
@@ -39,6 +39,7 @@
     "retry",
     "evacuation_prefix",
     "cold",
+    "bandwidth",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -57,6 +58,11 @@
 const MAX_KEY_BYTES: usize = 128;
 const MAX_HEARTBEAT: Duration = Duration::from_secs(600);
 
+const BANDWIDTH_RANGE: (Bandwidth, Bandwidth) = (
+    Bandwidth::of_bits(1_000_000),
+    Bandwidth::of_bits(100_000_000_000),
+);
+
 const FORMATS: [(&str, LogFormat); 2] = [("text", LogFormat::Text), ("json", LogFormat::Json)];
 
 const LINKS: [(&str, Links); 2] = [("quic", Links::Quic), ("tcp", Links::Tcp)];
@@ -107,6 +113,8 @@
     let retry = retry.and_then(|value| retry::read(reader, value));
     let cold = fields.get("cold");
     let cold = cold.and_then(|value| cold::read(reader, value));
+    let bandwidth = fields.get("bandwidth");
+    let bandwidth = bandwidth.and_then(|value| link_rate(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -148,6 +156,7 @@
         ledger_prefix: keys.ledger,
         evacuation_prefix: keys.evacuation,
         cold,
+        bandwidth,
         limits: limits.unwrap_or_else(Limits::default),
         log: log.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or_default(),
@@ -177,6 +186,17 @@
     Some(period)
 }
 
+fn link_rate<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Bandwidth> {
+    let rate: Bandwidth = reader.parsed(value)?;
+    let (min, max) = BANDWIDTH_RANGE;
+    if !(min..=max).contains(&rate) {
+        let cause = format!("{rate} is out of range: expected {min} to {max}");
+        reader.fault_at(value, cause);
+        return None;
+    }
+    Some(rate)
+}
+
 /// Reads the number of threads from a number of cores, rounded up because a fraction of a core
 /// needs a thread of its own.
 fn thread_count<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<u32> {
