Pace long answers of gates and entries by the machine's link

Cause: all answers were written as soon as they were there, and urgent ones waited behind long ones in the buffers before the link. Change: with the setting bandwidth one link per daemon counts all answers to other instances and to callers from outside; pieces of long answers are written on their turn. A gate frees the target's slot once the complete body is read, so that the target does not wait for the link. The dump has a part bandwidth, and there are five metrics.

--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -40,10 +40,10 @@
 pub(crate) fn server(
     setting: &Setting,
     profile: &Profile,
-    parts: (&Table, &held::Table),
+    parts: (&Table, &held::Table, Option<&bandwidth::Link>),
     current: &Arc<Current>,
 ) -> Server {
-    let (nests, held) = parts;
+    let (nests, held, link) = parts;
     let slots = u16::try_from(setting.slots).unwrap_or(u16::MAX);
     let queue = setting.slots as usize * setting.limits.queue as usize;
     let mut gate = Gate::builder(slots).queue(queue);
@@ -57,12 +57,18 @@
             .reserve(0.0)
             .isolate_suspects(false);
     }
-    let server = Server::builder(setting.service.clone(), setting.target, gate.build())
+    let mut server = Server::builder(setting.service.clone(), setting.target, gate.build())
         .nests(nests.clone())
         .max_depth(Depth(setting.limits.depth))
         .idle_timeout(setting.limits.idle.0)
         .held(held.clone())
         .dialect(profile.dialect.clone());
+    if let Some(link) = link {
+        server = server.link(target::Link {
+            link: link.clone(),
+            instance: setting.instance.clone(),
+        });
+    }
     match profile.heartbeat {
         Some(period) => server
             .heartbeats(heartbeats(setting, period, current))
@@ -110,6 +116,7 @@
     pub(crate) directory: &'a Arc<Directory>,
     pub(crate) desk: &'a Arc<Desk>,
     pub(crate) profile: &'a Profile,
+    pub(crate) link: Option<&'a bandwidth::Link>,
 }
 
 pub(crate) fn desk(
@@ -167,6 +174,9 @@
     if let Some(bound) = profile.link_within {
         entry = entry.link_timeout(bound);
     }
+    if let Some(link) = ways.link {
+        entry = entry.link(link.clone());
+    }
     entry.build()
 }
 
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -117,10 +117,11 @@
         let current = Arc::new(Current::default());
         let nests = Table::default();
         let held = held::Table::new(HELD, HELD_FOR);
+        let link = setting.bandwidth.map(bandwidth::Link::new);
         let server = Arc::new(assembly::server(
             &setting,
             &profile,
-            (&nests, &held),
+            (&nests, &held, link.as_ref()),
             &current,
         ));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
@@ -130,6 +131,7 @@
             directory: &directory,
             desk: &desk,
             profile: &profile,
+            link: link.as_ref(),
         };
         let entry = Arc::new(assembly::entry(&setting, &ways, held));
         let sources = Sources {
@@ -157,6 +159,7 @@
             dialer,
             feed,
             profile,
+            link,
             drain,
         };
         let close = CancellationToken::new();
--- a/crates/appleshore/src/dump.rs
+++ b/crates/appleshore/src/dump.rs
@@ -34,11 +34,14 @@
     /// The links.
     #[display("links")]
     Links,
+    /// The rate and the backlog of the machine's link, if answers are paced.
+    #[display("bandwidth")]
+    Bandwidth,
 }
 
 impl Part {
     /// All parts.
-    pub const ALL: [Part; 8] = [
+    pub const ALL: [Part; 9] = [
         Part::Setting,
         Part::Rules,
         Part::Entry,
@@ -47,6 +50,7 @@
         Part::Feed,
         Part::Ledger,
         Part::Links,
+        Part::Bandwidth,
     ];
 }
 
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -164,6 +164,7 @@
     era: u64,
     evacuated: bool,
     left_out: u64,
+    link: Option<bandwidth::Dump>,
 }
 
 impl Values {
@@ -179,6 +180,7 @@
             era: feed.era.unwrap_or_default().0,
             evacuated: state.evacuations.zones().contains(&state.setting.zone),
             left_out: crate::logging::left_out(),
+            link: state.link.as_ref().map(bandwidth::Link::dump),
         }
     }
 }
@@ -195,7 +197,11 @@
             era,
             evacuated,
             left_out,
+            link,
         } = &self.0;
+        if let Some(link) = link {
+            encode_link(&mut encoder, link)?;
+        }
         counter(
             &mut encoder,
             "ran",
@@ -308,6 +314,39 @@
     }
 }
 
+/// What a paced link has carried and holds back.
+fn encode_link(encoder: &mut DescriptorEncoder<'_>, link: &bandwidth::Dump) -> fmt::Result {
+    gauge(
+        encoder,
+        "link_backlog_microseconds",
+        "Time that the link needs for what was written on answers",
+        link.backlog_us,
+    )?;
+    gauge(
+        encoder,
+        "link_unwritten_bytes",
+        "Bytes of long answers that wait for the link",
+        link.unwritten,
+    )?;
+    let counters = [
+        ("link_bytes", "Bytes written on answers", link.written),
+        (
+            "link_paced_bytes",
+            "Bytes of long answers written on their turn, among the others",
+            link.paced,
+        ),
+        (
+            "link_waited_microseconds",
+            "Time that pieces of long answers have waited for their turn",
+            link.waited_us,
+        ),
+    ];
+    for (name, help, value) in counters {
+        counter(encoder, name, help, value)?;
+    }
+    Ok(())
+}
+
 fn counter(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
     let metric = ConstCounter::new(value);
     metric.encode(encoder.encode_descriptor(name, help, None, metric.metric_type())?)
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -27,6 +27,8 @@
     pub(crate) dialer: Arc<Dialer>,
     pub(crate) feed: Feed,
     pub(crate) profile: Profile,
+    /// The machine's link, if answers are paced.
+    pub(crate) link: Option<bandwidth::Link>,
     /// Set when a planned stop is asked for.
     pub(crate) drain: CancellationToken,
 }
@@ -51,6 +53,7 @@
                 serde_json::to_value(self.roster.with(|roster| roster.dump(Instant::now())))
             }
             Part::Links => serde_json::to_value(self.links()),
+            Part::Bandwidth => serde_json::to_value(self.link.as_ref().map(bandwidth::Link::dump)),
         };
         let state = state.unwrap_or_else(|error| error.to_string().into());
         Dump { part, state }
--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -60,6 +60,7 @@
     pub(crate) max_handovers: Option<u32>,
     pub(crate) choice: pick::Setting,
     pub(crate) link_timeout: Option<Duration>,
+    pub(crate) link: Option<bandwidth::Link>,
 }
 
 impl Entry {
@@ -88,6 +89,7 @@
             max_handovers: None,
             choice: pick::Setting::default(),
             link_timeout: None,
+            link: None,
         }
     }
 }
@@ -171,6 +173,13 @@
         self
     }
 
+    /// Sets the machine's link, by which long answers to callers from outside are paced. By default
+    /// they are not paced.
+    pub fn link(mut self, link: bandwidth::Link) -> Builder {
+        self.link = Some(link);
+        self
+    }
+
     /// Builds the entry.
     pub fn build(self) -> Entry {
         Entry::new(self)
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -17,7 +17,7 @@
 use crate::job::{Budget, Head, Job};
 use crate::once::{Once, claim_key};
 use crate::request_body::{self, REPLAYABLE_BYTES, RequestBody};
-use crate::{Body, Entry, InFlight, Origin, Reason, Refusal};
+use crate::{Body, Entry, InFlight, Origin, Reason, Refusal, paced};
 
 /// What the head of a request that is forwarded to a service determines.
 struct Routed<'a> {
@@ -65,7 +65,11 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
-        response
+        match (&self.setting.link, &origin) {
+            (Some(link), Origin::Outside(_)) => paced::pace(link, response, false),
+            // The own target's answers don't cross the link.
+            _ => response,
+        }
     }
 
     fn refuse(&self, parts: &Parts, refusal: Refusal) -> Response<Body> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod notices;
 mod once;
 mod origin;
+mod paced;
 mod port;
 mod refusal;
 mod request_body;
--- a/crates/target/src/answer.rs
+++ b/crates/target/src/answer.rs
@@ -15,6 +15,10 @@
 /// Bodies up to about this size are buffered; see [`Relay::buffer_first`].
 const BUFFER_SIZE: usize = 128 << 10;
 
+/// The same for an answer that is paced by the link. Its target need not wait for the link, and the
+/// longest answers that are expected have 540 kB.
+const PACED_BUFFER_SIZE: usize = 1 << 20;
+
 /// A body that takes longer than this to read is streamed.
 const BUFFER_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -43,6 +47,8 @@
     /// Whether to read a short body to its end before any of the answer is sent. If the target truncates
     /// the answer, another target's can then replace it, provided that the request may be repeated.
     pub(crate) buffer_first: bool,
+    /// Paces the body if it is long.
+    pub(crate) paced: Option<bandwidth::Answer>,
 }
 
 /// The result of reading one piece of the body.
@@ -52,38 +58,53 @@
     Stop(Ended),
 }
 
+/// What of a body was read before any of the answer is sent.
+pub(crate) struct Start {
+    pub(crate) data: Bytes,
+    /// Whether that is the complete body.
+    pub(crate) complete: bool,
+}
+
 impl Relay<'_> {
-    /// Sends `reply` and the body that follows on `connection`.
-    pub(crate) async fn run(
-        mut self,
-        reply: &Reply,
-        connection: &mut Connection,
-    ) -> Result<Ended, Error> {
+    /// Reads the start of the body, if it is to be buffered.
+    pub(crate) async fn buffer(&mut self, connection: &mut Connection) -> Result<Start, Ended> {
+        let size = match self.paced {
+            Some(_) => PACED_BUFFER_SIZE,
+            None => BUFFER_SIZE,
+        };
         let mut start = BytesMut::new();
         let until = Instant::now() + BUFFER_TIMEOUT;
         let complete = loop {
-            if !self.buffer_first || start.len() > BUFFER_SIZE {
+            if !self.buffer_first || start.len() > size {
                 break false;
             }
             match timeout_at(until, self.read(connection)).await {
                 Ok(Read::Data(data)) => start.extend_from_slice(&data),
                 Ok(Read::End) => break true,
-                Ok(Read::Stop(ended)) => return Ok(ended),
+                Ok(Read::Stop(ended)) => return Err(ended),
                 Err(_) => break false,
             }
         };
-        let start = start.freeze();
-        self.sender.push(&Frame::Reply(reply.clone()))?;
+        let data = start.freeze();
+        Ok(Start { data, complete })
+    }
+
+    /// Sends `reply`, the start of the body and, unless that is all, what follows on `connection`.
+    pub(crate) async fn run(
+        mut self,
+        reply: &Reply,
+        start: Start,
+        connection: &mut Connection,
+    ) -> Result<Ended, Error> {
+        let Start { data, complete } = start;
         let mut delivered = true;
-        if !start.is_empty()
-            && let Some(ended) = self.write(start.clone(), &mut delivered).await?
-        {
+        if let Some(ended) = self.send_start(reply, data.clone(), &mut delivered).await? {
             return Ok(ended);
         }
         let copy = match complete {
-            true => self.keep.then_some(start),
+            true => self.keep.then_some(data),
             false => {
-                let mut copy = self.keep.then(|| BytesMut::from(&start[..]));
+                let mut copy = self.keep.then(|| BytesMut::from(&data[..]));
                 if let Some(ended) = self.stream(connection, &mut copy, &mut delivered).await? {
                     return Ok(ended);
                 }
@@ -97,6 +118,33 @@
         Ok(Ended::Complete { copy, delivered })
     }
 
+    /// Sends `reply` and its complete body; returns whether the entry received them.
+    pub(crate) async fn send_complete(mut self, reply: &Reply, body: Bytes) -> Result<bool, Error> {
+        let mut delivered = true;
+        let ended = self.send_start(reply, body, &mut delivered).await?;
+        if ended.is_some() || !delivered {
+            return Ok(false);
+        }
+        self.sender.push(&Frame::End)?;
+        Ok(true)
+    }
+
+    async fn send_start(
+        &mut self,
+        reply: &Reply,
+        data: Bytes,
+        delivered: &mut bool,
+    ) -> Result<Option<Ended>, Error> {
+        self.sender.push(&Frame::Reply(reply.clone()))?;
+        if let Some(paced) = &mut self.paced {
+            paced.expect(data.len());
+        }
+        match data.is_empty() {
+            true => Ok(None),
+            false => self.write(data, delivered).await,
+        }
+    }
+
     /// Streams the rest of a body that was too large or too slow to be buffered. The sender's buffer is
     /// flushed whenever no data of the target is ready.
     async fn stream(
@@ -147,9 +195,50 @@
         }
     }
 
+    /// Writes `data`, piece by piece if the answer is paced. Empty `data` flushes the sender's buffer.
+    async fn write(
+        &mut self,
+        mut data: Bytes,
+        delivered: &mut bool,
+    ) -> Result<Option<Ended>, Error> {
+        while !data.is_empty()
+            && let Some(mut paced) = self.paced.take()
+        {
+            let waits = paced.is_paced();
+            // What has been counted must not stay in the buffer while this answer waits.
+            if waits && let Some(ended) = self.write_now(Bytes::new(), delivered).await? {
+                return Ok(Some(ended));
+            }
+            let bytes = tokio::select! {
+                biased;
+                bytes = paced.acquire(data.len()) => bytes,
+                () = self.sender.stopped(), if !self.keep => return Ok(Some(Ended::Abandoned)),
+            };
+            self.paced = Some(paced);
+            let piece = data.split_to(bytes);
+            if let Some(ended) = self.write_now(piece, delivered).await? {
+                return Ok(Some(ended));
+            }
+            if !*delivered {
+                return Ok(None);
+            }
+            if data.is_empty() {
+                return match waits {
+                    true => self.write_now(Bytes::new(), delivered).await,
+                    false => Ok(None),
+                };
+            }
+        }
+        self.write_now(data, delivered).await
+    }
+
     /// Adds `data` to the sender's buffer, which is flushed when it is full. Empty `data` flushes it at
     /// once.
-    async fn write(&mut self, data: Bytes, delivered: &mut bool) -> Result<Option<Ended>, Error> {
+    async fn write_now(
+        &mut self,
+        data: Bytes,
+        delivered: &mut bool,
+    ) -> Result<Option<Ended>, Error> {
         let written = match data.is_empty() {
             true => timeout(self.idle_timeout, self.sender.flush()).await,
             false => timeout(self.idle_timeout, self.sender.write(data)).await,
--- a/crates/target/src/builder.rs
+++ b/crates/target/src/builder.rs
@@ -7,7 +7,7 @@
 use dialect::Dialect;
 use gate::Gate;
 use nest::Table;
-use unit::{Depth, Service, Size};
+use unit::{Depth, Instance, Service, Size};
 
 use crate::Server;
 
@@ -27,6 +27,16 @@
     pub(crate) held: held::Table,
     pub(crate) dialect: Dialect,
     pub(crate) heartbeats: Option<Heartbeats>,
+    pub(crate) link: Option<Link>,
+}
+
+/// The machine's link, by which answers to other instances are paced.
+#[derive(Clone)]
+pub struct Link {
+    /// The link.
+    pub link: bandwidth::Link,
+    /// The own instance, whose entry is reached without the link.
+    pub instance: Instance,
 }
 
 /// Settings for a target that announces itself by heartbeats.
@@ -67,6 +77,7 @@
             held: held::Table::new(MAX_HELD, HOLD_FOR),
             dialect: Dialect::default(),
             heartbeats: None,
+            link: None,
         }
     }
 
@@ -107,6 +118,12 @@
         self
     }
 
+    /// The machine's link, by which long answers are paced; by default they are not paced.
+    pub fn link(mut self, link: Link) -> Builder {
+        self.link = Some(link);
+        self
+    }
+
     /// Builds the server.
     pub fn build(self) -> Server {
         Server::new(self)
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -23,6 +23,9 @@
 /// remember a token for ever.
 const MAX_REMAINING: Duration = Duration::from_secs(3_600);
 
+/// About how many bytes a refusal with a load report takes on the link.
+const REFUSAL_BYTES: usize = 60;
+
 /// Handles one call to the target.
 pub(crate) struct Handler<'a> {
     server: &'a Server,
@@ -412,6 +415,9 @@
         // that of an urgent call.
         let report = self.server.report(&self.entry, Urgency::Urgent);
         let token = self.call.token;
+        if let Some(link) = self.server.link_to(&self.entry) {
+            link.record(REFUSAL_BYTES);
+        }
         sender.push(&Frame::Refusal(Refusal {
             token,
             cause,
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use gate::End;
 use held::Answer;
 use http::StatusCode;
@@ -14,6 +15,13 @@
 use crate::max_rate::{self, Exchange};
 use crate::verdict::{self, Verdict};
 
+/// Bytes of complete answers that may wait for the link while their slots are free again. It bounds
+/// the memory of a gate whose link is slower than its target.
+const MAX_UNWRITTEN: u64 = 8_000_000;
+
+/// Bytes of a reply's frame besides its headers, with a load report.
+const REPLY_BYTES: usize = 60;
+
 impl Handler<'_> {
     /// Delivers the answer to the entry, or reports why it can't be delivered.
     pub(super) async fn deliver(
@@ -77,22 +85,45 @@
     /// Relays a valid answer to its end.
     async fn relay(
         &self,
-        mut run: Run,
+        run: Run,
         head: response::Head,
         reply: Reply,
         latency: Duration,
         mut connection: Connection,
         mut sender: Sender,
     ) -> Result<(), Error> {
+        let link = self.server.link_to(&self.entry);
+        if let Some(link) = link {
+            link.record(head_bytes(&reply));
+        }
         // For a request that may not be repeated, the relay reads on after the entry has disconnected:
         // the answer is kept for later queries for the token.
-        let relay = Relay {
+        let mut relay = Relay {
             sender: &mut sender,
             idle_timeout: self.server.idle_timeout,
             keep: self.call.once,
             buffer_first: self.server.heartbeats.is_some(),
+            paced: link.map(|link| link.answer(false)),
+        };
+        let start = match relay.buffer(&mut connection).await {
+            Ok(start) => start,
+            Err(ended) => return self.end_early(run, ended, sender).await,
         };
-        let ended = match relay.run(&reply, &mut connection).await {
+        if start.complete && link.is_some_and(|link| link.unwritten() <= MAX_UNWRITTEN) {
+            // The target is done, so its slot must not wait for the link.
+            self.complete(
+                run,
+                &head,
+                &reply,
+                (latency, connection),
+                Some(start.data.clone()),
+            );
+            return match relay.send_complete(&reply, start.data).await? {
+                true => sender.finish().await,
+                false => Ok(()),
+            };
+        }
+        let ended = match relay.run(&reply, start, &mut connection).await {
             Ok(ended) => ended,
             Err(error) => {
                 run.running.finish(End::Cancelled);
@@ -101,31 +132,51 @@
         };
         match ended {
             Ended::Complete { copy, delivered } => {
-                let leaves = reply.notice.as_ref().is_some_and(|notice| notice.leaving);
-                if let (Some(held), Some(body)) = (run.held.take(), copy) {
-                    held.done(Answer { reply, body });
-                }
-                match run.life.is_none() && leaves {
-                    true => self.server.witness_leave(Some(connection)),
-                    false => self.release(connection),
-                }
-                self.finish(run, &head, latency);
+                self.complete(run, &head, &reply, (latency, connection), copy);
                 if delivered {
                     sender.finish().await
                 } else {
                     Ok(())
                 }
             }
-            Ended::Abandoned => {
-                run.running.finish(End::Cancelled);
-                Ok(())
-            }
+            ended => self.end_early(run, ended, sender).await,
+        }
+    }
+
+    /// Ends a run whose answer was read completely.
+    fn complete(
+        &self,
+        mut run: Run,
+        head: &response::Head,
+        reply: &Reply,
+        (latency, connection): (Duration, Connection),
+        copy: Option<Bytes>,
+    ) {
+        let leaves = reply.notice.as_ref().is_some_and(|notice| notice.leaving);
+        if let (Some(held), Some(body)) = (run.held.take(), copy) {
+            let reply = reply.clone();
+            held.done(Answer { reply, body });
+        }
+        match run.life.is_none() && leaves {
+            true => self.server.witness_leave(Some(connection)),
+            false => self.release(connection),
+        }
+        self.finish(run, head, latency);
+    }
+
+    /// Ends a run whose answer was not read completely.
+    async fn end_early(&self, run: Run, ended: Ended, sender: Sender) -> Result<(), Error> {
+        match ended {
             Ended::Truncated(cause) => {
                 self.server.pool.record_violation();
                 let latency = run.started.elapsed();
                 run.running.finish(End::Failed { latency });
                 abort(sender, Abort::broken(cause)).await
             }
+            Ended::Complete { .. } | Ended::Abandoned => {
+                run.running.finish(End::Cancelled);
+                Ok(())
+            }
         }
     }
 
@@ -151,3 +202,10 @@
         run.running.finish(verdict::end(shed, head.status, latency));
     }
 }
+
+/// About how many bytes the head of an answer takes on the link.
+fn head_bytes(reply: &Reply) -> usize {
+    let headers = reply.headers.iter();
+    let headers = headers.map(|header| header.name.len() + header.value.len() + 2);
+    REPLY_BYTES + headers.sum::<usize>()
+}
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -32,7 +32,7 @@
 mod warmth;
 mod watch;
 
-pub use builder::{Builder, ColdLimits, ColdTarget, HealthPath, Heartbeats};
+pub use builder::{Builder, ColdLimits, ColdTarget, HealthPath, Heartbeats, Link};
 pub use connection::Error;
 pub use life::{Effect, Heartbeat, Life, Stage};
 pub use max_rate::{Exchange, MaxRate};
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -22,7 +22,7 @@
 use crate::max_rate::MaxRate;
 use crate::pool::Pool;
 use crate::warmth::Warmth;
-use crate::{Builder, ColdLimits, Heartbeats, Stats};
+use crate::{Builder, ColdLimits, Heartbeats, Link, Stats};
 
 /// Maximum time that a query for a token waits for the call to end.
 const MAX_WAIT: Duration = Duration::from_secs(30);
@@ -38,6 +38,7 @@
     pub(crate) held: held::Table,
     pub(crate) dialect: Dialect,
     pub(crate) heartbeats: Option<Heartbeats>,
+    pub(crate) link: Option<Link>,
     pub(crate) presence: Mutex<Life>,
     pub(crate) warmth: Mutex<Warmth>,
     pub(crate) witness: Mutex<Option<Witness>>,
@@ -88,6 +89,7 @@
             started_at: now,
             dialect: builder.dialect,
             heartbeats: builder.heartbeats,
+            link: builder.link,
             load_reported_at: Mutex::new(None),
             check_requested: Notify::new(),
             life_in_doubt: AtomicBool::new(false),
@@ -139,6 +141,12 @@
         self.report_budget.lock().budget.spent()
     }
 
+    /// The link to `entry`, if answers to it are paced.
+    pub(crate) fn link_to(&self, entry: &Instance) -> Option<&bandwidth::Link> {
+        let Link { link, instance } = self.link.as_ref()?;
+        (instance != entry).then_some(link)
+    }
+
     /// The load report to attach to an answer to `entry`, if the budget allows it.
     pub(crate) fn report(&self, entry: &Instance, urgency: Urgency) -> Option<Report> {
         let report = self.gate.report();
