--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -165,6 +165,7 @@
     evacuated: bool,
     left_out: u64,
     confirmations: Option<feed::Confirmations>,
+    link: Option<bandwidth::Dump>,
 }
 
 impl Values {
@@ -181,6 +182,7 @@
             evacuated: state.evacuations.zones().contains(&state.setting.zone),
             left_out: crate::logging::left_out(),
             confirmations: feed.confirmations,
+            link: state.link.as_ref().map(bandwidth::Link::dump),
         }
     }
 }
@@ -198,7 +200,11 @@
             evacuated,
             left_out,
             confirmations,
+            link,
         } = &self.0;
+        if let Some(link) = link {
+            encode_link(&mut encoder, link)?;
+        }
         counter(
             &mut encoder,
             "ran",
@@ -359,6 +365,39 @@
     Ok(())
 }
 
+/// What a paced link has carried and holds back.
+fn encode_link(encoder: &mut DescriptorEncoder<'_>, link: &bandwidth::Dump) -> fmt::Result {
+    gauge(
+        encoder,
+        "link_backlog_microseconds",
+        "Time that the link needs for what was written on answers",
+        link.backlog_us,
+    )?;
+    gauge(
+        encoder,
+        "link_unwritten_bytes",
+        "Bytes of long answers that wait for the link",
+        link.unwritten,
+    )?;
+    let counters = [
+        ("link_bytes", "Bytes written on answers", link.written),
+        (
+            "link_paced_bytes",
+            "Bytes of long answers written on their turn, among the others",
+            link.paced,
+        ),
+        (
+            "link_waited_microseconds",
+            "Time that pieces of long answers have waited for their turn",
+            link.waited_us,
+        ),
+    ];
+    for (name, help, value) in counters {
+        counter(encoder, name, help, value)?;
+    }
+    Ok(())
+}
+
 fn counter(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
     let metric = ConstCounter::new(value);
     metric.encode(encoder.encode_descriptor(name, help, None, metric.metric_type())?)
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -28,7 +28,7 @@
 use std::time::Duration;
 
 use log::LevelFilter;
-use unit::{Instance, Service, Zone};
+use unit::{Bandwidth, Instance, Service, Zone};
 
 pub use cold::Cold;
 pub use jsonc::{Error, Fault};
@@ -114,6 +114,8 @@
     /// How long after its removal a key may be used at most. If set, requests with keys are served
     /// only while the rules in force are confirmed as the newest; `None` by default.
     pub revoke: Option<Duration>,
+    /// The rate of the machine's link, by which answers are paced. By default they are not paced.
+    pub bandwidth: Option<Bandwidth>,
     /// The key prefix of the ledger in the store; `ledger/` by default.
     pub ledger_prefix: String,
     /// The resource limits of this process.
