Add the decisions of quotas over the fleet

Workspaces of very different size share limits over many daemons, and a limit of 6 in 5 s can't be split evenly over 80.

--- /dev/null
+++ b/crates/quota/src/contact.rs
@@ -0,0 +1,66 @@
+//! When one allocator may be asked.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::{Moment, RENEWAL};
+
+/// The most asks that an allocator gets from one daemon in [`RATE_PERIOD`].
+const MAX_ASKS: usize = 5;
+const RATE_PERIOD: Duration = Duration::from_secs(1);
+
+/// How long an ask may go without an answer. Another one is sent then, and the answer is ignored.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a borrower remembers of one allocator.
+#[derive(Debug, Default)]
+pub(crate) struct Contact {
+    /// The ask under way, and when it was sent.
+    pub(crate) open: Option<(u64, Moment)>,
+    sent: VecDeque<Moment>,
+    renewal: Option<Duration>,
+}
+
+impl Contact {
+    pub(crate) fn is_open(&self, now: Moment) -> bool {
+        self.open
+            .is_some_and(|(_, sent)| now.since(sent) < ASK_TIMEOUT)
+    }
+
+    /// When the next ask may be sent at the earliest.
+    pub(crate) fn free_at(&self) -> Moment {
+        let open = self
+            .open
+            .map_or(Moment::START, |(_, sent)| sent + ASK_TIMEOUT);
+        let full = (self.sent.len() >= MAX_ASKS)
+            .then(|| self.sent.front())
+            .flatten();
+        full.map_or(open, |first| open.max(*first + RATE_PERIOD))
+    }
+
+    /// When the loans should be renewed.
+    pub(crate) fn renewal_at(&self) -> Moment {
+        let renewal = self.renewal.unwrap_or(RENEWAL);
+        self.sent
+            .back()
+            .map_or(Moment::START, |last| *last + renewal)
+    }
+
+    pub(crate) fn sent(&mut self, now: Moment, number: u64) {
+        self.open = Some((number, now));
+        self.sent.push_back(now);
+        while self.sent.len() > MAX_ASKS {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Ends the ask `number`; when it was sent, if it was the one under way.
+    pub(crate) fn close(&mut self, number: u64) -> Option<Moment> {
+        let (_, sent) = self.open.take_if(|(open, _)| *open == number)?;
+        Some(sent)
+    }
+
+    pub(crate) fn set_renewal(&mut self, renewal: Duration) {
+        self.renewal = Some(renewal);
+    }
+}
