Connect quotas to links, feed and entry

The crate quota decides without I/O. The daemon now asks allocators over links (Topic::Quota), answers as an allocator, keeps the list of allocators in the store as a watcher, hands its records over at a planned stop, and counts requests at the entry's hook. The setting quota switches it on.

--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
-use entry::{Entry, Limits};
+use confirm::Clock;
+use entry::{Admission, Entry, Limits};
 use feed::{Current, Feed};
 use gate::Gate;
 use ledger::Ledger;
@@ -13,12 +14,13 @@
 use store::Store;
 use target::{ColdLimits, Heartbeats, Server};
 use tokio_util::task::TaskTracker;
-use unit::{Depth, Fingerprint, Incarnation};
+use unit::{Depth, Fingerprint, Incarnation, Workspace};
 use wire::Dialer;
 
 use crate::claims::Desk;
 use crate::directory::Directory;
 use crate::profile::Profile;
+use crate::quota;
 
 pub(crate) fn record(setting: &Setting, fingerprint: Fingerprint) -> Record {
     // The wall clock orders the lives of one instance; nothing else depends on it.
@@ -110,6 +112,7 @@
     pub(crate) directory: &'a Arc<Directory>,
     pub(crate) desk: &'a Arc<Desk>,
     pub(crate) profile: &'a Profile,
+    pub(crate) quotas: &'a Option<Arc<quota::Desk>>,
 }
 
 pub(crate) fn desk(
@@ -161,6 +164,9 @@
     .dialect(profile.dialect.clone())
     .retry(profile.retry)
     .choice(profile.choice);
+    if let Some(quotas) = ways.quotas {
+        entry = entry.admission(admission(quotas));
+    }
     if let Some(most) = profile.hand_overs {
         entry = entry.max_handovers(most);
     }
@@ -170,6 +176,40 @@
     entry.build()
 }
 
+fn admission(quotas: &Arc<quota::Desk>) -> Admission {
+    let quotas = quotas.clone();
+    Admission {
+        quota: Box::new(move |ask| Box::pin(quotas.clone().take(ask))),
+        ..Admission::open()
+    }
+}
+
+/// The quotas of workspaces; `None` where they are not counted.
+pub(crate) fn quotas(
+    setting: &Setting,
+    clock: &Clock,
+    store: &Store,
+    ways: (&Arc<Shared>, &Arc<Directory>, &Arc<Dialer>),
+    current: &Arc<Current>,
+) -> Option<Arc<quota::Desk>> {
+    let (roster, directory, dialer) = ways;
+    let rules = current.clone();
+    let parts = quota::Parts {
+        roster: roster.clone(),
+        directory: directory.clone(),
+        dialer: dialer.clone(),
+        store: store.clone(),
+        quotas: Box::new(move |workspace| quota_of(&rules, workspace)),
+    };
+    let desk = quota::Desk::new(&setting.quota?, clock.clone(), parts);
+    Some(Arc::new(desk))
+}
+
+/// The quota of a workspace by the rules in force.
+fn quota_of(_rules: &Current, _workspace: &Workspace) -> Option<workspace::Quota> {
+    None
+}
+
 /// What a feed reads and changes.
 pub(crate) struct Sources<'a> {
     pub(crate) store: &'a Store,
@@ -178,6 +218,7 @@
     pub(crate) evacuations: &'a Arc<evacuation::Shared>,
     pub(crate) dialer: &'a Arc<Dialer>,
     pub(crate) profile: &'a Profile,
+    pub(crate) clock: &'a Clock,
 }
 
 /// The feed; `changed` is called when readers of the roster may see a change.
@@ -193,6 +234,7 @@
         evacuations,
         dialer,
         profile,
+        clock,
     } = *sources;
     let evacuation_prefix = setting.evacuation_prefix.as_deref();
     let linked = dialer.clone();
@@ -204,7 +246,7 @@
             .collect()
     };
     let dials = dialer.clone();
-    Feed::builder(store.clone(), roster.clone(), current.clone())
+    let mut feed = Feed::builder(store.clone(), roster.clone(), current.clone())
         .carrier(feed::over(dialer.clone()))
         .prefix(&setting.announce_prefix)
         .rules_key(&setting.rules_key)
@@ -214,6 +256,9 @@
         .mistaken(move || dials.mistaken())
         .seed(rand::random())
         .pace(profile.pace)
-        .standing(profile.standing)
-        .build()
+        .standing(profile.standing);
+    if let Some(confirm) = quota::confirm(setting, None, clock) {
+        feed = feed.confirm(confirm);
+    }
+    feed.build()
 }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -124,12 +124,21 @@
             &current,
         ));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
+        let clock = confirm::Clock::system();
+        let quotas = assembly::quotas(
+            &setting,
+            &clock,
+            &store,
+            (&roster, &directory, &dialer),
+            &current,
+        );
         let ways = Ways {
             dialer: &dialer,
             current: &current,
             directory: &directory,
             desk: &desk,
             profile: &profile,
+            quotas: &quotas,
         };
         let entry = Arc::new(assembly::entry(&setting, &ways, held));
         let sources = Sources {
@@ -139,11 +148,15 @@
             evacuations: &evacuations,
             dialer: &dialer,
             profile: &profile,
+            clock: &clock,
         };
         let stale = Arc::new(Notify::new());
         let news = stale.clone();
         let feed = assembly::feed(&setting, &sources, move || news.notify_one());
         hands.give(&feed, &entry);
+        if let Some(quotas) = &quotas {
+            quotas.give(&feed);
+        }
         directory.refresh(&entry);
         let drain = CancellationToken::new();
         let state = State {
@@ -157,6 +170,7 @@
             dialer,
             feed,
             profile,
+            quotas,
             drain,
         };
         let close = CancellationToken::new();
@@ -252,6 +266,7 @@
             directory: directory.clone(),
             roster: state.roster.clone(),
             hearers: hearers.clone(),
+            quotas: state.quotas.clone(),
         });
         self.tasks.spawn(inbound.run(self.listener.clone()));
         self.tasks.spawn(target::watch(state.server.clone()));
@@ -274,6 +289,9 @@
             let measuring = measuring::run(state.current.clone(), state.server.clone(), service);
             self.tasks.spawn(measuring);
         }
+        if let Some(quotas) = &state.quotas {
+            self.tasks.spawn(quotas.clone().run());
+        }
         self.tasks.spawn(async move { state.feed.run().await });
     }
 
@@ -319,6 +337,7 @@
         let until = Instant::now() + within;
         log::info!("daemon: stop begins, serve_ms={}.", serve.as_millis());
         state.entry.close_connections();
+        self.stop_lending();
         sleep(serve).await;
         state.server.gate().leave();
         let told = timeout(GOODBYE_QUICK, state.feed.leave()).await;
@@ -350,6 +369,13 @@
         log::info!("daemon: stop is done.");
     }
 
+    /// Hands the quotas that this daemon lends to others, beside the stop.
+    fn stop_lending(&mut self) {
+        if let Some(quotas) = self.state.quotas.clone() {
+            self.tasks.spawn(async move { quotas.stop().await });
+        }
+    }
+
     /// Stops as planned: tells the others, refuses new work as not run, finishes what runs, and
     /// ends. It waits no longer than the settings' bound, and says so in the log when that is hit.
     pub async fn drain(mut self) {
@@ -357,6 +383,7 @@
         log::info!("daemon: drain begins.");
         state.server.gate().leave();
         state.entry.leave();
+        self.stop_lending();
         state.feed.leave().await;
         let bound = state.setting.limits.drain.0;
         let until = Instant::now() + bound;
--- a/crates/appleshore/src/dump.rs
+++ b/crates/appleshore/src/dump.rs
@@ -31,6 +31,9 @@
     /// The ledger's shards that this daemon has worked on.
     #[display("ledger")]
     Ledger,
+    /// The quotas of workspaces; nothing where they are not counted.
+    #[display("quota")]
+    Quota,
     /// The links.
     #[display("links")]
     Links,
@@ -38,7 +41,7 @@
 
 impl Part {
     /// All parts.
-    pub const ALL: [Part; 8] = [
+    pub const ALL: [Part; 9] = [
         Part::Setting,
         Part::Rules,
         Part::Entry,
@@ -46,6 +49,7 @@
         Part::Roster,
         Part::Feed,
         Part::Ledger,
+        Part::Quota,
         Part::Links,
     ];
 }
--- a/crates/appleshore/src/inbound.rs
+++ b/crates/appleshore/src/inbound.rs
@@ -12,6 +12,7 @@
 use crate::claims::Desk;
 use crate::directory::Directory;
 use crate::notice::Hearers;
+use crate::quota;
 use crate::suspicion::Suspicions;
 
 /// What answers the frames of other daemons.
@@ -23,6 +24,8 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) roster: Arc<Shared>,
     pub(crate) hearers: Arc<Hearers>,
+    /// None where requests of workspaces are not counted.
+    pub(crate) quotas: Option<Arc<quota::Desk>>,
 }
 
 impl Inbound {
@@ -84,6 +87,14 @@
                 () = sender.stopped() => return Ok(()),
             },
             Topic::Load => self.suspicions.learn(&note.payload)?,
+            Topic::Quota => {
+                let off = || Error::Garbled(from.to_string(), "no quotas here".to_string());
+                let payload = self.quotas.as_ref().ok_or_else(off)?;
+                Note {
+                    topic: Topic::Quota,
+                    payload: payload.note(from, &note.payload)?,
+                }
+            }
             Topic::Feed => {
                 let payload = self.feed.note(from, &note.payload);
                 let payload =
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -14,6 +14,7 @@
 use crate::claims::Desk;
 use crate::dump::{Dump, EntryState, LinkState, Part, RulesState, ServiceState};
 use crate::profile::Profile;
+use crate::quota;
 
 /// The parts of one daemon.
 pub(crate) struct State {
@@ -27,6 +28,8 @@
     pub(crate) dialer: Arc<Dialer>,
     pub(crate) feed: Feed,
     pub(crate) profile: Profile,
+    /// None where requests of workspaces are not counted.
+    pub(crate) quotas: Option<Arc<quota::Desk>>,
     /// Set when a planned stop is asked for.
     pub(crate) drain: CancellationToken,
 }
@@ -50,6 +53,7 @@
             Part::Roster => {
                 serde_json::to_value(self.roster.with(|roster| roster.dump(Instant::now())))
             }
+            Part::Quota => serde_json::to_value(self.quotas.as_ref().map(|quotas| quotas.state())),
             Part::Links => serde_json::to_value(self.links()),
         };
         let state = state.unwrap_or_else(|error| error.to_string().into());
--- a/crates/quota/src/borrower.rs
+++ b/crates/quota/src/borrower.rs
@@ -282,6 +282,11 @@
         self.limits.retain(|workspace, _| known(workspace));
     }
 
+    /// The workspaces that are counted here.
+    pub fn workspaces(&self) -> Vec<Workspace> {
+        self.purses.keys().cloned().collect()
+    }
+
     /// What is counted of each workspace.
     pub fn usage(&mut self, now: Moment) -> Vec<(Workspace, Usage)> {
         let names: Vec<Workspace> = self.purses.keys().cloned().collect();
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use unit::{Instance, Version, Workspace};
+use unit::{Incarnation, Instance, Version, Workspace};
 
 use crate::pool::{Pool, Takeover, Terms};
 use crate::{
@@ -239,6 +239,20 @@
         RENEWAL.mul_f64(load.max(1.0)).min(MAX_RENEWAL)
     }
 
+    /// Sets the incarnation of this daemon, which rises when another process has used its name. The
+    /// lists so far then name another life of it.
+    pub fn set_incarnation(&mut self, incarnation: Incarnation) {
+        if self.me.incarnation != incarnation {
+            self.me.incarnation = incarnation;
+            self.pools.clear();
+        }
+    }
+
+    /// This life of this daemon.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
     /// Ends lending for good. Afterwards the list may be written without this daemon and
     /// [`Lender::transfers`] sent.
     pub fn stop(&mut self) {
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -21,6 +21,7 @@
 mod check;
 mod cold;
 mod limits;
+mod quota;
 mod read;
 mod retry;
 
@@ -33,6 +34,7 @@
 pub use cold::Cold;
 pub use jsonc::{Error, Fault};
 pub use limits::Limits;
+pub use quota::Quota;
 pub use retry::Retry;
 
 /// The transport of the links between daemons.
@@ -111,6 +113,8 @@
     pub evacuation_prefix: Option<String>,
     /// The bound on cold targets whose rules name a rate; none by default.
     pub cold: Option<Cold>,
+    /// How requests of workspaces are counted over the fleet; they are not by default.
+    pub quota: Option<Quota>,
     /// The key prefix of the ledger in the store; `ledger/` by default.
     pub ledger_prefix: String,
     /// The resource limits of this process.
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -8,9 +8,9 @@
 use unit::{Decimal, Span};
 
 use crate::address::{self, Endpoint};
-use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, retry};
+use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, quota, retry};
 
-const FIELDS: [&str; 28] = [
+const FIELDS: [&str; 29] = [
     "instance",
     "zone",
     "region",
@@ -39,6 +39,7 @@
     "retry",
     "evacuation_prefix",
     "cold",
+    "quota",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -107,6 +108,8 @@
     let retry = retry.and_then(|value| retry::read(reader, value));
     let cold = fields.get("cold");
     let cold = cold.and_then(|value| cold::read(reader, value));
+    let quota = fields.get("quota");
+    let quota = quota.and_then(|value| quota::read(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -148,6 +151,7 @@
         ledger_prefix: keys.ledger,
         evacuation_prefix: keys.evacuation,
         cold,
+        quota,
         limits: limits.unwrap_or_else(Limits::default),
         log: log.unwrap_or(LevelFilter::Info),
         log_format: log_format.unwrap_or_default(),
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -69,4 +69,7 @@
     /// Load probes and suspicions.
     #[display("load")]
     Load,
+    /// Tokens of workspaces.
+    #[display("quota")]
+    Quota,
 }
