--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -51,7 +51,7 @@
         self.confirm(now, &mut lender);
         let answer = lender.ask(now, from, ask, |workspace| self.limit(workspace));
         // The answer has about the size of the ask.
-        lender.count_traffic(now, 2 * bytes as u64);
+        lender.count_traffic(now, 2 * (bytes as u64 + feed::MESSAGE_OVERHEAD));
         answer
     }
 
--- a/crates/quota/src/borrower.rs
+++ b/crates/quota/src/borrower.rs
@@ -179,9 +179,12 @@
                 }
             }
         }
-        due.retain(|member, _| {
+        due.retain(|member, workspaces| {
             let contact = self.contacts.entry(member.clone()).or_default();
-            let is_due = urgent.contains(member) || now >= contact.renewal_at();
+            let (last, renewal) = (contact.last_sent(), contact.renewal());
+            let purses = workspaces.iter().filter_map(|name| self.purses.get(name));
+            let mut renewals = purses.filter_map(|purse| purse.renew_at(last, renewal));
+            let is_due = urgent.contains(member) || renewals.any(|at| now >= at);
             is_due && now >= contact.free_at()
         });
         due.into_iter()
@@ -219,9 +222,10 @@
             let Some(contact) = contact else {
                 return Some(now);
             };
+            let renewal = purse.renew_at(contact.last_sent(), contact.renewal())?;
             let wished = match purse.waiting > 0 {
-                true => contact.renewal_at().min(now + purse.again(now)),
-                false => contact.renewal_at(),
+                true => renewal.min(now + purse.again(now)),
+                false => renewal,
             };
             Some(wished.max(contact.free_at()).max(now))
         });
--- a/crates/quota/src/contact.rs
+++ b/crates/quota/src/contact.rs
@@ -38,12 +38,14 @@
         full.map_or(open, |first| open.max(*first + RATE_PERIOD))
     }
 
-    /// When the loans should be renewed.
-    pub(crate) fn renewal_at(&self) -> Moment {
-        let renewal = self.renewal.unwrap_or(RENEWAL);
-        self.sent
-            .back()
-            .map_or(Moment::START, |last| *last + renewal)
+    /// When the last ask was sent; the start if there was none.
+    pub(crate) fn last_sent(&self) -> Moment {
+        self.sent.back().copied().unwrap_or_default()
+    }
+
+    /// The time from one ask to the next while loans are kept.
+    pub(crate) fn renewal(&self) -> Duration {
+        self.renewal.unwrap_or(RENEWAL)
     }
 
     pub(crate) fn sent(&mut self, now: Moment, number: u64) {
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -11,7 +11,7 @@
 };
 
 /// Bytes a second of asks and answers above which renewals are made less frequent.
-const MAX_TRAFFIC: u64 = 6_000;
+const MAX_TRAFFIC: u64 = 9_000;
 
 /// The longest time from one ask to the next.
 const MAX_RENEWAL: Duration = Duration::from_millis(LEASE.as_millis() as u64 / 3);
--- a/crates/quota/src/purse.rs
+++ b/crates/quota/src/purse.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use crate::message::AGE_UNIT;
-use crate::{Age, Item, LEASE, Moment, Reply};
+use crate::{Age, Item, LEASE, Moment, RENEWAL, Reply};
 
 /// The inverse of the part of the tokens spent by which a borrower asks for more.
 const HEADROOM: u32 = 4;
@@ -14,6 +14,10 @@
 /// Refused requests are counted together over this time.
 const REFUSED_STEP: Duration = Duration::from_millis(250);
 
+/// The time over which the present pace of requests is measured, and the fewest requests that show it.
+const PACE_PERIOD: Duration = Duration::from_secs(1);
+const MIN_PACE: u32 = 3;
+
 /// What a daemon has counted of a workspace.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Usage {
@@ -46,10 +50,13 @@
 /// one token; the others are free.
 #[derive(Debug)]
 pub(crate) struct Purse {
+    /// The moment to which the purse was brought last.
+    at: Moment,
     /// The limit of the fleet by the configuration in force here.
     limit: u32,
     /// Tokens of the even share.
     share: u32,
+    window: Duration,
     /// Tokens held from loans.
     held: u32,
     /// The last reply: the tokens lent, and the limit by which they were.
@@ -75,8 +82,10 @@
 impl Purse {
     pub(crate) fn new(limit: u32, share: u32) -> Purse {
         Purse {
+            at: Moment::START,
             limit,
             share,
+            window: Duration::ZERO,
             held: 0,
             lent: 0,
             lent_by: 0,
@@ -106,6 +115,8 @@
         {
             self.refused.pop_front();
         }
+        self.at = now;
+        self.window = window;
         self.limit = limit;
         self.share = share;
         if self.held > 0 && now >= self.ends {
@@ -201,7 +212,9 @@
         let arrived = self.spent.len() as u32 + self.refused() + self.waiting;
         let need = match arrived {
             0 | 1 => self.waiting,
-            _ => arrived.saturating_add(arrived / HEADROOM),
+            _ => arrived
+                .saturating_add(arrived / HEADROOM)
+                .max(self.expected()),
         };
         let want = need.saturating_sub(self.share);
         match self.waiting {
@@ -210,6 +223,45 @@
         }
     }
 
+    /// The requests of a window at the pace of the last second, where that is known well enough.
+    fn expected(&self) -> u32 {
+        let start = self.at.before(PACE_PERIOD);
+        let spent = self
+            .spent
+            .iter()
+            .rev()
+            .take_while(|spent| **spent > start)
+            .count() as u32;
+        let refused = self.refused.iter().rev().take_while(|(at, _)| *at > start);
+        let refused: u32 = refused.map(|(_, count)| count).sum();
+        let recent = spent + refused + self.waiting;
+        match recent < MIN_PACE {
+            true => 0,
+            false => {
+                (f64::from(recent) * self.window.as_secs_f64() / PACE_PERIOD.as_secs_f64()) as u32
+            }
+        }
+    }
+
+    /// When the loan should be renewed, after an ask at `last` and with `renewal` between asks; `None` if
+    /// there is nothing to say.
+    ///
+    /// Tokens that were spent and are not needed again can't be lent before the window has passed, so
+    /// they need not be returned long before.
+    pub(crate) fn renew_at(&self, last: Moment, renewal: Duration) -> Option<Moment> {
+        if !self.has_news() {
+            return None;
+        }
+        let regular = last + renewal;
+        let is_cold = (self.spent.len() as u32) < self.held + self.share;
+        if self.want() > 0 || !self.returned.is_empty() || is_cold {
+            return Some(regular);
+        }
+        let hot = self.spent.front().map(|spent| *spent + self.window);
+        let due = hot.map_or(regular, |hot| hot.min(self.ends).before(RENEWAL));
+        Some(due.max(regular))
+    }
+
     /// Whether an ask should be sent at once.
     pub(crate) fn is_urgent(&self, now: Moment) -> bool {
         self.waiting > 0 && now >= self.again
