--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, SystemTime};
 
 use confirm::Clock;
-use entry::{Admission, Entry, Limits};
-use feed::{Current, Feed};
+use entry::{Admission, Entry, Limits, Unconfirmed};
+use feed::{Confirm, Current, Feed};
 use gate::Gate;
 use ledger::Ledger;
 use nest::Table;
@@ -14,7 +14,7 @@
 use store::Store;
 use target::{ColdLimits, Heartbeats, Server};
 use tokio_util::task::TaskTracker;
-use unit::{Depth, Fingerprint, Incarnation, Workspace};
+use unit::{Depth, Fingerprint, Incarnation};
 use wire::Dialer;
 
 use crate::claims::Desk;
@@ -107,12 +107,13 @@
 
 /// What ties an entry to the other parts.
 pub(crate) struct Ways<'a> {
+    pub(crate) feed: &'a Feed,
     pub(crate) dialer: &'a Arc<Dialer>,
     pub(crate) current: &'a Arc<Current>,
     pub(crate) directory: &'a Arc<Directory>,
     pub(crate) desk: &'a Arc<Desk>,
     pub(crate) profile: &'a Profile,
-    pub(crate) quotas: &'a Option<Arc<quota::Desk>>,
+    pub(crate) quotas: Option<&'a Arc<quota::Desk>>,
 }
 
 pub(crate) fn desk(
@@ -163,10 +164,8 @@
     .claims(ways.desk.claims())
     .dialect(profile.dialect.clone())
     .retry(profile.retry)
+    .admission(admission(setting, ways.feed, ways.quotas))
     .choice(profile.choice);
-    if let Some(quotas) = ways.quotas {
-        entry = entry.admission(admission(quotas));
-    }
     if let Some(most) = profile.hand_overs {
         entry = entry.max_handovers(most);
     }
@@ -176,40 +175,54 @@
     entry.build()
 }
 
-fn admission(quotas: &Arc<quota::Desk>) -> Admission {
-    let quotas = quotas.clone();
-    Admission {
-        quota: Box::new(move |ask| Box::pin(quotas.clone().take(ask))),
-        ..Admission::open()
+/// Admits the requests of workspaces within their quotas, while the rules in force are confirmed as the
+/// newest.
+fn admission(
+    setting: &Setting,
+    feed: &Feed,
+    quotas: Option<&Arc<quota::Desk>>,
+) -> Admission {
+    let mut admission = Admission::open();
+    if let Some(quotas) = quotas.cloned() {
+        admission.quota = Box::new(move |ask| Box::pin(quotas.clone().take(ask)));
+    }
+    if setting.revoke.is_some() {
+        let feed = feed.clone();
+        let confirmed = move || {
+            let checked = feed.check_confirmed();
+            checked.map_err(|unconfirmed| Unconfirmed {
+                age: unconfirmed.age,
+                retry_after: unconfirmed.retry_after,
+            })
+        };
+        admission.confirmed = Box::new(confirmed);
     }
+    admission
 }
 
 /// The quotas of workspaces; `None` where they are not counted.
 pub(crate) fn quotas(
     setting: &Setting,
-    clock: &Clock,
-    store: &Store,
-    ways: (&Arc<Shared>, &Arc<Directory>, &Arc<Dialer>),
-    current: &Arc<Current>,
+    sources: &Sources<'_>,
+    feed: &Feed,
+    directory: &Arc<Directory>,
 ) -> Option<Arc<quota::Desk>> {
-    let (roster, directory, dialer) = ways;
-    let rules = current.clone();
+    let rules = sources.current.clone();
     let parts = quota::Parts {
-        roster: roster.clone(),
+        roster: sources.roster.clone(),
         directory: directory.clone(),
-        dialer: dialer.clone(),
-        store: store.clone(),
-        quotas: Box::new(move |workspace| quota_of(&rules, workspace)),
+        dialer: sources.dialer.clone(),
+        store: sources.store.clone(),
+        feed: feed.clone(),
+        quotas: Box::new(move |workspace| {
+            let rules = rules.get()?;
+            rules.document.workspaces()?.get(workspace)?.quota
+        }),
     };
-    let desk = quota::Desk::new(&setting.quota?, clock.clone(), parts);
+    let desk = quota::Desk::new(&setting.quota?, Clock::system(), parts);
     Some(Arc::new(desk))
 }
 
-/// The quota of a workspace by the rules in force.
-fn quota_of(_rules: &Current, _workspace: &Workspace) -> Option<workspace::Quota> {
-    None
-}
-
 /// What a feed reads and changes.
 pub(crate) struct Sources<'a> {
     pub(crate) store: &'a Store,
@@ -218,7 +231,6 @@
     pub(crate) evacuations: &'a Arc<evacuation::Shared>,
     pub(crate) dialer: &'a Arc<Dialer>,
     pub(crate) profile: &'a Profile,
-    pub(crate) clock: &'a Clock,
 }
 
 /// The feed; `changed` is called when readers of the roster may see a change.
@@ -234,7 +246,6 @@
         evacuations,
         dialer,
         profile,
-        clock,
     } = *sources;
     let evacuation_prefix = setting.evacuation_prefix.as_deref();
     let linked = dialer.clone();
@@ -246,7 +257,7 @@
             .collect()
     };
     let dials = dialer.clone();
-    let mut feed = Feed::builder(store.clone(), roster.clone(), current.clone())
+    let feed = Feed::builder(store.clone(), roster.clone(), current.clone())
         .carrier(feed::over(dialer.clone()))
         .prefix(&setting.announce_prefix)
         .rules_key(&setting.rules_key)
@@ -257,8 +268,15 @@
         .seed(rand::random())
         .pace(profile.pace)
         .standing(profile.standing);
-    if let Some(confirm) = quota::confirm(setting, None, clock) {
-        feed = feed.confirm(confirm);
+    // The allocators of quotas lend only while their list is confirmed.
+    let keys: Vec<String> = setting.quota.iter().map(|_| quota::LIST_KEY.to_string()).collect();
+    if setting.revoke.is_none() && keys.is_empty() {
+        return feed.build();
     }
-    feed.build()
+    let confirm = Confirm {
+        revoke: setting.revoke,
+        keys,
+        ..Confirm::default()
+    };
+    feed.confirm(confirm).build()
 }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -124,23 +124,6 @@
             &current,
         ));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
-        let clock = confirm::Clock::system();
-        let quotas = assembly::quotas(
-            &setting,
-            &clock,
-            &store,
-            (&roster, &directory, &dialer),
-            &current,
-        );
-        let ways = Ways {
-            dialer: &dialer,
-            current: &current,
-            directory: &directory,
-            desk: &desk,
-            profile: &profile,
-            quotas: &quotas,
-        };
-        let entry = Arc::new(assembly::entry(&setting, &ways, held));
         let sources = Sources {
             store: &store,
             roster: &roster,
@@ -148,15 +131,22 @@
             evacuations: &evacuations,
             dialer: &dialer,
             profile: &profile,
-            clock: &clock,
         };
         let stale = Arc::new(Notify::new());
         let news = stale.clone();
         let feed = assembly::feed(&setting, &sources, move || news.notify_one());
+        let quotas = assembly::quotas(&setting, &sources, &feed, &directory);
+        let ways = Ways {
+            feed: &feed,
+            quotas: quotas.as_ref(),
+            dialer: &dialer,
+            current: &current,
+            directory: &directory,
+            desk: &desk,
+            profile: &profile,
+        };
+        let entry = Arc::new(assembly::entry(&setting, &ways, held));
         hands.give(&feed, &entry);
-        if let Some(quotas) = &quotas {
-            quotas.give(&feed);
-        }
         directory.refresh(&entry);
         let drain = CancellationToken::new();
         let state = State {
--- a/crates/appleshore/src/quota.rs
+++ b/crates/appleshore/src/quota.rs
@@ -5,10 +5,10 @@
 mod listing;
 mod report;
 
-use std::sync::{Arc, OnceLock};
+use std::sync::Arc;
 
 use confirm::Clock;
-use feed::{Confirm, Feed};
+use feed::Feed;
 use parking_lot::Mutex;
 use quota::{Answer, Ask, Borrower, Lender, List, Member, Moment, Review, Transfer};
 use roster::Shared;
@@ -52,6 +52,7 @@
     pub(crate) directory: Arc<Directory>,
     pub(crate) dialer: Arc<Dialer>,
     pub(crate) store: Store,
+    pub(crate) feed: Feed,
     pub(crate) quotas: Quotas,
 }
 
@@ -62,7 +63,6 @@
     clock: Clock,
     started: confirm::Moment,
     parts: Parts,
-    feed: OnceLock<Feed>,
     borrower: Mutex<Borrower>,
     lender: Mutex<Lender>,
     review: Mutex<Review>,
@@ -93,7 +93,6 @@
             started: clock.now(),
             clock,
             parts,
-            feed: OnceLock::new(),
             borrower: Mutex::new(Borrower::new(own.incarnation, setting)),
             lender: Mutex::new(Lender::new(member, setting)),
             review: Mutex::new(Review::new(setting)),
@@ -104,12 +103,6 @@
         }
     }
 
-    /// Ties the quotas to the feed, which confirms the list.
-    pub(crate) fn give(&self, feed: &Feed) {
-        // It is given once, by the start of the daemon.
-        let _ = self.feed.set(feed.clone());
-    }
-
     /// Borrows, and keeps the list if this daemon is a watcher. Never returns.
     pub(crate) async fn run(self: Arc<Desk>) {
         tokio::join!(
@@ -131,7 +124,7 @@
 
     /// The newest confirmation of the list, its age added to the moment `now`.
     fn confirmed(&self, now: Moment) -> Option<Listed> {
-        let confirmed = self.feed.get()?.confirmed()?;
+        let confirmed = self.parts.feed.confirmed()?;
         let version = *confirmed.versions.get(1)?;
         let value = confirmed.values.get(1)?.as_ref();
         let mut read = self.read.lock();
@@ -164,20 +157,3 @@
     version: Version,
     list: Option<Arc<List>>,
 }
-
-/// The confirmations that quotas need, added to those of the rules.
-pub(crate) fn confirm(
-    setting: &setting::Setting,
-    confirm: Option<Confirm>,
-    clock: &Clock,
-) -> Option<Confirm> {
-    if setting.quota.is_none() {
-        return confirm;
-    }
-    let mut confirm = confirm.unwrap_or_else(|| Confirm {
-        clock: clock.clone(),
-        ..Confirm::default()
-    });
-    confirm.keys.push(LIST_KEY.to_string());
-    Some(confirm)
-}
--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -97,9 +97,7 @@
                 let is_allocator = lender
                     .list()
                     .is_some_and(|(_, list)| list.allocators.contains(lender.me()));
-                if let Some(feed) = self.feed.get() {
-                    feed.hasten_confirmations(is_allocator);
-                }
+                self.parts.feed.hasten_confirmations(is_allocator);
             }
             if let Some(listed) = self.confirmed(now) {
                 let mut borrower = self.borrower.lock();
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Feeds in a network and on a platform that fail.
 
 mod bulk;
+mod confirm;
 mod cost;
 mod era;
 mod evacuation;
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -115,6 +115,9 @@
     pub cold: Option<Cold>,
     /// How requests of workspaces are counted over the fleet; they are not by default.
     pub quota: Option<Quota>,
+    /// How long after its removal a key may be used at most. If set, requests with keys are served
+    /// only while the rules in force are confirmed as the newest; `None` by default.
+    pub revoke: Option<Duration>,
     /// The key prefix of the ledger in the store; `ledger/` by default.
     pub ledger_prefix: String,
     /// The resource limits of this process.
