Show rejected rules and explain keys to operators

Cause: a document that is refused was seen in a log line only, and the command line knew no workspaces.

--- a/bin/appleshore/src/explain.rs
+++ b/bin/appleshore/src/explain.rs
@@ -1,5 +1,6 @@
 //! `appleshore explain`: which rule a request meets, and why not the earlier ones.
 
+use std::io::{self, Read};
 use std::net::{IpAddr, Ipv4Addr};
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -7,6 +8,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use rule::{Document, Key, Request, Route, Then};
 use unit::{Caller, Service, Span, Zone};
+use workspace::Workspace;
+use zeroize::Zeroizing;
 
 use crate::error::Error;
 use crate::{file, output};
@@ -14,6 +17,9 @@
 /// What stands for the zone where no rule asks for one.
 const NO_ZONE: &str = "any";
 
+/// Longest key in bytes that is read.
+const MAX_KEY: usize = 8_192;
+
 /// What `explain` takes.
 #[derive(Debug, clap::Args)]
 pub(crate) struct Arguments {
@@ -43,6 +49,10 @@
     /// The address that the request comes from; it names a caller whom no header names.
     #[arg(long, default_value_t = IpAddr::V4(Ipv4Addr::LOCALHOST))]
     peer: IpAddr,
+    /// Reads the key of a workspace from standard input, and tells which workspace it belongs to. An
+    /// argument would show the key to everybody who lists the processes.
+    #[arg(long)]
+    key_stdin: bool,
 }
 
 /// A header field of the request.
@@ -74,7 +84,12 @@
     let zone = zone(arguments, &document)?;
     let path = path(&arguments.path)?;
     let headers = headers(&arguments.headers);
+    let workspace = match arguments.key_stdin {
+        true => Some(workspace(&document, io::stdin())?),
+        false => None,
+    };
     let caller = arguments.caller.clone();
+    let caller = caller.or_else(|| workspace.map(|workspace| Caller::from(&workspace.name)));
     let caller = caller.unwrap_or_else(|| document.caller(&headers, arguments.peer));
     let request = Request {
         service: arguments.service.as_ref(),
@@ -85,10 +100,14 @@
         caller: &caller,
         zone: &zone,
     };
-    explain(&document, &request)
+    explain(&document, &request, workspace)
 }
 
-fn explain(document: &Document, request: &Request<'_>) -> Result<(), Error> {
+fn explain(
+    document: &Document,
+    request: &Request<'_>,
+    workspace: Option<&Workspace>,
+) -> Result<(), Error> {
     let explanation = document.explain(request);
     output::print(&format!("{explanation}\n"))?;
     let Some(rule) = document.decide(request) else {
@@ -96,7 +115,58 @@
         return Err(Error::NoRule(cause.to_string()));
     };
     let caller = request.caller;
-    output::print(&format!("caller: {caller}\n{}", then(&rule.then, request)))
+    let access = match &rule.then {
+        Then::Route(route) => access(document, route, workspace),
+        Then::Refuse(_) => String::new(),
+    };
+    output::print(&format!(
+        "caller: {caller}\n{}{access}",
+        then(&rule.then, request, workspace)
+    ))
+}
+
+/// The workspace that the key read from `input` belongs to. A line end behind the key is no part of it.
+fn workspace(document: &Document, input: impl Read) -> Result<&Workspace, Error> {
+    let mut text = Zeroizing::new(String::with_capacity(MAX_KEY));
+    let read = input.take(MAX_KEY as u64).read_to_string(&mut text);
+    read.map_err(|_| Error::Usage("explain: standard input is no text".to_string()))?;
+    let Some(workspaces) = document.workspaces() else {
+        let cause = "explain: the document has no workspaces, so that no key is read";
+        return Err(Error::Usage(cause.to_string()));
+    };
+    let key = workspace::Key::new(text.trim_ascii().as_bytes());
+    let key = key.ok_or_else(|| Error::Usage("explain: no key on standard input".to_string()))?;
+    workspaces.find(&key).ok_or_else(|| {
+        let cause = "the request is refused: not-run, no-workspace: the key is unknown";
+        Error::NoRule(cause.to_string())
+    })
+}
+
+/// Whether the request needs a key, and what is known of its workspace.
+fn access(document: &Document, route: &Route, workspace: Option<&Workspace>) -> String {
+    if document.workspaces().is_none() {
+        return String::new();
+    }
+    if route.public {
+        return "public: no key is needed or read\n".to_string();
+    }
+    let Some(workspace) = workspace else {
+        return "needs the key of a workspace, unless it serves a running call\n".to_string();
+    };
+    let none = || "none".to_string();
+    let priority = workspace.priority.map_or_else(none, |one| one.to_string());
+    let quota = workspace.quota.map_or_else(none, |quota| {
+        format!("{} with burst {}", quota.rate, quota.burst)
+    });
+    let regions = workspace
+        .regions
+        .as_ref()
+        .map_or("all".to_string(), |regions| {
+            let names: Vec<String> = regions.iter().map(ToString::to_string).collect();
+            names.join(", ")
+        });
+    let name = &workspace.name;
+    format!("workspace {name}: priority {priority}, quota {quota}, regions {regions}\n")
 }
 
 /// A rule that asks for the zone can't be judged without it, and we don't guess one.
@@ -134,24 +204,25 @@
     headers
 }
 
-fn then(then: &Then, request: &Request<'_>) -> String {
+fn then(then: &Then, request: &Request<'_>, workspace: Option<&Workspace>) -> String {
     match then {
         Then::Refuse(refuse) => {
             format!("refused with status {}: {}\n", refuse.status, refuse.reason)
         }
-        Then::Route(route) => routed(route, request),
+        Then::Route(route) => routed(route, request, workspace),
     }
 }
 
-fn routed(route: &Route, request: &Request<'_>) -> String {
+fn routed(route: &Route, request: &Request<'_>, workspace: Option<&Workspace>) -> String {
     let Route {
         service,
-        urgency,
         timeout,
         retries,
         ..
     } = route;
     let timeout = Span(*timeout);
+    let workspace = workspace.filter(|_| !route.public);
+    let urgency = route.urgency_for(workspace);
     let once = route.once.as_ref().map(|key| once(key, request));
     format!(
         "goes to service {service}, {urgency}, timeout {timeout}, retries {retries}\n{}",
--- a/bin/appleshore/src/rules/difference.rs
+++ b/bin/appleshore/src/rules/difference.rs
@@ -12,6 +12,7 @@
     removed: Vec<String>,
     changed: Vec<String>,
     reordered: bool,
+    workspaces: bool,
 }
 
 impl Difference {
@@ -26,12 +27,13 @@
             removed: names(mine, |name| !there(name)),
             changed: names(theirs, changed),
             reordered: names(mine, there) != names(theirs, here),
+            workspaces: mine.workspaces() != theirs.workspaces(),
         }
     }
 
     fn is_empty(&self) -> bool {
         let names = [&self.added, &self.removed, &self.changed];
-        names.iter().all(|names| names.is_empty()) && !self.reordered
+        names.iter().all(|names| names.is_empty()) && !self.reordered && !self.workspaces
     }
 }
 
@@ -53,6 +55,9 @@
                 "  order: the rules that both have stand in another order"
             )?;
         }
+        if self.workspaces {
+            writeln!(f, "  workspaces: their members, keys or quotas differ")?;
+        }
         if self.is_empty() {
             writeln!(f, "  no rule: only comments, layout or \"caller\" differ")?;
         }
--- a/bin/appleshore/src/top/state.rs
+++ b/bin/appleshore/src/top/state.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
-use unit::Report;
+use unit::{Report, Version};
 
 use crate::daemon::Call;
 use crate::error::Error;
@@ -25,6 +25,7 @@
     pub(super) roster: Roster,
     pub(super) gate: Gate,
     pub(super) entry: Entry,
+    pub(super) feed: Feed,
 }
 
 #[derive(Deserialize)]
@@ -56,6 +57,20 @@
     pub(super) services: Vec<Service>,
 }
 
+#[derive(Deserialize)]
+pub(super) struct Feed {
+    /// Daemons of earlier versions don't say it.
+    #[serde(default)]
+    pub(super) rejected: Option<Rejected>,
+}
+
+#[derive(Deserialize)]
+pub(super) struct Rejected {
+    pub(super) version: Version,
+    pub(super) cause: String,
+    pub(super) seconds: u64,
+}
+
 #[derive(Deserialize)]
 pub(super) struct Outcomes {
     pub(super) ran: u64,
@@ -90,7 +105,7 @@
     pub(super) zone: String,
 }
 
-/// Reads a daemon; all three parts have `limit` each.
+/// Reads a daemon; all parts have `limit` each.
 pub(super) async fn sample(address: SocketAddr, limit: Duration) -> Sample {
     let state = read(address, limit).await;
     Sample {
@@ -105,6 +120,7 @@
         roster: part(address, Part::Roster, limit).await?,
         gate: part(address, Part::Gate, limit).await?,
         entry: part(address, Part::Entry, limit).await?,
+        feed: part(address, Part::Feed, limit).await?,
     })
 }
 
--- a/bin/appleshore/src/top/view.rs
+++ b/bin/appleshore/src/top/view.rs
@@ -4,10 +4,11 @@
 use ratatui::buffer::Buffer;
 use ratatui::layout::{Constraint, Layout, Rect};
 use ratatui::style::{Color, Style, Stylize};
+use ratatui::text::Text;
 use ratatui::widgets::{Cell, Row, Table, Widget};
 use unit::Report;
 
-use super::state::{Line, Sample, State};
+use super::state::{Line, Rejected, Sample, State};
 
 const DAEMONS: [(&str, u16); 11] = [
     ("daemon", 22),
@@ -39,6 +40,8 @@
 pub(super) struct Rows {
     daemons: Vec<[String; DAEMONS.len()]>,
     targets: Vec<[String; TARGETS.len()]>,
+    /// One line for each daemon that rejects the newest rules.
+    rejected: Vec<String>,
 }
 
 /// The rows of a reading. Counts a second come from the reading before, where there is one.
@@ -54,12 +57,29 @@
     };
     let daemons = now.iter().map(|sample| daemon(former(sample), sample));
     let states = now.iter().filter_map(|sample| sample.state.as_ref().ok());
+    let rejected = states.clone().filter_map(rejected);
     Rows {
         daemons: daemons.collect(),
+        rejected: rejected.collect(),
         targets: targets(states),
     }
 }
 
+/// The line of a daemon that rejects the newest rules.
+fn rejected(state: &State) -> Option<String> {
+    let Rejected {
+        version,
+        cause,
+        seconds,
+    } = state.feed.rejected.as_ref()?;
+    let me = &state.roster.me;
+    // The first fault stands for all; `appleshore check` lists them.
+    let cause = cause.lines().next().unwrap_or_default();
+    Some(format!(
+        "{me} rejects rules {version} for {seconds}s: {cause}"
+    ))
+}
+
 fn daemon(before: Option<&Sample>, now: &Sample) -> [String; DAEMONS.len()] {
     let state = match &now.state {
         Ok(state) => state,
@@ -178,7 +198,7 @@
 
 /// The view as text, as long as it needs to be.
 pub(super) fn text(rows: &Rows, width: u16) -> String {
-    let lines = rows.daemons.len() + rows.targets.len() + 3;
+    let lines = rows.daemons.len() + rows.targets.len() + rows.rejected.len() + 3;
     let area = Rect::new(0, 0, width, u16::try_from(lines).unwrap_or(u16::MAX));
     let mut buffer = Buffer::empty(area);
     paint(rows, area, &mut buffer);
@@ -192,13 +212,22 @@
 
 fn paint(rows: &Rows, area: Rect, buffer: &mut Buffer) {
     let daemons = u16::try_from(rows.daemons.len() + 1).unwrap_or(u16::MAX);
+    let rejected = u16::try_from(rows.rejected.len()).unwrap_or(u16::MAX);
     let parts = [
         Constraint::Length(daemons),
+        Constraint::Length(rejected),
         Constraint::Length(1),
         Constraint::Min(0),
     ];
-    let [above, _, below] = Layout::vertical(parts).areas(area);
+    let [above, notes, _, below] = Layout::vertical(parts).areas(area);
     table(&DAEMONS, &rows.daemons).render(above, buffer);
+    let lines = rows.rejected.iter();
+    let lines: Vec<Text<'_>> = lines
+        .map(|line| Text::from(line.as_str()).style(Style::new().fg(Color::Yellow)))
+        .collect();
+    for (line, row) in lines.into_iter().zip(notes.rows()) {
+        line.render(row, buffer);
+    }
     table(&TARGETS, &rows.targets).render(below, buffer);
 }
 
--- a/bin/appleshore/tests/it/document.rs
+++ b/bin/appleshore/tests/it/document.rs
@@ -1,6 +1,8 @@
 //! `check` and `explain`.
 
-use crate::kit::{file, run};
+use appleshore::workspace::{Key, Salt};
+
+use crate::kit::{file, run, run_with};
 
 const RULES: &str = r#"{
   "caller": { "header": "x-caller" },
@@ -146,3 +148,76 @@
     assert_eq!(none.code, Some(2));
     assert!(none.err.contains("no command \"nothing\""), "{}", none.err);
 }
+
+const WORKSPACE_KEY: &str = "k-3f9b61c07d";
+
+/// A document in which `WORKSPACE_KEY` belongs to each workspace of `owners`.
+fn with_workspaces(owners: &[&str]) -> String {
+    let salt = Salt::of(b"a configuration");
+    let key = Key::new(WORKSPACE_KEY.as_bytes()).expect("a key");
+    let digest = salt.digest(&key);
+    let members = owners.iter().map(|name| {
+        format!(
+            r#"    "{name}": {{ "keys": ["{digest}"], "priority": 0, "rate": "174/s", "burst": 9 }}"#
+        )
+    });
+    let members: Vec<String> = members.collect();
+    format!(
+        "{{\n  \"workspaces\": {{ \"salt\": \"{salt}\", \"members\": {{\n{}\n  }} }},\n  \"rules\": [\n    \
+         {{ \"name\": \"open\", \"when\": {{ \"path\": \"/open\" }}, \"then\": {{ \"service\": \"desk\", \
+         \"public\": true }} }},\n    {{ \"name\": \"rest\", \"then\": {{ \"service\": \"desk\", \
+         \"priority\": 3 }} }}\n  ]\n}}",
+        members.join(",\n")
+    )
+}
+
+/// Guards against a fault of a workspace that is found only when the rules are in the store.
+#[tokio::test]
+async fn check_reports_faults_of_workspaces() {
+    let path = file("two-owners.jsonc", &with_workspaces(&["pulo", "rest"]));
+    let run = run(&["check", &path]).await;
+    assert_eq!(run.code, Some(2), "{run:?}");
+    let fault = "4:24: a key of workspace \"rest\" already belongs to workspace \"pulo\" at line 3";
+    assert!(run.err.starts_with(&format!("{path}:{fault}")), "{run:?}");
+}
+
+/// Guards against a key that has to be given as an argument, where each user of the machine sees it, and
+/// against one that is printed.
+#[tokio::test]
+async fn explain_tells_whose_key_it_reads() {
+    let path = file("workspaces.jsonc", &with_workspaces(&["pulo"]));
+    let line = [
+        "explain",
+        &path,
+        "--method",
+        "GET",
+        "--path",
+        "/a",
+        "--key-stdin",
+    ];
+    let found = run_with(&line, &format!("{WORKSPACE_KEY}\n")).await;
+    assert_eq!(found.code, Some(0), "{found:?}");
+    let expected = "workspace pulo: priority 0, quota 174/s with burst 9, regions all\n";
+    assert!(found.out.ends_with(expected), "{found:?}");
+    assert!(found.out.contains("caller: pulo\n"), "{found:?}");
+    assert!(found.out.contains("service desk, urgent,"), "{found:?}");
+    let unknown = run_with(&line, "k-00").await;
+    assert_eq!(unknown.code, Some(1), "{unknown:?}");
+    assert!(unknown.err.contains("no-workspace"), "{unknown:?}");
+    let empty = run_with(&line, "\n").await;
+    assert_eq!(empty.code, Some(2), "{empty:?}");
+    for run in [found, unknown, empty] {
+        let output = run.out + &run.err;
+        assert!(
+            !output.contains(WORKSPACE_KEY) && !output.contains("k-00"),
+            "{output}"
+        );
+    }
+    let without = run(&line[..6]).await;
+    assert!(
+        without.out.contains("needs the key of a workspace"),
+        "{without:?}"
+    );
+    let open = ["explain", &path, "--method", "GET", "--path", "/open"];
+    assert!(run(&open).await.out.contains("public: no key"));
+}
--- a/bin/appleshore/tests/it/kit.rs
+++ b/bin/appleshore/tests/it/kit.rs
@@ -1,7 +1,8 @@
 //! Runs the built binary, and serves what it talks to.
 
+use std::io::Write;
 use std::path::PathBuf;
-use std::process::Command;
+use std::process::{Command, Stdio};
 
 use bytes::Bytes;
 use standin::{Handle, Platform};
@@ -35,6 +36,29 @@
     }
 }
 
+/// Runs the binary to its end with `input` on its standard input.
+pub async fn run_with(arguments: &[&str], input: &str) -> Run {
+    let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
+    let input = input.to_string();
+    let output = tokio::task::spawn_blocking(move || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_appleshore"));
+        command.args(arguments).stdin(Stdio::piped());
+        command.stdout(Stdio::piped()).stderr(Stdio::piped());
+        let mut child = command.spawn().expect("the binary runs");
+        let mut stdin = child.stdin.take().expect("a pipe");
+        // A binary that fails before it reads closes the pipe; its output tells why.
+        drop(stdin.write_all(input.as_bytes()));
+        drop(stdin);
+        child.wait_with_output().expect("the binary ends")
+    });
+    let output = output.await.expect("the run ends");
+    Run {
+        code: output.status.code(),
+        out: String::from_utf8(output.stdout).expect("text"),
+        err: String::from_utf8(output.stderr).expect("text"),
+    }
+}
+
 /// Writes a file of this test run, and gives its path.
 pub fn file(name: &str, text: &str) -> String {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
--- a/bin/appleshore/tests/it/top.rs
+++ b/bin/appleshore/tests/it/top.rs
@@ -47,6 +47,11 @@
                 "services": [{ "service": "desk", "choice": { "targets": targets }, "retries": {} }],
             })
         }
+        "/dump/feed" if name == "b" => json!({
+            "rules": "13",
+            "rejected": { "version": "14", "cause": "line 1, column 9: no\nline 2", "seconds": 75 },
+        }),
+        "/dump/feed" => json!({ "rules": "14" }),
         _ => return None,
     };
     Some(json!({ "part": path, "state": state }))
@@ -93,6 +98,12 @@
         refused > 0.0 && refused <= 100.0,
         "20 in 200 ms or more: {refused}"
     );
+    let rejected = view.out.lines().filter(|line| line.contains("rejects"));
+    let rejected: Vec<&str> = rejected.collect();
+    assert_eq!(
+        rejected,
+        ["b rejects rules 14 for 75s: line 1, column 9: no"]
+    );
     // Both know of b, and the entry that has heard of it last is believed.
     let lines = view.out.lines().filter(|line| line.starts_with("desk"));
     assert_eq!(lines.count(), 2, "{}", view.out);
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use entry::ConnectionLimits;
 use entry::server::{self, Limits};
-use feed::Current;
+use feed::{Current, Rejected};
 use gotham::router::Router;
 use nest::Table;
 use roster::Roster;
@@ -303,6 +303,12 @@
         move || !state.entry.is_closing() && state.current.get().is_some()
     }
 
+    /// Tells which rules are rejected, so that older ones are in force.
+    pub fn rejected(&self) -> impl Fn() -> Option<Rejected> + Send + Sync + 'static {
+        let current = self.state.current.clone();
+        move || current.rejected()
+    }
+
     /// Waits until callers have read all that is for them.
     async fn ports_end(&mut self) {
         while self.ports.join_next().await.is_some() {}
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -158,6 +158,7 @@
     count: entry::Count,
     report: unit::Report,
     rules: Version,
+    rejected: Option<feed::RejectedState>,
     links: u64,
     connections: u64,
     store: store::Count,
@@ -173,6 +174,7 @@
             count: state.entry.count(),
             report: state.server.gate().report(),
             rules: state.current.version(),
+            rejected: feed.rejected,
             links: state.dialer.links().len() as u64,
             connections: state.server.connections(),
             store: feed.store,
@@ -189,6 +191,7 @@
             count,
             report,
             rules,
+            rejected,
             links,
             connections,
             store,
@@ -256,6 +259,19 @@
             "Era of the store in which the rules in force were written",
             rules.era.0,
         )?;
+        let rejected = rejected.as_ref();
+        gauge(
+            &mut encoder,
+            "rules_rejected_version",
+            "Version of newer rules that are rejected; 0 if there are none",
+            rejected.map_or(0, |rejected| rejected.version.revision),
+        )?;
+        gauge(
+            &mut encoder,
+            "rules_rejected_seconds",
+            "For how long these rules have been rejected",
+            rejected.map_or(0, |rejected| rejected.seconds),
+        )?;
         counter(
             &mut encoder,
             "target_connections",
--- a/crates/feed/src/current.rs
+++ b/crates/feed/src/current.rs
@@ -4,6 +4,7 @@
 
 use parking_lot::RwLock;
 use rule::Document;
+use tokio::time::Instant;
 use unit::Version;
 
 use crate::{Error, Packed};
@@ -39,7 +40,18 @@
 pub struct Current {
     rules: RwLock<Option<Rules>>,
     /// The newest version that did not parse, so that it is logged and fetched only once.
-    refused_version: RwLock<Version>,
+    rejected: RwLock<Option<Rejected>>,
+}
+
+/// Rules that did not parse, so that older ones are in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Rejected {
+    /// Their version.
+    pub version: Version,
+    /// Their faults.
+    pub cause: String,
+    /// When they were rejected first.
+    pub since: Instant,
 }
 
 /// The result of offering rules.
@@ -66,7 +78,16 @@
     /// Whether `version` should be fetched: it is newer than the rules in force and was not
     /// refused.
     pub fn wants(&self, version: Version) -> bool {
-        version > self.version() && version != *self.refused_version.read()
+        let rejected = self.rejected.read();
+        let is_rejected = rejected.as_ref().is_some_and(|one| one.version == version);
+        version > self.version() && !is_rejected
+    }
+
+    /// The newest rules that were rejected, unless newer ones are in force by now.
+    pub fn rejected(&self) -> Option<Rejected> {
+        let in_force = self.version();
+        let rejected = self.rejected.read().clone();
+        rejected.filter(|rejected| rejected.version > in_force)
     }
 
     /// Puts `text` in force if `version` is newer than that of the rules in force.
@@ -110,10 +131,15 @@
     }
 
     fn refuse(&self, version: Version, cause: rule::Error) -> Error {
-        let mut refused_version = self.refused_version.write();
-        if *refused_version < version {
-            *refused_version = version;
+        let mut rejected = self.rejected.write();
+        let known = rejected.as_ref().map_or(Version::NONE, |one| one.version);
+        if known < version {
             log::error!("feed: rules {version} are refused: {cause}.");
+            *rejected = Some(Rejected {
+                version,
+                cause: cause.to_string(),
+                since: Instant::now(),
+            });
         }
         Error::Rules(version, cause)
     }
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -26,7 +26,7 @@
 use crate::message::{Answer, Kind, Message};
 use crate::relay::Relayed;
 use crate::stats::Stats;
-use crate::{Current, Error, announce, era, fallback, heartbeat, leave, note, watch};
+use crate::{Current, Error, Rejected, announce, era, fallback, heartbeat, leave, note, watch};
 
 /// Maximum time to wait for an answer.
 pub(crate) const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -81,6 +81,9 @@
 pub struct Dump {
     /// The version of the rules in force.
     pub rules: Version,
+    /// Newer rules that did not parse; left out if there are none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rejected: Option<RejectedState>,
     /// The newest known era of the store.
     pub era: Option<Era>,
     /// Whether this daemon watches the platform for its zone.
@@ -93,6 +96,27 @@
     pub flows: BTreeMap<Kind, Flow>,
 }
 
+/// Rules that did not parse, for operators.
+#[derive(Debug, Clone, Serialize)]
+pub struct RejectedState {
+    /// Their version.
+    pub version: Version,
+    /// Their faults.
+    pub cause: String,
+    /// Whole seconds for which they have been rejected.
+    pub seconds: u64,
+}
+
+impl From<Rejected> for RejectedState {
+    fn from(rejected: Rejected) -> RejectedState {
+        RejectedState {
+            version: rejected.version,
+            cause: rejected.cause,
+            seconds: rejected.since.elapsed().as_secs(),
+        }
+    }
+}
+
 impl Dump {
     /// The bytes of all kinds sent and received on the network; see [`Flow`].
     pub fn network_bytes(&self) -> u64 {
@@ -192,6 +216,7 @@
     pub fn dump(&self) -> Dump {
         Dump {
             rules: self.inner.current.version(),
+            rejected: self.inner.current.rejected().map(RejectedState::from),
             era: self.inner.store.eras().newest(),
             watcher: self.inner.with(|roster| roster.is_watcher()),
             evacuations: self.inner.evacuations.records(),
