--- a/bin/appleshore/src/top/state.rs
+++ b/bin/appleshore/src/top/state.rs
@@ -8,11 +8,13 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use tokio::time::Instant;
-use unit::Report;
+use unit::{Report, Version};
 
 use crate::daemon::Call;
 use crate::error::Error;
 
+use super::quota::Quota;
+
 /// One reading of one daemon.
 pub(super) struct Sample {
     pub(super) address: SocketAddr,
@@ -25,8 +27,9 @@
     pub(super) roster: Roster,
     pub(super) gate: Gate,
     pub(super) entry: Entry,
-    /// Missing where a daemon does not tell.
-    pub(super) feed: Option<Feed>,
+    pub(super) feed: Feed,
+    /// Missing where requests of workspaces are not counted, and of daemons of earlier versions.
+    pub(super) quota: Option<Quota>,
 }
 
 #[derive(Deserialize)]
@@ -57,6 +60,9 @@
     /// Missing where the configuration is not confirmed.
     #[serde(default)]
     pub(super) confirmations: Option<Confirmations>,
+    /// Daemons of earlier versions don't say it.
+    #[serde(default)]
+    pub(super) rejected: Option<Rejected>,
 }
 
 #[derive(Deserialize)]
@@ -71,6 +77,13 @@
     pub(super) services: Vec<Service>,
 }
 
+#[derive(Deserialize)]
+pub(super) struct Rejected {
+    pub(super) version: Version,
+    pub(super) cause: String,
+    pub(super) seconds: u64,
+}
+
 #[derive(Deserialize)]
 pub(super) struct Outcomes {
     pub(super) ran: u64,
@@ -105,7 +118,7 @@
     pub(super) zone: String,
 }
 
-/// Reads a daemon; all four parts have `limit` each.
+/// Reads a daemon; all parts have `limit` each.
 pub(super) async fn sample(address: SocketAddr, limit: Duration) -> Sample {
     let state = read(address, limit).await;
     Sample {
@@ -120,7 +133,8 @@
         roster: part(address, Part::Roster, limit).await?,
         gate: part(address, Part::Gate, limit).await?,
         entry: part(address, Part::Entry, limit).await?,
-        feed: part(address, Part::Feed, limit).await.ok(),
+        feed: part(address, Part::Feed, limit).await?,
+        quota: part(address, Part::Quota, limit).await.ok().flatten(),
     })
 }
 
--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -177,11 +177,7 @@
 
 /// Admits the requests of workspaces within their quotas, while the rules in force are confirmed as the
 /// newest.
-fn admission(
-    setting: &Setting,
-    feed: &Feed,
-    quotas: Option<&Arc<quota::Desk>>,
-) -> Admission {
+fn admission(setting: &Setting, feed: &Feed, quotas: Option<&Arc<quota::Desk>>) -> Admission {
     let mut admission = Admission::open();
     if let Some(quotas) = quotas.cloned() {
         admission.quota = Box::new(move |ask| Box::pin(quotas.clone().take(ask)));
@@ -269,7 +265,11 @@
         .pace(profile.pace)
         .standing(profile.standing);
     // The allocators of quotas lend only while their list is confirmed.
-    let keys: Vec<String> = setting.quota.iter().map(|_| quota::LIST_KEY.to_string()).collect();
+    let keys: Vec<String> = setting
+        .quota
+        .iter()
+        .map(|_| quota::LIST_KEY.to_string())
+        .collect();
     if setting.revoke.is_none() && keys.is_empty() {
         return feed.build();
     }
--- a/crates/appleshore/src/quota.rs
+++ b/crates/appleshore/src/quota.rs
@@ -20,7 +20,7 @@
 
 use crate::directory::Directory;
 
-pub(crate) use report::State;
+pub(crate) use report::Group;
 
 /// The store's key of the list of allocators.
 pub(crate) const LIST_KEY: &str = "appleshore-quota/allocators";
--- a/crates/appleshore/src/quota/report.rs
+++ b/crates/appleshore/src/quota/report.rs
@@ -48,7 +48,55 @@
     pub(crate) takeover: bool,
 }
 
+/// The name of the group of all workspaces that have none of their own.
+const REST: &str = "rest";
+
+/// The number of workspaces with a group of their own in the metrics, which bounds their labels.
+const GROUPS: usize = 16;
+
+/// One workspace of the metrics, or all that have none of their own.
+#[derive(Debug, Clone)]
+pub(crate) struct Group {
+    pub(crate) name: String,
+    pub(crate) usage: Usage,
+}
+
+/// The largest workspaces by limit, each by itself, and the others together.
+fn groups(mut usage: Vec<(Workspace, Usage)>) -> Vec<Group> {
+    usage.sort_by_key(|(_, usage)| std::cmp::Reverse(usage.limit));
+    let rest = usage.split_off(usage.len().min(GROUPS));
+    let mut groups: Vec<Group> = usage
+        .into_iter()
+        .map(|(name, usage)| Group {
+            name: name.to_string(),
+            usage,
+        })
+        .collect();
+    let rest = rest
+        .into_iter()
+        .map(|(_, usage)| usage)
+        .reduce(|a, b| Usage {
+            limit: a.limit + b.limit,
+            lent: a.lent + b.lent,
+            share: a.share + b.share,
+            spent: a.spent + b.spent,
+            refused: a.refused + b.refused,
+            admitted_total: a.admitted_total + b.admitted_total,
+            refused_total: a.refused_total + b.refused_total,
+        });
+    groups.extend(rest.map(|usage| Group {
+        name: REST.to_string(),
+        usage,
+    }));
+    groups
+}
+
 impl Desk {
+    /// What the metrics show.
+    pub(crate) fn groups(&self) -> Vec<Group> {
+        groups(self.borrower.lock().usage(self.now()))
+    }
+
     /// The state at present.
     pub(crate) fn state(&self) -> State {
         let now = self.now();
