--- a/crates/quota/src/review.rs
+++ b/crates/quota/src/review.rs
@@ -1,6 +1,7 @@
 //! Whether the list of allocators has to be written again, and with whom.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use unit::{Era, Version, Zone};
 
@@ -18,6 +19,9 @@
 /// The list is written again once its fleet is over this multiple of the number of daemons.
 const MAX_FLEET_FACTOR: u32 = 3;
 
+/// How long the number of daemons has to be the same before the first list is written.
+const GATHER: Duration = Duration::from_secs(2);
+
 /// A daemon that may be an allocator.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Daemon {
@@ -54,6 +58,8 @@
     silent: BTreeMap<Member, Moment>,
     has_seen_list: bool,
     reviewed: Option<Moment>,
+    /// The number of live daemons, and since when it is the same.
+    gathered: Option<(usize, Moment)>,
 }
 
 impl Review {
@@ -65,6 +71,7 @@
             silent: BTreeMap::new(),
             has_seen_list: false,
             reviewed: None,
+            gathered: None,
         }
     }
 
@@ -100,7 +107,7 @@
             return None;
         }
         let Some(version) = view.version else {
-            return Some(self.first(view));
+            return self.has_gathered(now, live).then(|| self.first(view));
         };
         if self.seen.is_none_or(|(seen, _)| seen != version) {
             self.seen = Some((version, now));
@@ -109,7 +116,7 @@
         self.has_seen_list = true;
         let Some(list) = view.list else {
             // An operator has written something else; numbers go on from the revision.
-            return Some(self.list(view, version.revision + 1, false, &[]));
+            return Some(self.list(view, version.revision + 1, false, &[], wanted(live)));
         };
         self.silent
             .retain(|member, _| list.allocators.contains(member));
@@ -131,15 +138,17 @@
         let count = list.allocators.len();
         let daemons = view.daemons.len() as u32;
         let fleet_differs = daemons > list.fleet || list.fleet > daemons * MAX_FLEET_FACTOR;
+        // Each change of the size moves workspaces, whose new allocators have to wait.
+        let has_size = count * SIZE_FACTOR >= wanted && count <= wanted * SIZE_FACTOR;
         let is_due = usable.len() < count.min(live)
-            || count * SIZE_FACTOR < wanted
-            || count > wanted * SIZE_FACTOR
+            || !has_size
             || fleet_differs
             || (!list.settled && has_stood);
         if !is_due {
             return None;
         }
-        let mut next = self.list(view, list.number + 1, has_stood, &usable);
+        let size = if has_size { count.min(live) } else { wanted };
+        let mut next = self.list(view, list.number + 1, has_stood, &usable, size);
         if !fleet_differs {
             next.fleet = list.fleet;
         } else {
@@ -170,15 +179,24 @@
             daemons: &daemons,
             ..*view
         };
-        let mut next = self.list(&view, list.number + 1, has_stood, &kept);
+        let mut next = self.list(&view, list.number + 1, has_stood, &kept, kept.len().max(1));
         next.fleet = list.fleet;
         (!next.allocators.is_empty()).then_some(next)
     }
 
+    /// Whether no daemon has come or gone lately. A fleet that starts at once would otherwise be listed
+    /// in part, and the next list would make its new allocators wait.
+    fn has_gathered(&mut self, now: Moment, live: usize) -> bool {
+        let gathered = self.gathered.filter(|(count, _)| *count == live);
+        let (_, since) = *self.gathered.insert(gathered.unwrap_or((live, now)));
+        now.since(since) >= GATHER
+    }
+
     /// The first list; it is settled only where no list was before it.
     fn first(&self, view: &View<'_>) -> List {
         let settled = !self.has_seen_list && view.era == Era(0);
-        self.list(view, 1, settled, &[])
+        let live = view.daemons.iter().filter(|daemon| daemon.is_live).count();
+        self.list(view, 1, settled, &[], wanted(live))
     }
 
     fn is_usable(&self, now: Moment, member: &Member, view: &View<'_>) -> bool {
@@ -193,19 +211,25 @@
         silent * SIZE_FACTOR > list.allocators.len()
     }
 
-    /// A list of the wanted size: those kept first, then the longest-running daemons, spread over zones.
-    fn list(&self, view: &View<'_>, number: u64, settled: bool, kept: &[Member]) -> List {
+    /// A list of `size` allocators: those kept first, then the longest-running daemons, spread over zones.
+    fn list(
+        &self,
+        view: &View<'_>,
+        number: u64,
+        settled: bool,
+        kept: &[Member],
+        size: usize,
+    ) -> List {
         let live: Vec<&Daemon> = view
             .daemons
             .iter()
             .filter(|daemon| daemon.is_live)
             .collect();
-        let wanted = wanted(live.len());
         let mut allocators: Vec<Member> = kept.to_vec();
-        allocators.truncate(wanted);
+        allocators.truncate(size);
         let zones: BTreeSet<&Zone> = live.iter().map(|daemon| &daemon.zone).collect();
         let zone_of = |member: &Member| live.iter().find(|d| d.member == *member).map(|d| &d.zone);
-        while allocators.len() < wanted {
+        while allocators.len() < size {
             let in_zone = |zone: &Zone| {
                 allocators
                     .iter()
