--- a/bin/appleshore/src/top.rs
+++ b/bin/appleshore/src/top.rs
@@ -1,5 +1,6 @@
 //! `appleshore top`: a live view of daemons, their gates and the targets that they choose from.
 
+mod quota;
 mod state;
 mod view;
 
--- a/bin/appleshore/tests/it/top.rs
+++ b/bin/appleshore/tests/it/top.rs
@@ -49,7 +49,19 @@
         }
         "/dump/feed" if name == "b" => json!({
             "confirmations": { "age_ms": 12_345, "lasts_ms": 4_500, "serving": false },
+            "rules": "13",
+            "rejected": { "version": "14", "cause": "line 1, column 9: no\nline 2", "seconds": 75 },
         }),
+        "/dump/quota" if name == "a" => json!({
+            "list": null, "lends": true, "worst": ["w2"],
+            "workspaces": {
+                "w1": { "limit": 100, "lent": 9, "share": 1, "spent": 9, "refused": 0 },
+                "w2": { "limit": 6, "lent": 1, "share": 0, "spent": 1, "refused": 3 },
+            },
+            "pools": [{ "workspace": "w2", "limit": 6, "lent": 5, "takeover": true }],
+        }),
+        "/dump/quota" => json!(null),
+        "/dump/feed" => json!({ "rules": "14" }),
         _ => return None,
     };
     Some(json!({ "part": path, "state": state }))
@@ -99,6 +111,22 @@
     // An operator has to see which daemon refuses requests with keys, and for how long it has.
     let row = columns(&view.out, "b ");
     assert_eq!((row[10], row[11]), ("12345ms", "unconfirmed"));
+    // The worst-served workspace has to stand first, with the sums over the daemons.
+    let quotas = view.out.lines().filter(|line| line.starts_with("quota"));
+    let quotas: Vec<&str> = quotas.collect();
+    assert_eq!(
+        quotas,
+        [
+            "quota w2 limit=6 lent=5 spent=1 refused=3 takeover",
+            "quota w1 limit=100 lent=? spent=9 refused=0"
+        ]
+    );
+    let rejected = view.out.lines().filter(|line| line.contains("rejects"));
+    let rejected: Vec<&str> = rejected.collect();
+    assert_eq!(
+        rejected,
+        ["b rejects rules 14 for 75s: line 1, column 9: no"]
+    );
     // Both know of b, and the entry that has heard of it last is believed.
     let lines = view.out.lines().filter(|line| line.starts_with("desk"));
     assert_eq!(lines.count(), 2, "{}", view.out);
--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use confirm::Clock;
 use entry::{Admission, Entry, Limits, Unconfirmed};
 use feed::{Confirm, Current, Feed};
 use gate::Gate;
@@ -19,6 +20,7 @@
 use crate::claims::Desk;
 use crate::directory::Directory;
 use crate::profile::Profile;
+use crate::quota;
 
 pub(crate) fn record(setting: &Setting, fingerprint: Fingerprint) -> Record {
     // The wall clock orders the lives of one instance; nothing else depends on it.
@@ -118,6 +120,7 @@
     pub(crate) desk: &'a Arc<Desk>,
     pub(crate) profile: &'a Profile,
     pub(crate) link: Option<&'a bandwidth::Link>,
+    pub(crate) quotas: Option<&'a Arc<quota::Desk>>,
 }
 
 pub(crate) fn desk(
@@ -168,7 +171,7 @@
     .claims(ways.desk.claims())
     .dialect(profile.dialect.clone())
     .retry(profile.retry)
-    .admission(admission(setting, ways.feed))
+    .admission(admission(setting, ways.feed, ways.quotas))
     .choice(profile.choice);
     if let Some(most) = profile.hand_overs {
         entry = entry.max_handovers(most);
@@ -182,9 +185,13 @@
     entry.build()
 }
 
-/// Admits the requests of workspaces while the rules in force are confirmed as the newest.
-fn admission(setting: &Setting, feed: &Feed) -> Admission {
+/// Admits the requests of workspaces within their quotas, while the rules in force are confirmed as the
+/// newest.
+fn admission(setting: &Setting, feed: &Feed, quotas: Option<&Arc<quota::Desk>>) -> Admission {
     let mut admission = Admission::open();
+    if let Some(quotas) = quotas.cloned() {
+        admission.quota = Box::new(move |ask| Box::pin(quotas.clone().take(ask)));
+    }
     if setting.revoke.is_some() {
         let feed = feed.clone();
         let confirmed = move || {
@@ -199,6 +206,29 @@
     admission
 }
 
+/// The quotas of workspaces; `None` where they are not counted.
+pub(crate) fn quotas(
+    setting: &Setting,
+    sources: &Sources<'_>,
+    feed: &Feed,
+    directory: &Arc<Directory>,
+) -> Option<Arc<quota::Desk>> {
+    let rules = sources.current.clone();
+    let parts = quota::Parts {
+        roster: sources.roster.clone(),
+        directory: directory.clone(),
+        dialer: sources.dialer.clone(),
+        store: sources.store.clone(),
+        feed: feed.clone(),
+        quotas: Box::new(move |workspace| {
+            let rules = rules.get()?;
+            rules.document.workspaces()?.get(workspace)?.quota
+        }),
+    };
+    let desk = quota::Desk::new(&setting.quota?, Clock::system(), parts);
+    Some(Arc::new(desk))
+}
+
 /// What a feed reads and changes.
 pub(crate) struct Sources<'a> {
     pub(crate) store: &'a Store,
@@ -244,14 +274,19 @@
         .seed(rand::random())
         .pace(profile.pace)
         .standing(profile.standing);
-    match setting.revoke {
-        Some(revoke) => {
-            let confirm = Confirm {
-                revoke: Some(revoke),
-                ..Confirm::default()
-            };
-            feed.confirm(confirm).build()
-        }
-        None => feed.build(),
+    // The allocators of quotas lend only while their list is confirmed.
+    let keys: Vec<String> = setting
+        .quota
+        .iter()
+        .map(|_| quota::LIST_KEY.to_string())
+        .collect();
+    if setting.revoke.is_none() && keys.is_empty() {
+        return feed.build();
     }
+    let confirm = Confirm {
+        revoke: setting.revoke,
+        keys,
+        ..Confirm::default()
+    };
+    feed.confirm(confirm).build()
 }
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -6,7 +6,7 @@
 
 use entry::ConnectionLimits;
 use entry::server::{self, Limits};
-use feed::Current;
+use feed::{Current, Rejected};
 use gotham::router::Router;
 use nest::Table;
 use roster::Roster;
@@ -136,8 +136,10 @@
         let stale = Arc::new(Notify::new());
         let news = stale.clone();
         let feed = assembly::feed(&setting, &sources, move || news.notify_one());
+        let quotas = assembly::quotas(&setting, &sources, &feed, &directory);
         let ways = Ways {
             feed: &feed,
+            quotas: quotas.as_ref(),
             dialer: &dialer,
             current: &current,
             directory: &directory,
@@ -161,6 +163,7 @@
             feed,
             profile,
             link,
+            quotas,
             drain,
         };
         let close = CancellationToken::new();
@@ -256,6 +259,7 @@
             directory: directory.clone(),
             roster: state.roster.clone(),
             hearers: hearers.clone(),
+            quotas: state.quotas.clone(),
         });
         self.tasks.spawn(inbound.run(self.listener.clone()));
         self.tasks.spawn(target::watch(state.server.clone()));
@@ -278,6 +282,9 @@
             let measuring = measuring::run(state.current.clone(), state.server.clone(), service);
             self.tasks.spawn(measuring);
         }
+        if let Some(quotas) = &state.quotas {
+            self.tasks.spawn(quotas.clone().run());
+        }
         self.tasks.spawn(async move { state.feed.run().await });
     }
 
@@ -307,6 +314,12 @@
         move || !state.entry.is_closing() && state.current.get().is_some()
     }
 
+    /// Tells which rules are rejected, so that older ones are in force.
+    pub fn rejected(&self) -> impl Fn() -> Option<Rejected> + Send + Sync + 'static {
+        let current = self.state.current.clone();
+        move || current.rejected()
+    }
+
     /// Waits until callers have read all that is for them.
     async fn ports_end(&mut self) {
         while self.ports.join_next().await.is_some() {}
@@ -323,6 +336,7 @@
         let until = Instant::now() + within;
         log::info!("daemon: stop begins, serve_ms={}.", serve.as_millis());
         state.entry.close_connections();
+        self.stop_lending();
         sleep(serve).await;
         state.server.gate().leave();
         let told = timeout(GOODBYE_QUICK, state.feed.leave()).await;
@@ -354,6 +368,13 @@
         log::info!("daemon: stop is done.");
     }
 
+    /// Hands the quotas that this daemon lends to others, beside the stop.
+    fn stop_lending(&mut self) {
+        if let Some(quotas) = self.state.quotas.clone() {
+            self.tasks.spawn(async move { quotas.stop().await });
+        }
+    }
+
     /// Stops as planned: tells the others, refuses new work as not run, finishes what runs, and
     /// ends. It waits no longer than the settings' bound, and says so in the log when that is hit.
     pub async fn drain(mut self) {
@@ -361,6 +382,7 @@
         log::info!("daemon: drain begins.");
         state.server.gate().leave();
         state.entry.leave();
+        self.stop_lending();
         state.feed.leave().await;
         let bound = state.setting.limits.drain.0;
         let until = Instant::now() + bound;
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -5,10 +5,12 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::counter::ConstCounter;
-use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::{ConstGauge, Gauge};
 use prometheus_client::registry::Registry;
 use unit::Version;
 
+use crate::quota::Group;
 use crate::state::State;
 
 /// Encodes the present values of all metrics.
@@ -158,12 +160,14 @@
     count: entry::Count,
     report: unit::Report,
     rules: Version,
+    rejected: Option<feed::RejectedState>,
     links: u64,
     connections: u64,
     store: store::Count,
     era: u64,
     evacuated: bool,
     left_out: u64,
+    quotas: Option<Vec<Group>>,
     confirmations: Option<feed::Confirmations>,
     link: Option<bandwidth::Dump>,
 }
@@ -175,6 +179,7 @@
             count: state.entry.count(),
             report: state.server.gate().report(),
             rules: state.current.version(),
+            rejected: feed.rejected,
             links: state.dialer.links().len() as u64,
             connections: state.server.connections(),
             store: feed.store,
@@ -183,6 +188,7 @@
             left_out: crate::logging::left_out(),
             confirmations: feed.confirmations,
             link: state.link.as_ref().map(bandwidth::Link::dump),
+            quotas: state.quotas.as_ref().map(|quotas| quotas.groups()),
         }
     }
 }
@@ -193,18 +199,23 @@
             count,
             report,
             rules,
+            rejected,
             links,
             connections,
             store,
             era,
             evacuated,
             left_out,
+            quotas,
             confirmations,
             link,
         } = &self.0;
         if let Some(link) = link {
             encode_link(&mut encoder, link)?;
         }
+        if let Some(quotas) = quotas {
+            encode_quotas(&mut encoder, quotas)?;
+        }
         counter(
             &mut encoder,
             "ran",
@@ -265,6 +276,19 @@
             "Era of the store in which the rules in force were written",
             rules.era.0,
         )?;
+        let rejected = rejected.as_ref();
+        gauge(
+            &mut encoder,
+            "rules_rejected_version",
+            "Version of newer rules that are rejected; 0 if there are none",
+            rejected.map_or(0, |rejected| rejected.version.revision),
+        )?;
+        gauge(
+            &mut encoder,
+            "rules_rejected_seconds",
+            "For how long these rules have been rejected",
+            rejected.map_or(0, |rejected| rejected.seconds),
+        )?;
         counter(
             &mut encoder,
             "target_connections",
@@ -398,6 +422,46 @@
     Ok(())
 }
 
+type Labels = Vec<(&'static str, String)>;
+
+/// The workspaces of the largest limits by name, and all others as `rest`.
+fn encode_quotas(encoder: &mut DescriptorEncoder<'_>, groups: &[Group]) -> fmt::Result {
+    type Value = fn(&quota::Usage) -> u64;
+    let gauges: [(&str, &str, Value); 4] = [
+        (
+            "quota_limit",
+            "Requests of a workspace in a window, over the fleet",
+            |u| u.limit.into(),
+        ),
+        (
+            "quota_held",
+            "Tokens of a workspace that this daemon holds",
+            |u| u64::from(u.lent) + u64::from(u.share),
+        ),
+        (
+            "quota_spent",
+            "Requests of a workspace admitted here in the last window",
+            |u| u.spent.into(),
+        ),
+        (
+            "quota_refused",
+            "Requests of a workspace refused here in the last window",
+            |u| u.refused.into(),
+        ),
+    ];
+    for (name, help, value) in gauges {
+        let family = Family::<Labels, Gauge>::default();
+        for group in groups {
+            let labels = vec![("workspace", group.name.clone())];
+            family
+                .get_or_create(&labels)
+                .set(value(&group.usage) as i64);
+        }
+        family.encode(encoder.encode_descriptor(name, help, None, family.metric_type())?)?;
+    }
+    Ok(())
+}
+
 fn counter(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
     let metric = ConstCounter::new(value);
     metric.encode(encoder.encode_descriptor(name, help, None, metric.metric_type())?)
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -21,6 +21,7 @@
 mod check;
 mod cold;
 mod limits;
+mod quota;
 mod read;
 mod retry;
 
@@ -33,6 +34,7 @@
 pub use cold::Cold;
 pub use jsonc::{Error, Fault};
 pub use limits::Limits;
+pub use quota::Quota;
 pub use retry::Retry;
 
 /// The transport of the links between daemons.
@@ -111,6 +113,8 @@
     pub evacuation_prefix: Option<String>,
     /// The bound on cold targets whose rules name a rate; none by default.
     pub cold: Option<Cold>,
+    /// How requests of workspaces are counted over the fleet; they are not by default.
+    pub quota: Option<Quota>,
     /// How long after its removal a key may be used at most. If set, requests with keys are served
     /// only while the rules in force are confirmed as the newest; `None` by default.
     pub revoke: Option<Duration>,
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -8,9 +8,9 @@
 use unit::{Bandwidth, Decimal, Span};
 
 use crate::address::{self, Endpoint};
-use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, retry};
+use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, quota, retry};
 
-const FIELDS: [&str; 30] = [
+const FIELDS: [&str; 31] = [
     "instance",
     "zone",
     "region",
@@ -39,6 +39,7 @@
     "retry",
     "evacuation_prefix",
     "cold",
+    "quota",
     "revoke",
     "bandwidth",
 ];
@@ -117,6 +118,8 @@
     let retry = retry.and_then(|value| retry::read(reader, value));
     let cold = fields.get("cold");
     let cold = cold.and_then(|value| cold::read(reader, value));
+    let quota = fields.get("quota");
+    let quota = quota.and_then(|value| quota::read(reader, value));
     let revoke = fields.get("revoke");
     let revoke = revoke.and_then(|value| revocation_time(reader, value));
     let bandwidth = fields.get("bandwidth");
@@ -162,6 +165,7 @@
         ledger_prefix: keys.ledger,
         evacuation_prefix: keys.evacuation,
         cold,
+        quota,
         revoke,
         bandwidth,
         limits: limits.unwrap_or_else(Limits::default),
