--- /dev/null
+++ b/crates/entry/tests/admission.rs
@@ -0,0 +1,455 @@
+//! Requests of workspaces at an entry whose gate is a script: what is asked of them, in which order, and
+//! whether they get their credit back.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use dialect::{Credential, Dialect};
+use entry::{
+    Admission, Body, Entry, Exceeded, OUTCOME, Origin, QuotaAsk, REASON, Spent, Unconfirmed,
+};
+use http::{HeaderName, Request, Response};
+use nest::{Context, Table};
+use parking_lot::Mutex;
+use rule::Document;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use unit::{Depth, Fingerprint, Incarnation, Service, Token, Urgency, Zone};
+use wire::{Call, Cause, Dialer, Frame, Greeter, Greeting, Listener, Peer, Refusal, Reply, Stream};
+use workspace::{Key, Salt};
+
+const KEY: &str = "k-3f9b61c07d";
+
+/// What the gate does with each call.
+#[derive(Clone, Copy, PartialEq)]
+enum Deed {
+    Answer,
+    Decline,
+    Full,
+    /// It reads the call and never answers.
+    Hang,
+    /// It ends the stream without an answer.
+    Lose,
+}
+
+/// An entry, with what its gate and its admission have seen.
+struct World {
+    entry: Arc<Entry>,
+    calls: mpsc::UnboundedReceiver<Call>,
+    asks: Arc<Mutex<Vec<QuotaAsk>>>,
+    /// Credits that were taken and not returned.
+    spent: Arc<AtomicU64>,
+    admission: Arc<Mutex<Verdict>>,
+}
+
+/// What the admission says.
+#[derive(Clone, Copy, Default)]
+struct Verdict {
+    unconfirmed: Option<Unconfirmed>,
+    exceeded: Option<Exceeded>,
+}
+
+fn parse<T: std::str::FromStr>(text: &str) -> T {
+    text.parse().ok().expect("a valid name")
+}
+
+fn greeter(name: &'static str) -> Greeter {
+    Greeter {
+        own: Arc::new(move || Greeting {
+            instance: parse(name),
+            fingerprint: Fingerprint([1; 32]),
+            card: Vec::new(),
+        }),
+        heard: Arc::new(|_| {}),
+        told: Arc::new(|_, _| {}),
+    }
+}
+
+fn rules() -> String {
+    let salt = Salt::of(b"configuration");
+    let digest = salt.digest(&Key::new(KEY.as_bytes()).expect("a key"));
+    format!(
+        r#"{{
+            "workspaces": {{ "salt": "{salt}", "members": {{
+                "pulo": {{ "keys": ["{digest}"], "priority": 0, "rate": "5/s", "burst": 2 }}
+            }} }},
+            "rules": [
+                {{ "name": "open", "when": {{ "path": "/open" }},
+                   "then": {{ "service": "desk", "public": true, "priority": 4, "bulk": true }} }},
+                {{ "name": "quick", "when": {{ "path": "/quick" }},
+                   "then": {{ "service": "desk", "objective": "400ms", "priority": 4 }} }},
+                {{ "name": "rest",
+                   "then": {{ "service": "desk", "priority": 4, "retries": 0, "timeout": "2s", "repeat": false }} }}
+            ]
+        }}"#
+    )
+}
+
+async fn gate(stream: Stream, deed: Deed, seen: mpsc::UnboundedSender<Call>) -> Option<()> {
+    let Stream {
+        mut sender,
+        mut receiver,
+    } = stream;
+    let Some(Frame::Call(call)) = receiver.recv().await.ok()? else {
+        return None;
+    };
+    let token = call.token;
+    seen.send(call).ok()?;
+    let refusal = |cause| {
+        Frame::Refusal(Refusal {
+            token,
+            cause,
+            retry_after: Duration::from_millis(40),
+            report: None,
+        })
+    };
+    let frame = match deed {
+        Deed::Answer => Frame::Reply(Reply {
+            token,
+            status: 200,
+            headers: Vec::new(),
+            allowance: 0,
+            report: None,
+            notice: None,
+        }),
+        Deed::Decline => refusal(Cause::Declined),
+        Deed::Full => refusal(Cause::Full),
+        Deed::Hang => std::future::pending().await,
+        Deed::Lose => return None,
+    };
+    sender.push(&frame).ok()?;
+    if deed == Deed::Answer {
+        sender.push(&Frame::End).ok()?;
+    }
+    sender.finish().await.ok()
+}
+
+/// An entry and one target, whose gate does `deed`.
+async fn world(deed: Deed) -> World {
+    let listener = Listener::plain((Ipv4Addr::LOCALHOST, 0).into(), greeter("desk-b"));
+    let listener = listener.await.expect("it listens");
+    let peer = Peer {
+        instance: parse("desk-b"),
+        address: listener.address().expect("an address"),
+        fingerprint: Fingerprint([1; 32]),
+    };
+    let (seen, calls) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        while let Some(handshake) = listener.accept().await {
+            let seen = seen.clone();
+            tokio::spawn(async move {
+                let link = handshake.finish().await.expect("a link");
+                while let Ok(stream) = link.stream().await {
+                    tokio::spawn(gate(stream, deed, seen.clone()));
+                }
+            });
+        }
+    });
+    let (asks, spent) = (
+        Arc::<Mutex<Vec<QuotaAsk>>>::default(),
+        Arc::<AtomicU64>::default(),
+    );
+    let admission = Arc::<Mutex<Verdict>>::default();
+    let (asked, taken, verdict) = (asks.clone(), spent.clone(), admission.clone());
+    let confirmed = admission.clone();
+    let hook = Admission {
+        confirmed: Box::new(move || confirmed.lock().unconfirmed.map_or(Ok(()), Err)),
+        quota: Box::new(move |ask| {
+            asked.lock().push(ask);
+            let exceeded = verdict.lock().exceeded;
+            let taken = taken.clone();
+            Box::pin(async move {
+                if let Some(exceeded) = exceeded {
+                    return Err(exceeded);
+                }
+                taken.fetch_add(1, Ordering::SeqCst);
+                Ok(Spent::new(move || {
+                    taken.fetch_sub(1, Ordering::SeqCst);
+                }))
+            })
+        }),
+    };
+    let (zone, service): (Zone, Service) = (parse("longbien"), parse("desk"));
+    let document = Arc::new(Document::parse(&rules()).expect("valid rules"));
+    let dialect = Dialect {
+        attempt: Some(HeaderName::from_static("x-attempt")),
+        parent: Some(|name| name.rsplit_once('.').map(|(parent, _)| parent)),
+        credential: Some(Credential {
+            header: http::header::AUTHORIZATION,
+            scheme: "Bearer",
+        }),
+        workspace: Some(HeaderName::from_static("x-workspace")),
+        deadline: Some(HeaderName::from_static("x-left")),
+        exact_retry: true,
+        ..Dialect::default()
+    };
+    let dialer = Arc::new(Dialer::plain(greeter("desk-a")));
+    let entry = Entry::builder(parse("desk-a"), zone.clone(), service.clone(), dialer)
+        .rules(Arc::new(move || Some(document.clone())))
+        .peers(Arc::new(move |_| Some(peer.clone())))
+        .admission(hook)
+        .dialect(dialect)
+        .build();
+    let target = pick::Target {
+        instance: parse("desk-b"),
+        zone,
+        incarnation: Incarnation(1),
+        leaving: false,
+        evacuated: false,
+    };
+    entry.set_targets(&service, &[target]);
+    World {
+        entry: Arc::new(entry),
+        calls,
+        asks,
+        spent,
+        admission,
+    }
+}
+
+fn outside() -> Origin {
+    Origin::Outside(IpAddr::V4(Ipv4Addr::LOCALHOST))
+}
+
+/// A running call of the caller `desk@clinic-7`, which is of batch urgency.
+fn nested() -> (nest::Running, Origin) {
+    let table = Table::default();
+    let context = Context {
+        urgency: Urgency::Batch,
+        caller: parse("desk@clinic-7"),
+        deadline: Instant::now() + Duration::from_secs(5),
+        depth: Depth(1),
+        allowance: 2,
+    };
+    let running = table.enter(Token(7), context);
+    (running, Origin::Nested(table.find(Token(7))))
+}
+
+impl World {
+    async fn send(&self, origin: Origin, path: &str, headers: &[(&str, &str)]) -> Response<Body> {
+        let mut request = Request::get(path);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.body(Body::default()).expect("a valid request");
+        self.entry.handle(origin, request).await
+    }
+
+    async fn keyed(&self, path: &str) -> Response<Body> {
+        let key = format!("Bearer {KEY}");
+        self.send(outside(), path, &[("authorization", &key)]).await
+    }
+
+    fn asks(&self) -> usize {
+        self.asks.lock().len()
+    }
+
+    fn spent(&self) -> u64 {
+        self.spent.load(Ordering::SeqCst)
+    }
+}
+
+fn header<'a>(response: &'a Response<Body>, name: &str) -> &'a str {
+    let value = response.headers().get(name);
+    value.and_then(|value| value.to_str().ok()).unwrap_or("")
+}
+
+fn names(call: &Call) -> Vec<&str> {
+    let names = call.headers.iter().map(|header| header.name.as_str());
+    names.collect()
+}
+
+/// Guards against credit that is lost for requests that have not run, and against credit that is returned
+/// for requests that may have.
+#[tokio::test]
+async fn credit_is_returned_only_if_the_request_has_not_run() {
+    let cases = [
+        (Deed::Answer, "ran", 1),
+        (Deed::Lose, "unknown", 1),
+        (Deed::Decline, "not-run", 0),
+        (Deed::Full, "not-run", 0),
+    ];
+    for (deed, outcome, spent) in cases {
+        let world = world(deed).await;
+        let answer = world.keyed("/a").await;
+        assert_eq!(header(&answer, OUTCOME), outcome);
+        assert_eq!((world.spent(), world.asks()), (spent, 1), "{outcome}");
+    }
+}
+
+/// Guards against a caller that sends requests beyond its quota by disconnecting from each.
+#[tokio::test]
+async fn credit_of_a_request_that_is_abandoned_while_it_may_run_is_kept() {
+    let mut world = world(Deed::Hang).await;
+    let entry = world.entry.clone();
+    let request = Request::get("/a").header("authorization", format!("Bearer {KEY}"));
+    let request = request.body(Body::default()).expect("a valid request");
+    let sent = tokio::spawn(async move { entry.handle(outside(), request).await });
+    world.calls.recv().await.expect("the call");
+    sent.abort();
+    assert!(sent.await.is_err());
+    assert_eq!(world.spent(), 1);
+}
+
+/// Guards against a request without a known key, or of an unconfirmed configuration, that costs quota,
+/// and against a request over the quota that reaches a gate.
+#[tokio::test]
+async fn checks_come_in_order_and_nothing_is_sent() {
+    let mut world = world(Deed::Answer).await;
+    let unconfirmed = Unconfirmed {
+        age: Some(Duration::from_secs(5)),
+        retry_after: Duration::from_millis(2_300),
+    };
+    let exceeded = Exceeded {
+        retry_after: Duration::from_millis(4_100),
+    };
+    *world.admission.lock() = Verdict {
+        unconfirmed: Some(unconfirmed),
+        exceeded: Some(exceeded),
+    };
+    let none = world.send(outside(), "/a", &[]).await;
+    assert_eq!(
+        (none.status().as_u16(), header(&none, REASON)),
+        (401, "no-workspace")
+    );
+    assert_eq!(header(&none, "www-authenticate"), "Bearer");
+    let old = world.keyed("/a").await;
+    assert_eq!(
+        (old.status().as_u16(), header(&old, REASON)),
+        (503, "unconfirmed")
+    );
+    assert_eq!(header(&old, "retry-after"), "2.300");
+    assert_eq!(world.asks(), 0);
+    world.admission.lock().unconfirmed = None;
+    let key = format!("Bearer {KEY}");
+    let headers = [("authorization", key.as_str()), ("x-left", "900")];
+    let over = world.send(outside(), "/a", &headers).await;
+    assert_eq!(
+        (over.status().as_u16(), header(&over, REASON)),
+        (429, "quota")
+    );
+    // An earlier retry would be refused too, also if the caller's time is up before.
+    assert_eq!(header(&over, "retry-after"), "4.100");
+    assert_eq!(header(&over, OUTCOME), "not-run");
+    assert_eq!(world.asks(), 1);
+    assert!(world.calls.try_recv().is_err(), "nothing was sent");
+}
+
+/// Guards against a wait for credit that takes more of the caller's time than the page allows.
+#[tokio::test]
+async fn wait_for_credit_is_an_eighth_of_the_objective_at_most() {
+    let world = world(Deed::Answer).await;
+    let key = format!("Bearer {KEY}");
+    let cases: [(&str, &str, u64); 3] = [
+        ("/quick", "2000", 50),
+        ("/a", "2000", 150),
+        ("/a", "20", 20),
+    ];
+    for (at, (path, left, most)) in cases.into_iter().enumerate() {
+        let before = Instant::now();
+        let headers = [("authorization", key.as_str()), ("x-left", left)];
+        world.send(outside(), path, &headers).await;
+        let latest = world.asks.lock()[at].latest;
+        let after = Instant::now();
+        let most = Duration::from_millis(most);
+        assert!(
+            latest >= before + most && latest <= after + most,
+            "{path} {left}"
+        );
+    }
+}
+
+/// Guards against a key on a link, and against requests that are told apart by something else than their
+/// workspace.
+#[tokio::test]
+async fn call_has_the_workspace_and_never_the_key() {
+    let mut world = world(Deed::Answer).await;
+    let key = format!("Bearer {KEY}");
+    let headers = [
+        ("authorization", key.as_str()),
+        ("x-workspace", "other"),
+        ("x-kept", "1"),
+    ];
+    world.send(outside(), "/a", &headers).await;
+    let call = world.calls.recv().await.expect("the call");
+    assert_eq!(names(&call), ["x-kept", "x-workspace"]);
+    assert_eq!(call.headers[1].value, b"pulo");
+    assert_eq!(
+        (call.caller.as_str(), call.urgency, call.bulk),
+        ("pulo", Urgency::Urgent, false)
+    );
+    let shown = format!("{call:?}");
+    assert!(!shown.contains(KEY), "{shown}");
+    world.send(outside(), "/open", &headers).await;
+    let call = world.calls.recv().await.expect("the call");
+    assert_eq!(names(&call), ["x-kept"]);
+    assert_eq!(
+        (call.caller.as_str(), call.urgency, call.bulk),
+        ("127.0.0.1", Urgency::Routine, true)
+    );
+    assert_eq!(world.asks(), 1, "a public route counts against no quota");
+}
+
+/// Guards against a nested call that is refused or counted, which would waste the run that waits for it,
+/// and against one that passes with a wrong key.
+#[tokio::test]
+async fn nested_call_belongs_to_the_caller_of_its_parent() {
+    let mut world = world(Deed::Answer).await;
+    world.admission.lock().unconfirmed = Some(Unconfirmed {
+        age: None,
+        retry_after: Duration::from_secs(1),
+    });
+    let (running, origin) = nested();
+    let answer = world
+        .send(origin.clone(), "/a", &[("x-workspace", "pulo")])
+        .await;
+    assert_eq!(header(&answer, OUTCOME), "ran");
+    let call = world.calls.recv().await.expect("the call");
+    assert_eq!(
+        (call.caller.as_str(), call.urgency),
+        ("desk@clinic-7", Urgency::Batch)
+    );
+    assert!(names(&call).is_empty(), "{:?}", call.headers);
+    assert_eq!(world.asks(), 0);
+    let wrong = world
+        .send(origin.clone(), "/a", &[("authorization", "Bearer k-0")])
+        .await;
+    assert_eq!(wrong.status().as_u16(), 401);
+    world.admission.lock().unconfirmed = None;
+    let key = format!("Bearer {KEY}");
+    world.send(origin, "/a", &[("authorization", &key)]).await;
+    let call = world.calls.recv().await.expect("the call");
+    assert_eq!(
+        (call.caller.as_str(), call.urgency),
+        ("pulo", Urgency::Urgent)
+    );
+    assert_eq!((names(&call), world.asks()), (vec!["x-workspace"], 1));
+    drop(running);
+}
+
+/// Guards against the answer 401 to a proper nested call whose daemon has restarted under its parent: its
+/// sender would take the key for wrong and not send the call again.
+#[tokio::test]
+async fn call_of_an_unknown_parent_is_told_to_come_back() {
+    let world = world(Deed::Answer).await;
+    let lost = world.send(outside(), "/a", &[("x-attempt", "a1.2")]).await;
+    assert_eq!(
+        (lost.status().as_u16(), header(&lost, REASON)),
+        (503, "no-workspace")
+    );
+    assert_eq!(header(&lost, OUTCOME), "not-run");
+    assert!(!header(&lost, "retry-after").is_empty());
+    assert_eq!(header(&lost, "www-authenticate"), "");
+    let token = Token(9).to_string();
+    let lost = world
+        .send(Origin::Nested(None), "/a", &[(nest::HEADER, &token)])
+        .await;
+    assert_eq!(lost.status().as_u16(), 503);
+    let wrong = [("x-attempt", "a1.2"), ("authorization", "Bearer k-0")];
+    let wrong = world.send(outside(), "/a", &wrong).await;
+    assert_eq!(wrong.status().as_u16(), 401);
+    let alone = world.send(Origin::Nested(None), "/a", &[]).await;
+    assert_eq!(alone.status().as_u16(), 401);
+}
