Compare what a fleet's confirmations say with what the store held

Cause: ages that leave out the time of a call or a question hide a write. Change: two tests over a fleet under drawn faults, with a list of the writes that the store acknowledged.

--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -9,4 +9,5 @@
 mod parted;
 mod piece;
 mod spread;
+mod truth;
 mod world;
