--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -31,7 +31,7 @@
 pub use cause::Cause;
 pub use decimal::Decimal;
 pub use error::Error;
-pub use name::{Caller, Instance, Member, Service, Workspace, Zone};
+pub use name::{Caller, Instance, Member, Region, Service, Workspace, Zone};
 pub use number::{Depth, Digest, Fingerprint, Incarnation, Token};
 pub use outcome::Outcome;
 pub use report::Report;
