Weigh workspaces by their quotas, and serve the earliest goal of a workspace first

Cause: with twice the load that targets take, equal shares serve the largest workspace a fiftieth of its requests; within a workspace a request with little time left waited behind those with much. Change: the weight of a request is its workspace's quota in requests a second; a caller's queue at a gate is ordered by goals; tests play 82 workspaces, a flood of one, a newcomer behind a thousand, and bursts of two urgencies.

--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -19,7 +19,7 @@
 use crate::job::{Budget, Head, Job};
 use crate::once::{Once, claim_key};
 use crate::request_body::{self, REPLAYABLE_BYTES, RequestBody};
-use crate::{Body, Entry, InFlight, Origin, Reason, Refusal, paced};
+use crate::{Body, Entry, InFlight, Origin, Reason, Refusal, paced, share};
 
 /// What the head of a request that is forwarded to a service determines.
 struct Routed<'a> {
@@ -69,7 +69,7 @@
             response.headers_mut().insert(header::CONNECTION, close);
         }
         match (&self.setting.link, &origin) {
-            (Some(link), Origin::Outside(_)) => paced::pace(link, response, false),
+            (Some(link), Origin::Outside(_)) => paced::pace(link, response),
             // The own target's answers don't cross the link.
             _ => response,
         }
@@ -152,7 +152,11 @@
             return once.serve().await;
         }
         let answer = Attempts::new(&mut job).run(&mut body).await?;
-        Ok(answer.response(Bytes::new(), guard))
+        let mut response = answer.response(Bytes::new(), guard);
+        if job.route.bulk {
+            response.extensions_mut().insert(paced::Bulk);
+        }
+        Ok(response)
     }
 
     fn build_job(
@@ -181,6 +185,7 @@
             route: route.clone(),
             caller,
             workspace: access.workspace().map(|workspace| workspace.name.clone()),
+            weight: share::weight(route, access.workspace()),
             credit: Credit::default(),
             urgency: urgency(origin, route, access),
             depth: routed.depth,
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -28,6 +28,8 @@
     pub(crate) caller: Caller,
     /// The workspace that the request belongs to.
     pub(crate) workspace: Option<Workspace>,
+    /// The weight of the caller in the fair share at gates.
+    pub(crate) weight: u32,
     /// What the request has taken out of the workspace's quota.
     pub(crate) credit: Credit,
     pub(crate) urgency: Urgency,
@@ -124,7 +126,7 @@
             service: self.service.clone(),
             urgency: self.urgency,
             caller: self.caller.clone(),
-            weight: self.route.weight,
+            weight: self.weight,
             remaining: self.deadline.saturating_duration_since(Instant::now()),
             goal: self
                 .goal
--- a/crates/entry/src/paced.rs
+++ b/crates/entry/src/paced.rs
@@ -16,6 +16,10 @@
 const LINE_BYTES: usize = 20;
 const HEADER_BYTES: usize = 4;
 
+/// Marks the answers of a `bulk` route.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Bulk;
+
 /// A body whose pieces are written when the link has room for them.
 struct Paced {
     body: Body,
@@ -26,7 +30,8 @@
 
 /// Counts an answer on the link. The body of a long one is replaced by one that is paced; a short
 /// one is passed on as it is.
-pub(crate) fn pace(link: &Link, response: Response<Body>, bulk: bool) -> Response<Body> {
+pub(crate) fn pace(link: &Link, response: Response<Body>) -> Response<Body> {
+    let bulk = response.extensions().get::<Bulk>().is_some();
     let headers = response.headers().iter();
     let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
     let head = LINE_BYTES + headers.sum::<usize>();
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -237,7 +237,7 @@
             self.quarantine.push(id);
         } else {
             self.make_room(now, &request);
-            self.lanes[rank].push(&request.caller, request.weight, id);
+            self.lanes[rank].push(&request, id);
         }
         self.tokens.queue(request.token, request.deadline);
         self.deadlines[rank].insert((request.deadline, id));
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -76,7 +76,7 @@
         }
         let rank = request.urgency.rank();
         let more_urgent: usize = self.lanes[..rank].iter().map(|lane| lane.len()).sum();
-        let own = self.lanes[rank].ahead_of(&request.caller, request.weight);
+        let own = self.lanes[rank].ahead_of(request);
         self.wait_behind(now, request.urgency, more_urgent + own)
     }
 
--- a/crates/gate/src/lane.rs
+++ b/crates/gate/src/lane.rs
@@ -3,9 +3,10 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use serde::Serialize;
+use tokio::time::Instant;
 use unit::{Caller, Member};
 
-use crate::request::Id;
+use crate::request::{Id, Request};
 
 /// Virtual time taken by one request of weight 1.
 const QUANTUM: u64 = 1 << 20;
@@ -41,7 +42,26 @@
     weight: u32,
     len: usize,
     round_robin: VecDeque<Caller>,
-    queues: BTreeMap<Caller, VecDeque<Id>>,
+    queues: BTreeMap<Caller, VecDeque<Queued>>,
+}
+
+/// A waiting request of one caller.
+#[derive(Debug, Clone, Copy)]
+struct Queued {
+    id: Id,
+    goal: Option<Instant>,
+}
+
+/// Where a request with this goal joins the queue of its caller: before those with later goals, and
+/// behind those without one. A goal that can't be met when its turn comes is refused then, so the
+/// earliest goal that can still be met goes first.
+fn place(queue: &VecDeque<Queued>, goal: Option<Instant>) -> usize {
+    let Some(goal) = goal else {
+        return queue.len();
+    };
+    let later = |queued: &Queued| queued.goal.is_some_and(|other| other > goal);
+    let overtaken = queue.iter().rev().take_while(|queued| later(queued));
+    queue.len() - overtaken.count()
 }
 
 /// The number of waiting requests of one caller.
@@ -59,8 +79,11 @@
     }
 
     /// Requests of this member that would start before a new one of `caller`.
-    fn ahead_of(&self, caller: &Caller) -> usize {
-        let mine = self.queues.get(caller).map_or(0, VecDeque::len);
+    fn ahead_of(&self, caller: &Caller, goal: Option<Instant>) -> usize {
+        let mine = self
+            .queues
+            .get(caller)
+            .map_or(0, |queue| place(queue, goal));
         let others = self.queues.iter().filter(|(other, _)| *other != caller);
         mine + others
             .map(|(_, queue)| queue.len().min(mine + 1))
@@ -70,7 +93,7 @@
     fn pop(&mut self) -> Option<Id> {
         let caller = self.round_robin.pop_front()?;
         let queue = self.queues.get_mut(&caller)?;
-        let id = queue.pop_front();
+        let id = queue.pop_front().map(|queued| queued.id);
         if queue.is_empty() {
             self.queues.remove(&caller);
         } else {
@@ -80,11 +103,12 @@
         id
     }
 
-    fn push(&mut self, caller: &Caller, id: Id) {
+    fn push(&mut self, caller: &Caller, queued: Queued) {
         if !self.queues.contains_key(caller) {
             self.round_robin.push_back(caller.clone());
         }
-        self.queues.entry(caller.clone()).or_default().push_back(id);
+        let queue = self.queues.entry(caller.clone()).or_default();
+        queue.insert(place(queue, queued.goal), queued);
         self.len += 1;
     }
 
@@ -92,7 +116,7 @@
         let Some(queue) = self.queues.get_mut(caller) else {
             return false;
         };
-        let Some(at) = queue.iter().position(|queued| *queued == id) else {
+        let Some(at) = queue.iter().position(|queued| queued.id == id) else {
             return false;
         };
         queue.remove(at);
@@ -104,10 +128,10 @@
         true
     }
 
-    /// The newest request of the caller with the longest queue.
+    /// The last request of the caller with the longest queue.
     fn newest(&self) -> Option<Id> {
         let longest = self.queues.values().max_by_key(|queue| queue.len())?;
-        longest.back().copied()
+        longest.back().map(|queued| queued.id)
     }
 }
 
@@ -116,8 +140,9 @@
         self.len
     }
 
-    pub(crate) fn push(&mut self, caller: &Caller, weight: u32, id: Id) {
+    pub(crate) fn push(&mut self, request: &Request, id: Id) {
         self.forget_idle();
+        let (caller, weight) = (&request.caller, request.weight);
         let member = caller.member();
         let place = Place {
             tag: self.virtual_time,
@@ -139,7 +164,8 @@
             self.next_order += 1;
             self.ready.insert(flow.place, member);
         }
-        flow.push(caller, id);
+        let goal = request.goal;
+        flow.push(caller, Queued { id, goal });
         self.len += 1;
     }
 
@@ -174,11 +200,12 @@
         true
     }
 
-    /// Requests of this lane that would start before a new one of `caller`.
-    pub(crate) fn ahead_of(&self, caller: &Caller, weight: u32) -> usize {
+    /// Requests of this lane that would start before a new one.
+    pub(crate) fn ahead_of(&self, request: &Request) -> usize {
+        let (caller, weight) = (&request.caller, request.weight);
         let member = caller.member();
         let own = self.flows.get(&member);
-        let mine = own.map_or(0, |flow| flow.ahead_of(caller));
+        let mine = own.map_or(0, |flow| flow.ahead_of(caller, request.goal));
         let step = QUANTUM / u64::from(weight.clamp(1, QUANTUM as u32));
         let tag = own.map_or(self.virtual_time, |flow| {
             flow.place.tag.max(self.virtual_time)
--- a/crates/gate/src/schedule.rs
+++ b/crates/gate/src/schedule.rs
@@ -231,7 +231,7 @@
                 Standing::Unsuspected => {
                     self.quarantine.remove(id);
                     let lane = &mut self.lanes[request.urgency.rank()];
-                    lane.push(&request.caller, request.weight, id);
+                    lane.push(request, id);
                 }
             }
         }
--- a/crates/gate/tests/all/main.rs
+++ b/crates/gate/tests/all/main.rs
@@ -6,9 +6,12 @@
 mod invariant;
 mod law;
 mod schedule;
+
+mod shares;
 mod shell;
 mod slowdown;
 mod suspect;
 mod throttle;
 mod token;
+mod urgency;
 mod warmup;
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -103,7 +103,7 @@
             idle_timeout: self.server.idle_timeout,
             keep: self.call.once,
             buffer_first: self.server.heartbeats.is_some(),
-            paced: link.map(|link| link.answer(false)),
+            paced: link.map(|link| link.answer(self.call.bulk)),
         };
         let start = match relay.buffer(&mut connection).await {
             Ok(start) => start,
