Report a gate's link, place bulk requests by it and refuse what it can't deliver

Cause: a request with a long answer went to a gate whose link was full, and ran there for nothing. Change: the load report ends with link_ms; the estimate of a bulk request adds it; the gate refuses a bulk request whose answer, by the backlog, the answers expected and their smoothed size, can't be delivered before its deadline.

--- a/bench/src/capacity/gate.rs
+++ b/bench/src/capacity/gate.rs
@@ -56,6 +56,7 @@
         class: 0,
         elsewhere: false,
         bulk: false,
+        delivery: None,
     })
 }
 
--- a/bench/src/policy/world/target.rs
+++ b/bench/src/policy/world/target.rs
@@ -49,6 +49,7 @@
             class: 0,
             elsewhere: false,
             bulk: false,
+            delivery: None,
         }
     }
 
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -238,12 +238,11 @@
             stale,
         );
         self.tasks.spawn(evacuated);
-        let gate = state.server.gate().clone();
         let hearers = Arc::new(Hearers::default());
         let suspicions = Arc::new(Suspicions {
             me: state.setting.instance.clone(),
             service: state.setting.service.clone(),
-            gate: gate.clone(),
+            gate: state.server.gate().clone(),
             dialer: state.dialer.clone(),
             directory: directory.clone(),
         });
@@ -268,7 +267,7 @@
                 changed,
             };
             self.tasks.spawn(keeper.run());
-            self.tasks.spawn(notice::run(gate, hearers));
+            self.tasks.spawn(notice::run(state.server.clone(), hearers));
         }
         if state.profile.heartbeat.is_some() {
             state.server.set_report_budget(REPORTS);
--- a/crates/appleshore/src/notice.rs
+++ b/crates/appleshore/src/notice.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gate::Gate;
 use parking_lot::Mutex;
+use target::Server;
 use tokio::time::{Instant, sleep, timeout};
 use unit::Instance;
 use wire::{Note, Teller, Topic, codec};
@@ -63,9 +63,9 @@
     }
 }
 
-/// Tells of each change of `gate`, for ever.
-pub(crate) async fn run(gate: Gate, hearers: Arc<Hearers>) {
-    let mut condition = gate.condition();
+/// Tells of each change of the gate of `server`, for ever.
+pub(crate) async fn run(server: Arc<Server>, hearers: Arc<Hearers>) {
+    let mut condition = server.gate().condition();
     loop {
         let now = *condition.borrow_and_update();
         let changed = match now.slow || now.closed {
@@ -76,7 +76,7 @@
             return;
         }
         condition.borrow_and_update();
-        match codec::pack(&gate.report()) {
+        match codec::pack(&server.load()) {
             Ok(payload) => hearers.tell(&Note {
                 topic: Topic::Load,
                 payload,
--- a/crates/bandwidth/src/lib.rs
+++ b/crates/bandwidth/src/lib.rs
@@ -26,5 +26,5 @@
 mod pacer;
 
 pub use class::{Class, IMMEDIATE_BYTES};
-pub use link::{Answer, Dump, Link};
+pub use link::{Answer, Dump, Expected, Link};
 pub use pacer::{Pacer, Turn, Verdict};
--- a/crates/bandwidth/src/link.rs
+++ b/crates/bandwidth/src/link.rs
@@ -27,6 +27,10 @@
     wakers: HashMap<Turn, Waker>,
     /// Bytes of long answers that are known and not yet written.
     unwritten: u64,
+    /// Smoothed size of the answers of bulk requests, in bytes.
+    bulk_bytes: f64,
+    /// Bulk requests whose answers are expected.
+    expected: u32,
     written: u64,
     paced: u64,
     waited: Duration,
@@ -58,6 +62,8 @@
             pacer: Pacer::new(Instant::now(), rate),
             wakers: HashMap::new(),
             unwritten: 0,
+            bulk_bytes: 0.0,
+            expected: 0,
             written: 0,
             paced: 0,
             waited: Duration::ZERO,
@@ -86,11 +92,22 @@
         }
     }
 
-    /// Time until the link has sent what is written and what is known to follow.
+    /// Time until the link has sent what is written, and what is known or expected to follow.
     pub fn backlog(&self) -> Duration {
+        self.state.lock().backlog()
+    }
+
+    /// Time until the link has sent the answer of a further bulk request.
+    pub fn delivery(&self) -> Duration {
         let state = self.state.lock();
-        let unwritten = state.pacer.rate().time_of_bytes(state.unwritten as f64);
-        state.pacer.backlog(Instant::now()) + unwritten
+        let own = state.pacer.rate().time_of_bytes(state.bulk_bytes);
+        state.backlog() + own
+    }
+
+    /// Counts the answer of a bulk request as expected until the guard is dropped.
+    pub fn expect_bulk(&self) -> Expected {
+        self.state.lock().expected += 1;
+        Expected { link: self.clone() }
     }
 
     /// Bytes of long answers that are known and not yet written.
@@ -118,7 +135,39 @@
     }
 }
 
+/// The expected answer of one bulk request.
+#[derive(Debug)]
+pub struct Expected {
+    link: Link,
+}
+
+impl Drop for Expected {
+    fn drop(&mut self) {
+        self.link.state.lock().expected -= 1;
+    }
+}
+
+/// Weight of one answer in the smoothed size of bulk answers.
+const BULK_STEP: f64 = 0.1;
+
 impl State {
+    fn backlog(&self) -> Duration {
+        let expected = f64::from(self.expected) * self.bulk_bytes;
+        let follows = self.unwritten as f64 + expected;
+        let rate = self.pacer.rate();
+        self.pacer.backlog(Instant::now()) + rate.time_of_bytes(follows)
+    }
+
+    fn record_bulk(&mut self, bytes: u64) {
+        let bytes = bytes as f64;
+        let step = if self.bulk_bytes > 0.0 {
+            BULK_STEP
+        } else {
+            1.0
+        };
+        self.bulk_bytes += (bytes - self.bulk_bytes) * step;
+    }
+
     /// Ends a turn and wakes the piece that is next.
     fn end(&mut self, turn: Turn) {
         self.pacer.leave(turn);
@@ -236,6 +285,9 @@
 
 impl Drop for Answer {
     fn drop(&mut self) {
+        if self.bulk && self.sent > 0 {
+            self.link.state.lock().record_bulk(self.sent);
+        }
         self.forget(self.expected);
         if let Some(wait) = self.wait.take() {
             self.link.state.lock().end(wait.turn);
--- a/crates/bandwidth/tests/share.rs
+++ b/crates/bandwidth/tests/share.rs
@@ -299,3 +299,27 @@
     }
     assert_eq!(link.dump().waited_us, 0);
 }
+
+/// The forecast forgot what runs, and a gate took more long answers than its link could send.
+#[tokio::test(start_paused = true)]
+async fn expected_and_unwritten_answers_count_in_the_backlog() {
+    let link = Link::new(rate());
+    assert_eq!(link.delivery(), Duration::ZERO, "nothing is known yet");
+    let mut answer = link.answer(true);
+    let mut left = LONG;
+    while left > 0 {
+        left -= answer.acquire(left).await;
+    }
+    drop(answer);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let own = link.delivery();
+    assert_eq!(own.as_millis(), 72);
+    let running = [link.expect_bulk(), link.expect_bulk()];
+    assert_eq!(link.backlog(), own * 2);
+    let mut there = link.answer(true);
+    there.expect(LONG);
+    assert_eq!(link.delivery(), own * 4);
+    drop(running);
+    drop(there);
+    assert_eq!(link.backlog(), Duration::ZERO);
+}
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -146,6 +146,7 @@
             urgency: self.job.urgency,
             zone: self.job.zone(),
             exclude,
+            bulk: self.job.route.bulk,
         }
     }
 
--- a/crates/gate/examples/cost.rs
+++ b/crates/gate/examples/cost.rs
@@ -25,6 +25,7 @@
         class: 0,
         elsewhere: false,
         bulk: false,
+        delivery: None,
     }
 }
 
--- a/crates/gate/examples/queue.rs
+++ b/crates/gate/examples/queue.rs
@@ -67,6 +67,7 @@
             class: 0,
             elsewhere: false,
             bulk: false,
+            delivery: None,
         };
         let verdict = self.core.offer(self.now, request);
         let (Verdict::Start(id) | Verdict::Wait(id)) = verdict else {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -74,6 +74,7 @@
 ///     class: 0,
 ///     elsewhere: false,
 ///     bulk: false,
+///     delivery: None,
 /// };
 /// let mut core = Builder::new(1).core(start);
 /// let Verdict::Start(first) = core.offer(start, request(1)) else { unreachable!() };
--- a/crates/gate/src/forecast.rs
+++ b/crates/gate/src/forecast.rs
@@ -40,6 +40,12 @@
             return Some(Cause::Full);
         }
         let wait = self.wait(now, request);
+        if let Some(delivery) = request.delivery {
+            let run = self.run_time(now, request);
+            if now + wait + run + delivery > request.deadline {
+                return Some(Cause::Full);
+            }
+        }
         if let Some(goal) = request.goal {
             let run = self.run_time(now, request) + self.latency.spread_of(request);
             let free = wait.is_zero() && self.is_worth_starting(now, request);
@@ -314,6 +320,7 @@
             slow: self.pace.is_slow(now),
             closed: self.is_closed(),
             hot: self.hot,
+            link_ms: 0,
         }
     }
 
@@ -358,6 +365,7 @@
             },
             Cause::Full | Cause::Deadline | Cause::Shed | Cause::Throttled => self
                 .wait_with_slowdown(now, request)
+                .max(request.delivery.unwrap_or_default())
                 .clamp(RETRY_MIN, RETRY_MAX),
         }
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -27,6 +27,7 @@
 //!     class: 0,
 //!     elsewhere: false,
 //!     bulk: false,
+//!     delivery: None,
 //! };
 //! let permit = gate.admit(request).await?;
 //! let running = permit.dispatch();
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -38,6 +38,10 @@
     pub elsewhere: bool,
     /// Whether its answer may be large and may be sent later than others.
     pub bulk: bool,
+    /// Expected time from the end of the run until the machine's link has sent the answer; `None` if
+    /// the link does not matter. A request whose answer can't be delivered before its deadline is
+    /// refused.
+    pub delivery: Option<Duration>,
 }
 
 /// Identifies an offered request within one [`Core`](crate::Core); never reused.
--- a/crates/gate/tests/all/admission.rs
+++ b/crates/gate/tests/all/admission.rs
@@ -416,3 +416,23 @@
     let events = answer(&mut core, now, running[0], ms(100));
     assert_eq!(events, [gate::Event::Start { id: call }]);
 }
+
+#[test]
+fn a_bulk_answer_that_the_link_cannot_deliver_is_refused_before_its_run() {
+    // The target is idle and its machine's link is not: the run would be work for nothing.
+    let now = Instant::now();
+    let mut core = Builder::new(9).core(now);
+    let bulk = |token, delivery| Request {
+        bulk: true,
+        delivery: Some(ms(delivery)),
+        ..request(now, token, "w-1")
+    };
+    start(&mut core, now, bulk(1, 900));
+    match core.offer(now, bulk(2, 1_100)) {
+        Verdict::Refuse(refusal) => {
+            assert_eq!(refusal.cause(), Cause::Full);
+            assert!(refusal.retry_after() >= ms(1_100));
+        }
+        other => panic!("expected a refusal, got {other:?}"),
+    }
+}
--- a/crates/gate/tests/all/common.rs
+++ b/crates/gate/tests/all/common.rs
@@ -24,6 +24,7 @@
         class: 0,
         elsewhere: false,
         bulk: false,
+        delivery: None,
     }
 }
 
--- a/crates/gate/tests/all/invariant.rs
+++ b/crates/gate/tests/all/invariant.rs
@@ -155,6 +155,7 @@
             class: u32::from(offer.kind % 3),
             elsewhere: offer.elsewhere,
             bulk: false,
+            delivery: None,
         };
         let known = self.deadlines.entry(token).or_insert(request.deadline);
         *known = request.deadline.max(*known);
--- a/crates/pick/src/need.rs
+++ b/crates/pick/src/need.rs
@@ -11,6 +11,8 @@
     pub zone: Preference,
     /// Instances that already had an attempt of this request, or that must not run it.
     pub exclude: &'a [Instance],
+    /// Whether the answer is long, so that the backlog of the target's link counts.
+    pub bulk: bool,
 }
 
 /// How much the zone of the target matters.
@@ -32,6 +34,7 @@
             urgency,
             zone: Preference::Near,
             exclude: &[],
+            bulk: false,
         }
     }
 }
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -123,7 +123,16 @@
         };
         let overload_cost = self.overload_cost(record, need.urgency, freshness) * service;
         let failing = self.error_rate(record) * FAILURE_COST * self.mean.service_us;
-        service + wait + round_trip + overload_cost + failing
+        let link = self.link_backlog(record, need, freshness);
+        service + wait + round_trip + overload_cost + failing + link
+    }
+
+    /// The reported backlog of the target's link, for a request whose answer is long.
+    fn link_backlog(&self, record: &Record, need: &Need<'_>, freshness: f64) -> f64 {
+        let received = record.received.filter(|_| need.bulk);
+        received.map_or(0.0, |received| {
+            f64::from(received.report.link_ms) * 1_000.0 * freshness
+        })
     }
 
     /// Weight of the last report by its age: 1 for a new one, 0 for none.
--- a/crates/pick/tests/decisions/choice.rs
+++ b/crates/pick/tests/decisions/choice.rs
@@ -339,3 +339,22 @@
     pick.receive_report(now, &name(0), closed);
     assert!(pick.choose(now, &Need::of(Urgency::Routine)).is_some());
 }
+
+#[test]
+fn bulk_requests_avoid_a_target_whose_link_is_full() {
+    // Two targets are as idle, and the link of one needs 2 s for the answers that wait for it. Short
+    // answers overtake those, so only a request with a long answer has to avoid it.
+    let now = Instant::now();
+    let mut pick = pick(now, 1, 2);
+    let mut full = report(1, 0);
+    full.link_ms = 2_000;
+    pick.receive_report(now, &name(0), full);
+    pick.receive_report(now, &name(1), report(2, 0));
+    let short = Need::of(Urgency::Urgent);
+    let bulk = Need {
+        bulk: true,
+        ..short
+    };
+    assert_eq!(pick.choose(now, &bulk), Some(name(1)));
+    assert_eq!(pick.choose(now, &short), Some(name(0)));
+}
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -54,6 +54,8 @@
     held: Option<held::Running>,
     /// The gate's load when the request started.
     load: Report,
+    /// Counts the answer of a bulk request as expected on the link, until it is there.
+    expected: Option<bandwidth::Expected>,
     started: Instant,
 }
 
@@ -179,6 +181,7 @@
             class: self.call.class,
             elsewhere: self.call.elsewhere,
             bulk: self.call.bulk,
+            delivery: self.server.delivery(&self.entry, self.call.bulk),
         }
     }
 
@@ -253,6 +256,7 @@
             life: self.server.life_name(),
             held: once.then(|| self.server.held.begin(self.call.token)),
             load,
+            expected: self.server.expect_bulk(&self.entry, self.call.bulk),
             started: Instant::now(),
         }
     }
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -161,6 +161,8 @@
             true => self.server.witness_leave(Some(connection)),
             false => self.release(connection),
         }
+        // From here on the answer itself is counted.
+        run.expected = None;
         self.finish(run, head, latency);
     }
 
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -141,6 +141,29 @@
         self.report_budget.lock().budget.spent()
     }
 
+    /// The load of this gate and of its machine's link.
+    pub fn load(&self) -> Report {
+        let mut report = self.gate.report();
+        if let Some(Link { link, .. }) = &self.link {
+            let backlog = link.backlog().as_millis();
+            report.link_ms = u16::try_from(backlog).unwrap_or(u16::MAX);
+        }
+        report
+    }
+
+    /// How long the answer of a bulk request to `entry` is expected to take on the link. An idle link
+    /// gets one whatever its expected size, because an estimate that refuses all is never corrected.
+    pub(crate) fn delivery(&self, entry: &Instance, bulk: bool) -> Option<Duration> {
+        let link = self.link_to(entry).filter(|_| bulk)?;
+        (!link.backlog().is_zero()).then(|| link.delivery())
+    }
+
+    /// Counts the answer of a bulk request to `entry` as expected on the link.
+    pub(crate) fn expect_bulk(&self, entry: &Instance, bulk: bool) -> Option<bandwidth::Expected> {
+        let link = self.link_to(entry).filter(|_| bulk)?;
+        Some(link.expect_bulk())
+    }
+
     /// The link to `entry`, if answers to it are paced.
     pub(crate) fn link_to(&self, entry: &Instance) -> Option<&bandwidth::Link> {
         let Link { link, instance } = self.link.as_ref()?;
@@ -149,7 +172,7 @@
 
     /// The load report to attach to an answer to `entry`, if the budget allows it.
     pub(crate) fn report(&self, entry: &Instance, urgency: Urgency) -> Option<Report> {
-        let report = self.gate.report();
+        let report = self.load();
         let budget = &mut self.report_budget.lock().budget;
         budget
             .try_attach(Instant::now(), entry, urgency, &report)
--- a/crates/unit/src/report.rs
+++ b/crates/unit/src/report.rs
@@ -28,6 +28,9 @@
     pub closed: bool,
     /// The gate has no free slot and a queue, and would rather be passed over.
     pub hot: bool,
+    /// Milliseconds until the link of the gate's machine has sent the long answers that wait for it or
+    /// are expected; 0 where answers are not paced.
+    pub link_ms: u16,
 }
 
 impl Report {
