--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -123,7 +123,10 @@
                     self.id(),
                     refusal.cause(),
                     elapsed_ms(arrived),
-                    load_fields(&refusal.report())
+                    load_fields(&Report {
+                        link_ms: self.server.load().link_ms,
+                        ..refusal.report()
+                    })
                 );
                 self.forward_refusal(sender, &refusal).await
             }
@@ -243,7 +246,7 @@
 
     /// Uses the permit: from here on the request may run.
     fn start(&self, permit: Permit) -> Run {
-        let load = self.server.gate.report();
+        let load = self.server.load();
         if load.slow {
             self.server.stats().slow_starts.inc();
         }
@@ -439,8 +442,12 @@
 
 /// Formats the load that the gate had when it decided on a request, for a log line.
 fn load_fields(report: &Report) -> String {
+    let link = match report.link_ms {
+        0 => String::new(),
+        link_ms => format!(" link_ms={link_ms}"),
+    };
     format!(
-        "running={} queued={} limit={} pace={} service_us={}",
+        "running={} queued={} limit={} pace={} service_us={}{link}",
         report.running,
         report.waiting(),
         report.limit,
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -205,6 +205,9 @@
         };
         sender.push(&Frame::Known(known))?;
         if let Found::Answer(answer) = found {
+            if let Some(Link { link, .. }) = &self.link {
+                link.record(answer.body.len());
+            }
             sender.push(&Frame::Reply(answer.reply))?;
             sender.write(answer.body).await?;
             sender.push(&Frame::End)?;
