--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -74,6 +74,7 @@
 ///     class: 0,
 ///     elsewhere: false,
 ///     bulk: false,
+///     delivery: None,
 /// };
 /// let mut core = Builder::new(1).core(start);
 /// let Verdict::Start(first) = core.offer(start, request(1)) else { unreachable!() };
@@ -237,7 +238,7 @@
             self.quarantine.push(id);
         } else {
             self.make_room(now, &request);
-            self.lanes[rank].push(&request.caller, request.weight, id);
+            self.lanes[rank].push(&request, id);
         }
         self.tokens.queue(request.token, request.deadline);
         self.deadlines[rank].insert((request.deadline, id));
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -103,7 +103,7 @@
             idle_timeout: self.server.idle_timeout,
             keep: self.call.once,
             buffer_first: self.server.heartbeats.is_some(),
-            paced: link.map(|link| link.answer(false)),
+            paced: link.map(|link| link.answer(self.call.bulk)),
         };
         let start = match relay.buffer(&mut connection).await {
             Ok(start) => start,
@@ -161,6 +161,8 @@
             true => self.server.witness_leave(Some(connection)),
             false => self.release(connection),
         }
+        // From here on the answer itself is counted.
+        run.expected = None;
         self.finish(run, head, latency);
     }
 
