--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -71,6 +71,21 @@
         "Requests of which a copy was sent beside the first try",
         entry.hedged,
     );
+    registry.register(
+        "no_workspace",
+        "Requests refused because they have no known key",
+        entry.no_workspace,
+    );
+    registry.register(
+        "unconfirmed",
+        "Requests refused because the configuration was not confirmed",
+        entry.unconfirmed,
+    );
+    registry.register(
+        "over_quota",
+        "Requests refused because they were over the quota of their workspace",
+        entry.over_quota,
+    );
     let target = state.server.stats().clone();
     registry.register(
         "waited_seconds",
--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -98,6 +98,7 @@
             }
             Presented::Nothing if self.names_parent(origin, parts) => {
                 let cause = "the call that this one serves is not known here";
+                self.stats().no_workspace.inc();
                 log::info!(
                     "entry: id={} workspace=none verdict=unknown-parent.",
                     self.id(parts)
@@ -109,6 +110,7 @@
             }
             Presented::Nothing => "a key is needed",
         };
+        self.stats().no_workspace.inc();
         log::info!(
             "entry: id={} workspace=none verdict=no-workspace cause={cause:?}.",
             self.id(parts)
@@ -173,6 +175,7 @@
             Err(exceeded) => exceeded,
         };
         let Exceeded { retry_after } = exceeded;
+        self.stats().over_quota.inc();
         log::info!(
             "entry: id={} workspace={} verdict=quota rate={} burst={} waited_ms={} retry_after_ms={}.",
             self.id(parts),
@@ -194,6 +197,7 @@
         unconfirmed: Unconfirmed,
     ) -> Refusal {
         let Unconfirmed { age, retry_after } = unconfirmed;
+        self.stats().unconfirmed.inc();
         let age = age.map_or("none".to_string(), |age| age.as_millis().to_string());
         log::info!(
             "entry: id={} workspace={} verdict=unconfirmed age_ms={age} retry_after_ms={}.",
--- a/crates/entry/src/stats.rs
+++ b/crates/entry/src/stats.rs
@@ -31,6 +31,12 @@
     pub retried: Counter,
     /// Requests that were hedged: a copy was sent while the first attempt was in progress.
     pub hedged: Counter,
+    /// Requests refused because they have no known key.
+    pub no_workspace: Counter,
+    /// Requests refused because the configuration was not confirmed.
+    pub unconfirmed: Counter,
+    /// Requests refused because they were over the quota of their workspace.
+    pub over_quota: Counter,
 }
 
 impl Default for Stats {
@@ -44,6 +50,9 @@
             handed_over: Counter::default(),
             retried: Counter::default(),
             hedged: Counter::default(),
+            no_workspace: Counter::default(),
+            unconfirmed: Counter::default(),
+            over_quota: Counter::default(),
         }
     }
 }
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -335,6 +335,9 @@
     assert_eq!(header(&over, OUTCOME), "not-run");
     assert_eq!(world.asks(), 1);
     assert!(world.calls.try_recv().is_err(), "nothing was sent");
+    let stats = world.entry.stats();
+    let counts = [&stats.no_workspace, &stats.unconfirmed, &stats.over_quota];
+    assert_eq!(counts.map(|count| count.get()), [1; 3]);
 }
 
 /// Guards against a wait for credit that takes more of the caller's time than the page allows.
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -7,5 +7,6 @@
 mod fault;
 mod parted;
 mod piece;
+mod rejected;
 mod spread;
 mod world;
--- /dev/null
+++ b/crates/feed/tests/it/rejected.rs
@@ -0,0 +1,36 @@
+//! Rules that are rejected are shown until newer ones are in force.
+
+use std::time::Duration;
+
+use feed::{Current, Offer};
+use tokio::time::{Instant, advance};
+use unit::Version;
+
+use crate::world::text;
+
+/// Guards against rules that operators take for being in force, and against an alarm that stays although
+/// the fault is mended, or ends although it is not.
+#[tokio::test(start_paused = true)]
+async fn rejected_rules_are_shown_until_newer_ones_are_in_force() {
+    let current = Current::default();
+    let offer = |version, text: &str| current.offer(Version::of(version), text).ok();
+    let shown = || current.rejected().map(|rejected| rejected.version.revision);
+    assert_eq!(shown(), None);
+    let began = Instant::now();
+    assert_eq!(offer(5, r#"{ "fault": "two tenants" }"#), None);
+    advance(Duration::from_secs(3)).await;
+    assert_eq!(offer(5, r#"{ "fault": "two tenants" }"#), None);
+    let rejected = current.rejected().expect("rejected rules");
+    assert_eq!((rejected.version, rejected.since), (Version::of(5), began));
+    assert!(
+        rejected.cause.ends_with("two tenants"),
+        "{}",
+        rejected.cause
+    );
+    assert!(!current.wants(Version::of(5)) && current.wants(Version::of(6)));
+    // Older rules that come late don't end it: the newest are still rejected.
+    assert_eq!(offer(4, &text("four")), Some(Offer::Accepted));
+    assert_eq!(shown(), Some(5));
+    assert_eq!(offer(6, &text("six")), Some(Offer::Accepted));
+    assert_eq!(shown(), None);
+}
