--- a/crates/feed/tests/it/confirm.rs
+++ b/crates/feed/tests/it/confirm.rs
@@ -133,6 +133,16 @@
     assert!(world.nodes.iter().all(serves));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_larger_fleet_costs_a_daemon_no_more() {
+    // In large zones daemons answer each other, so that watchers do not answer all.
+    let world = fleet_with(200, 4, &[]).await;
+    let cost = cost(&world, 20).await;
+    println!("200 daemons in 4 zones: {cost:?}");
+    assert!(cost.reads < 1.3 && cost.messages < 25.0, "{cost:?}");
+    assert!(cost.age < USUAL, "{cost:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_read_or_sent_unless_it_is_set() {
     let world = World::settled(12).await;
