Test each failure of quotas by itself

Rows of the failure table, the review of the list and rules that the histories don't reach: settled lists, transfers, lower limits, and tokens given up while an ask is open.

--- a/crates/quota/tests/fairness.rs
+++ b/crates/quota/tests/fairness.rs
@@ -69,7 +69,7 @@
     );
     assert!(hot.most() <= limit as usize, "{} of {limit}", hot.most());
     assert!(
-        while_hot * 100 >= limit as usize * 85,
+        while_hot * 100 >= limit as usize * 90,
         "{while_hot} of {limit}"
     );
     for (load, served) in fleet.loads.iter().zip(&fleet.served) {
--- /dev/null
+++ b/crates/quota/tests/rows.rs
@@ -0,0 +1,449 @@
+//! Each failure of the table in `docs/design/hard-load.md`, and the rules that it rests on.
+
+use std::time::Duration;
+
+use quota::{
+    Answer, Ask, Borrower, Daemon, Item, Lender, List, Member, Moment, Review, Setting, Take, View,
+};
+use unit::{Era, Incarnation, Version, Workspace};
+
+const SETTING: Setting = Setting {
+    window: Duration::from_secs(5),
+    overage: 0.1,
+    slack: 2,
+};
+const LIMIT: u32 = 40;
+/// Of 40, with a fleet of 2, each has a share of 5 and 30 are lent; the margin is 6.
+const LENDABLE: u32 = 30;
+const MARGIN: u32 = 6;
+
+fn name() -> Workspace {
+    "pulo".parse().expect("a workspace")
+}
+
+fn member(name: &str, life: u64) -> Member {
+    Member {
+        instance: name.parse().expect("an instance"),
+        incarnation: Incarnation(life),
+    }
+}
+
+fn list(number: u64, settled: bool, allocators: &[&Member]) -> List {
+    List {
+        number,
+        settled,
+        fleet: 2,
+        allocators: allocators.iter().copied().cloned().collect(),
+    }
+}
+
+fn at(ms: u64) -> Moment {
+    Moment(Duration::from_millis(ms))
+}
+
+/// An allocator of the first list, confirmed at `ms`.
+fn lender(ms: u64) -> Lender {
+    let me = member("a", 1);
+    let mut lender = Lender::new(me.clone(), SETTING);
+    lender.confirm(at(ms), at(ms), Version::of(1), Some(&list(1, true, &[&me])));
+    lender
+}
+
+fn confirm(lender: &mut Lender, ms: u64, list: &List) {
+    lender.confirm(at(ms), at(ms), Version::of(list.number), Some(list));
+}
+
+/// What the allocator lends to `borrower`, which holds and wants as many.
+fn lent(lender: &mut Lender, ms: u64, borrower: &Member, number: u64, held: u32, want: u32) -> u32 {
+    let ask = Ask {
+        incarnation: borrower.incarnation,
+        number,
+        items: vec![Item {
+            workspace: name(),
+            held,
+            want,
+            returned: Vec::new(),
+        }],
+    };
+    let answer = lender.ask(at(ms), &borrower.instance, &ask, |_| LIMIT);
+    answer.replies.first().map_or(0, |reply| reply.lent)
+}
+
+/// A borrower at `ms`, with the list of `allocator` and as many tokens as it wants for `count` requests.
+fn borrower(ms: u64, allocator: &Member, count: u32) -> Borrower {
+    let mut borrower = Borrower::new(Incarnation(9), SETTING);
+    borrower.set_list(Version::of(1), &list(1, true, &[allocator]));
+    borrower.set_limit(at(ms), &name(), LIMIT);
+    for _ in 0..count {
+        assert_eq!(borrower.take(at(ms), &name()), Take::Wait);
+        borrower.set_waiting(&name(), true);
+    }
+    answer(&mut borrower, ms, allocator, count, LIMIT);
+    for _ in 0..count {
+        borrower.set_waiting(&name(), false);
+    }
+    borrower
+}
+
+/// Answers the next ask with `lent` tokens under `limit`.
+fn answer(borrower: &mut Borrower, ms: u64, allocator: &Member, lent: u32, limit: u32) {
+    let (_, ask) = borrower.asks(at(ms)).pop().expect("an ask");
+    reply(borrower, ms, allocator, ask.number, lent, limit);
+}
+
+fn reply(borrower: &mut Borrower, ms: u64, from: &Member, number: u64, lent: u32, limit: u32) {
+    let answer = Answer {
+        lending: true,
+        renew_ms: 1_000,
+        replies: vec![quota::Reply {
+            workspace: name(),
+            lent,
+            limit,
+            again_ms: 0,
+        }],
+    };
+    borrower.answered(at(ms), from, number, &answer);
+}
+
+fn take_all(borrower: &mut Borrower, ms: u64) -> u32 {
+    let taken = std::iter::repeat_with(|| borrower.take(at(ms), &name()));
+    taken
+        .take_while(|take| matches!(take, Take::Spent(_)))
+        .count() as u32
+}
+
+/// Tokens of a borrower that died were lent again while its requests were in the window, or never.
+#[test]
+fn tokens_of_a_dead_borrower_come_free_after_lease_and_window() {
+    let mut lender = lender(0);
+    let first = list(1, true, &[&member("a", 1)]);
+    let (dead, other) = (member("b", 1), member("c", 1));
+    assert_eq!(lent(&mut lender, 0, &dead, 1, 0, 99), LENDABLE);
+    for (ms, expected) in [(9_900, 0), (10_000, LENDABLE)] {
+        confirm(&mut lender, ms, &first);
+        assert_eq!(lent(&mut lender, ms, &other, ms, 0, 99), expected);
+    }
+}
+
+/// A restarted borrower was given the tokens that its former life held.
+#[test]
+fn restarted_borrower_starts_with_none() {
+    let mut lender = lender(0);
+    assert_eq!(lent(&mut lender, 0, &member("b", 1), 1, 0, 99), LENDABLE);
+    assert_eq!(lent(&mut lender, 100, &member("b", 2), 1, 0, 99), 0);
+}
+
+/// A borrower that is cut off went on with loans that the allocator has lent to others.
+#[test]
+fn borrower_that_is_cut_off_keeps_only_its_share() {
+    let allocator = member("a", 1);
+    let mut borrower = borrower(1_000, &allocator, 8);
+    assert_eq!(take_all(&mut borrower, 5_900), 13);
+    // 5 s after the ask the loan ends, and with it the token of each request but those of the share.
+    assert_eq!(take_all(&mut borrower, 6_000), 0);
+    assert_eq!(take_all(&mut borrower, 10_900), 5);
+}
+
+/// The former life of a daemon has spent the same even share within the window.
+#[test]
+fn even_share_begins_a_window_after_the_start() {
+    let mut borrower = Borrower::new(Incarnation(9), SETTING);
+    borrower.set_list(Version::of(1), &list(1, true, &[&member("a", 1)]));
+    borrower.set_limit(at(4_900), &name(), LIMIT);
+    assert_eq!(take_all(&mut borrower, 4_900), 0);
+    assert_eq!(take_all(&mut borrower, 5_000), 5);
+}
+
+/// An allocator that is cut off from the store lent on beside its successor.
+#[test]
+fn authority_ends_with_the_age_of_the_confirmation() {
+    let mut lender = lender(0);
+    assert!(lender.has_authority(at(2_500)));
+    assert!(!lender.has_authority(at(2_501)));
+    assert_eq!(lent(&mut lender, 2_501, &member("b", 1), 1, 0, 9), 0);
+}
+
+/// A restarted allocator lent by the list that names its former life.
+#[test]
+fn list_of_a_former_life_gives_no_authority() {
+    let mut lender = Lender::new(member("a", 2), SETTING);
+    confirm(&mut lender, 0, &list(1, true, &[&member("a", 1)]));
+    assert!(!lender.has_authority(at(0)));
+}
+
+/// A new allocator lent what loans of its predecessor still covered.
+#[test]
+fn new_allocator_lends_the_margin_until_the_takeover_has_ended() {
+    let me = member("n", 1);
+    let former = list(4, true, &[&member("a", 1)]);
+    let present = list(5, true, &[&me]);
+    let mut lender = Lender::new(me, SETTING);
+    confirm(&mut lender, 1_000, &former);
+    confirm(&mut lender, 2_000, &present);
+    // What a borrower reports is taken over beside the margin.
+    assert_eq!(lent(&mut lender, 2_000, &member("b", 1), 1, 10, 10), 10);
+    assert_eq!(lent(&mut lender, 2_000, &member("c", 1), 1, 0, 99), MARGIN);
+    for (ms, number) in [(5_000, 2), (9_000, 3)] {
+        confirm(&mut lender, ms, &present);
+        let more = lent(&mut lender, ms, &member("b", 1), number, 10, 10);
+        assert_eq!(more, 10);
+        let margin = lent(&mut lender, ms, &member("c", 1), number, 6, 6);
+        assert_eq!(margin, MARGIN);
+    }
+    confirm(&mut lender, 13_000, &present);
+    assert_eq!(lent(&mut lender, 13_000, &member("b", 1), 4, 10, 10), 10);
+    assert_eq!(lent(&mut lender, 13_000, &member("c", 1), 4, 6, 99), MARGIN);
+    confirm(&mut lender, 14_500, &present);
+    let all = lent(&mut lender, 14_500, &member("c", 1), 5, 6, 99);
+    assert_eq!(all, LENDABLE - 10);
+}
+
+/// The margin was lent by two allocators after each other, or by one that can't tell how old the list is.
+#[test]
+fn margin_is_not_lent_unless_the_list_is_settled_and_new() {
+    let me = member("n", 1);
+    let former = list(4, true, &[&member("a", 1)]);
+    for (settled, heard_before) in [(false, 1_000), (true, 6_000)] {
+        let mut lender = Lender::new(me.clone(), SETTING);
+        confirm(&mut lender, 10_000 - heard_before, &former);
+        confirm(&mut lender, 10_000, &list(5, settled, &[&me]));
+        assert_eq!(lent(&mut lender, 10_000, &member("c", 1), 1, 0, 99), 0);
+    }
+}
+
+/// A store that came back from an older copy names allocators of another time as settled.
+#[test]
+fn list_of_a_later_era_is_not_settled_and_takes_over() {
+    let mut lender = lender(0);
+    let restored = list(1, true, &[&member("a", 1)]);
+    let version = Version::in_era(Era(1), 1);
+    lender.confirm(at(1_000), at(1_000), version, Some(&restored));
+    assert_eq!(lent(&mut lender, 1_000, &member("b", 1), 1, 0, 99), 0);
+    lender.confirm(at(13_500), at(13_500), version, Some(&restored));
+    assert_eq!(
+        lent(&mut lender, 13_500, &member("b", 1), 2, 0, 99),
+        LENDABLE
+    );
+}
+
+/// Tokens that were taken away by a lower limit, and lent again, were spent twice in a window.
+#[test]
+fn lower_limit_scales_what_is_held_at_once() {
+    let allocator = member("a", 1);
+    let mut borrower = borrower(1_000, &allocator, 8);
+    borrower.set_limit(at(1_500), &name(), LIMIT / 4);
+    assert_eq!(take_all(&mut borrower, 1_500), 2);
+}
+
+/// An answer under way brought tokens back that had been given up, and spent, since it was asked for.
+#[test]
+fn tokens_given_up_under_an_open_ask_stay_given_up() {
+    let allocator = member("a", 1);
+    let mut borrower = borrower(1_000, &allocator, 8);
+    assert_eq!(take_all(&mut borrower, 1_500), 8);
+    let (_, ask) = borrower.asks(at(2_100)).pop().expect("an ask");
+    let held = ask.items[0].held;
+    borrower.set_limit(at(2_200), &name(), LIMIT / 4);
+    borrower.set_limit(at(2_300), &name(), LIMIT);
+    reply(&mut borrower, 2_400, &allocator, ask.number, held, LIMIT);
+    assert_eq!(take_all(&mut borrower, 2_400), 0);
+}
+
+/// A refused request that had taken a token out kept others from running for a window.
+#[test]
+fn token_of_a_request_that_has_not_run_comes_back() {
+    let allocator = member("a", 1);
+    let mut borrower = borrower(1_000, &allocator, 1);
+    let Take::Spent(spent) = borrower.take(at(1_500), &name()) else {
+        panic!("a token was lent");
+    };
+    borrower.refund(at(1_600), &name(), spent);
+    assert_eq!(take_all(&mut borrower, 1_700), 1);
+}
+
+/// The successor `n` of an allocator that stopped as planned.
+fn successor(ms: u64, next: &List) -> Lender {
+    let mut lender = Lender::new(member("n", 1), SETTING);
+    confirm(&mut lender, ms - 100, &list(1, true, &[&member("a", 1)]));
+    confirm(&mut lender, ms, next);
+    lender
+}
+
+/// A planned stop cost the workspaces of an allocator their tokens for a takeover.
+#[test]
+fn records_of_an_allocator_that_stops_end_the_takeover() {
+    let mut old = lender(0);
+    assert_eq!(lent(&mut old, 0, &member("b", 1), 1, 0, 10), 10);
+    let next = list(2, true, &[&member("n", 1)]);
+    old.stop();
+    assert!(!old.has_authority(at(100)));
+    let mut new = successor(200, &next);
+    // It has returned four tokens meanwhile, which may have been spent just before.
+    assert_eq!(lent(&mut new, 250, &member("b", 1), 2, 6, 6), 6);
+    let (to, transfer) = old.transfers(at(200), &next).pop().expect("a transfer");
+    assert_eq!(to, member("n", 1));
+    assert_eq!(new.inherit(at(300), &member("a", 1).instance, &transfer), 1);
+    let free = LENDABLE - 10;
+    assert_eq!(lent(&mut new, 400, &member("c", 1), 1, 0, 99), free);
+}
+
+/// Records of an allocator that was itself taking over don't tell what its predecessor has lent.
+#[test]
+fn records_from_a_takeover_do_not_end_another() {
+    let next = list(2, true, &[&member("n", 1)]);
+    let mut lender = successor(200, &next);
+    assert_eq!(lent(&mut lender, 200, &member("b", 1), 1, 5, 5), 5);
+    lender.stop();
+    assert!(
+        lender
+            .transfers(at(300), &list(3, false, &[&member("o", 1)]))
+            .is_empty()
+    );
+}
+
+fn daemons(zones: usize, each: usize) -> Vec<Daemon> {
+    let all = (0..zones * each).map(|place| Daemon {
+        member: member(&format!("d{place:02}"), 100 + place as u64),
+        zone: format!("zone-{}", place % zones).parse().expect("a zone"),
+        is_live: true,
+    });
+    all.collect()
+}
+
+fn view<'a>(list: Option<&'a List>, daemons: &'a [Daemon]) -> View<'a> {
+    View {
+        era: Era(0),
+        version: list.map(|list| Version::of(list.number)),
+        list,
+        daemons,
+        is_fresh: true,
+    }
+}
+
+/// Reviews from one time to another, until there is a list to write.
+fn review(review: &mut Review, from: u64, to: u64, view: &View<'_>) -> Option<(u64, List)> {
+    (from..to)
+        .step_by(250)
+        .find_map(|ms| Some((ms, review.next(at(ms), view)?)))
+}
+
+fn zones_of(list: &List, daemons: &[Daemon]) -> Vec<usize> {
+    let mut counts = vec![0; 3];
+    for allocator in &list.allocators {
+        let place = daemons
+            .iter()
+            .position(|daemon| daemon.member == *allocator);
+        counts[place.expect("known") % 3] += 1;
+    }
+    counts
+}
+
+/// All allocators in one zone would go with it; one of many lives would change soon again.
+#[test]
+fn first_list_has_the_longest_running_daemons_of_all_zones() {
+    let daemons = daemons(3, 27);
+    let mut reviewer = Review::new(SETTING);
+    let (ms, first) = review(&mut reviewer, 0, 5_000, &view(None, &daemons)).expect("a list");
+    assert_eq!(ms, 2_000, "it waits until no daemon has come for 2 s");
+    assert_eq!((first.number, first.settled, first.fleet), (1, true, 122));
+    assert_eq!(first.allocators.len(), 9);
+    assert_eq!(zones_of(&first, &daemons), [3, 3, 3]);
+    assert!(
+        first
+            .allocators
+            .iter()
+            .all(|member| member.incarnation.0 < 109)
+    );
+    let later = View {
+        era: Era(1),
+        ..view(None, &daemons)
+    };
+    let (_, first) = review(&mut Review::new(SETTING), 0, 5_000, &later).expect("a list");
+    assert!(!first.settled, "an older list may be lost");
+}
+
+/// The margin of the last takeover was still lent when the next allocator lent it again.
+#[test]
+fn list_is_settled_only_after_the_margin_loans_of_the_last_one() {
+    let mut daemons = daemons(3, 27);
+    let (_, mut first) =
+        review(&mut Review::new(SETTING), 0, 5_000, &view(None, &daemons)).expect("a list");
+    first.settled = false;
+    let mut reviewer = Review::new(SETTING);
+    let next = review(&mut reviewer, 0, 30_000, &view(Some(&first), &daemons));
+    let (ms, next) = next.expect("a list");
+    assert_eq!((ms, next.number, next.settled), (25_000, 2, true));
+    assert_eq!(next.allocators, first.allocators);
+    // One that is lost before is replaced by an unsettled list.
+    let mut reviewer = Review::new(SETTING);
+    assert_eq!(
+        review(&mut reviewer, 0, 24_000, &view(Some(&first), &daemons)),
+        None
+    );
+    daemons[0].member.incarnation = Incarnation(500);
+    let (ms, next) =
+        review(&mut reviewer, 24_000, 25_000, &view(Some(&first), &daemons)).expect("a list");
+    assert_eq!(
+        (ms, next.settled),
+        (24_000, false),
+        "a restart is replaced at once"
+    );
+}
+
+/// The allocators of a lost zone were replaced one after the other, each time with a takeover.
+#[test]
+fn silent_allocators_are_replaced_in_one_write() {
+    let daemons = daemons(3, 27);
+    let (_, first) =
+        review(&mut Review::new(SETTING), 0, 5_000, &view(None, &daemons)).expect("a list");
+    let mut reviewer = Review::new(SETTING);
+    assert_eq!(
+        review(&mut reviewer, 0, 1_000, &view(Some(&first), &daemons)),
+        None
+    );
+    let silent: Vec<Member> = (0..3)
+        .map(|place| daemons[place * 3].member.clone())
+        .collect();
+    for member in &silent {
+        reviewer.probed(at(1_000), member, false);
+    }
+    let next = review(&mut reviewer, 1_000, 5_000, &view(Some(&first), &daemons));
+    let (ms, next) = next.expect("a list");
+    assert_eq!(ms, 2_500);
+    assert_eq!(next.allocators.len(), 9);
+    assert!(
+        silent
+            .iter()
+            .all(|member| !next.allocators.contains(member))
+    );
+    // A watcher that hears most of them no more is cut off itself.
+    let mut reviewer = Review::new(SETTING);
+    assert_eq!(
+        review(&mut reviewer, 0, 1_000, &view(Some(&first), &daemons)),
+        None
+    );
+    for member in first.allocators.iter().take(6) {
+        reviewer.probed(at(1_000), member, false);
+    }
+    assert_eq!(
+        review(&mut reviewer, 1_000, 9_000, &view(Some(&first), &daemons)),
+        None
+    );
+}
+
+/// More daemons than the even share is split over would exceed the limit together.
+#[test]
+fn list_is_written_again_when_the_fleet_outgrows_it() {
+    let few = daemons(3, 27);
+    let (_, first) =
+        review(&mut Review::new(SETTING), 0, 5_000, &view(None, &few)).expect("a list");
+    let many = daemons(3, 41);
+    let mut reviewer = Review::new(SETTING);
+    let (_, next) = review(&mut reviewer, 0, 1_000, &view(Some(&first), &many)).expect("a list");
+    assert_eq!((next.fleet, next.settled), (185, false));
+    assert_eq!(next.allocators, first.allocators, "no workspace moves");
+    let few = daemons(3, 13);
+    let mut reviewer = Review::new(SETTING);
+    let (_, next) = review(&mut reviewer, 0, 1_000, &view(Some(&first), &few)).expect("a list");
+    assert_eq!(next.fleet, 59);
+}
--- a/crates/quota/tests/world/mod.rs
+++ b/crates/quota/tests/world/mod.rs
@@ -467,7 +467,7 @@
     /// Requests come at several times the limit, at all daemons; some have not run.
     fn requests(&mut self, daemon: usize) {
         let at = self.daemons[daemon].moment(self.now);
-        for (name, mean) in [("small", 0.02), ("large", 1.0)] {
+        for (name, mean) in [("small", 0.1), ("large", 1.0)] {
             let name = workspace(name);
             let mut count =
                 (self.rng.random::<f64>() * 2.0 * mean + self.rng.random::<f64>()) as u32;
