--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod parted;
 mod piece;
+mod rejected;
 mod spread;
 mod truth;
 mod world;
