Give targets their region, and the choice the class and bytes of a request

Cause: an entry ignored regions, so a request went to another region for a slightly shorter wait there. Change: pick::Target has the region, pick::Need the class and the allowed regions, and Pick the home region with its prices. Bytes are learned by class, service times by class and target. All of it is off without a home region and by_class.

--- a/bench/src/capacity/entry.rs
+++ b/bench/src/capacity/entry.rs
@@ -74,6 +74,7 @@
             incarnation: Incarnation(1),
             leaving: false,
             evacuated: false,
+            region: "local".to_string(),
         })
     };
     (0..size).map(target).collect()
--- a/bench/src/history/parts.rs
+++ b/bench/src/history/parts.rs
@@ -151,6 +151,7 @@
             incarnation: life,
             leaving: false,
             evacuated: false,
+            region: "local".to_string(),
         });
         targets.collect()
     }
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -215,6 +215,7 @@
             incarnation: Incarnation(self.places[place].life),
             leaving: false,
             evacuated: false,
+            region: "local".to_string(),
         };
         let targets: Vec<Target> = self.living(ms(0)).into_iter().map(target).collect();
         for place in &self.places {
--- a/crates/appleshore/src/directory.rs
+++ b/crates/appleshore/src/directory.rs
@@ -149,6 +149,7 @@
     let targets = live.iter().map(|target| pick::Target {
         instance: target.instance.clone(),
         zone: target.zone.clone(),
+        region: target.region.clone(),
         incarnation: target.incarnation,
         // A suspect is passed over while others are left.
         leaving: target.suspect && some_heard,
--- a/crates/appleshore/tests/silent.rs
+++ b/crates/appleshore/tests/silent.rs
@@ -163,6 +163,7 @@
         incarnation: Incarnation(1),
         leaving: false,
         evacuated: false,
+        region: "local".to_string(),
     };
     let claims = Claims {
         claim: Box::new(|claim| {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -10,6 +10,7 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame as Piece, SizeHint};
+use pick::Transfer;
 use tokio::time::timeout;
 use unit::{Instance, Outcome};
 use wire::{Frame, Header, Receiver, Reply};
@@ -32,6 +33,8 @@
     pub(crate) reply: Reply,
     pub(crate) receiver: Receiver,
     pub(crate) gate: Instance,
+    /// Counts the bytes of the call.
+    pub(crate) transfer: Transfer,
 }
 
 /// What is kept until the body of an answer has been sent to the caller.
@@ -75,6 +78,7 @@
     start: Bytes,
     receiver: Receiver,
     guard: ResponseGuard,
+    transfer: Transfer,
 }
 
 impl Answer {
@@ -85,7 +89,9 @@
         let mut response = response_head(&self.reply, Outcome::Ran);
         set_header(response.headers_mut(), TARGET, self.gate.as_str());
         let (start, end) = gather(start, &mut self.receiver);
+        self.transfer.add(start.len());
         if end {
+            self.transfer.complete();
             let body = CompleteBody {
                 data: Some(start).filter(|data| !data.is_empty()),
                 _guard: guard,
@@ -97,6 +103,7 @@
             start,
             receiver: self.receiver,
             guard,
+            transfer: self.transfer,
         };
         let pieces = stream::unfold(Some(streamed), |streamed| async move {
             next_chunk(streamed?).await
@@ -164,8 +171,14 @@
     }
     let frame = timeout(streamed.guard.idle_timeout, streamed.receiver.recv()).await;
     let cause = match frame {
-        Ok(Ok(Some(Frame::Data(data)))) => return Some((Ok(Piece::data(data)), Some(streamed))),
-        Ok(Ok(Some(Frame::End))) => return None,
+        Ok(Ok(Some(Frame::Data(data)))) => {
+            streamed.transfer.add(data.len());
+            return Some((Ok(Piece::data(data)), Some(streamed)));
+        }
+        Ok(Ok(Some(Frame::End))) => {
+            streamed.transfer.complete();
+            return None;
+        }
         Ok(Ok(Some(Frame::Abort(abort)))) => abort.cause,
         Ok(Ok(_)) => "the answer was cut".to_string(),
         Ok(Err(error)) => error.to_string(),
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pick::{Guard, Kind};
+use pick::{Guard, Kind, Transfer};
 use tokio::time::{Instant, timeout_at};
 use unit::Token;
-use wire::{Ask, Call, Error, Frame, Known, Link, Peer, Receiver, Refusal, Sender, Stream};
+use wire::{Ask, Call, Error, Frame, Header, Known, Link, Peer, Receiver, Refusal, Sender, Stream};
 
 use crate::answer::Answer;
 use crate::request_body::RequestBody;
@@ -65,7 +65,11 @@
                 return AttemptOutcome::NotSent(format!("dial {instance}: no link in time"));
             }
         };
-        let outcome = timeout_at(self.deadline, self.exchange(stream, body)).await;
+        self.upstream.pick.measure_round_trip(&instance, link.rtt());
+        let mut transfer = self.upstream.pick.transfer(&instance, self.call.class);
+        transfer.add(head_bytes(&self.call) + body.bytes());
+        let exchanged = self.exchange(stream, body, transfer);
+        let outcome = timeout_at(self.deadline, exchanged).await;
         let outcome = match outcome {
             Ok(Ok(outcome)) => outcome,
             // The peer does not know this instance yet, so it has read nothing of the call.
@@ -96,6 +100,7 @@
         &self,
         stream: Stream,
         body: &mut RequestBody,
+        transfer: Transfer,
     ) -> Result<AttemptOutcome, Error> {
         let Stream {
             mut sender,
@@ -121,12 +126,12 @@
                             tokio::spawn(rest.pump(start, sender));
                         }
                     }
-                    FirstFrame::Other(frame) => return self.read_head(frame, receiver),
+                    FirstFrame::Other(frame) => return self.read_head(frame, receiver, transfer),
                 }
             }
         }
         let frame = receiver.recv().await?;
-        self.read_head(frame, receiver)
+        self.read_head(frame, receiver, transfer)
     }
 
     async fn first_frame(&self, receiver: &mut Receiver) -> Result<FirstFrame, Error> {
@@ -140,11 +145,18 @@
 
     /// Interprets `frame` as the head of the answer, and checks that it carries the token of this
     /// call.
-    fn read_head(&self, frame: Option<Frame>, receiver: Receiver) -> Result<AttemptOutcome, Error> {
+    fn read_head(
+        &self,
+        frame: Option<Frame>,
+        receiver: Receiver,
+        mut transfer: Transfer,
+    ) -> Result<AttemptOutcome, Error> {
         let gate = receiver.peer().clone();
         match frame {
             Some(Frame::Reply(reply)) if reply.token == self.call.token => {
+                transfer.add(header_bytes(&reply.headers));
                 Ok(AttemptOutcome::Answer(Answer {
+                    transfer,
                     reply,
                     receiver,
                     gate,
@@ -246,7 +258,9 @@
             )),
             Some(Frame::Known(Known::Done { held: true })) => {
                 let frame = receiver.recv().await?;
-                Some(self.read_head(frame, receiver)?)
+                // The bytes of the call were counted when it was sent.
+                let transfer = self.upstream.pick.transfer(&peer.instance, 0);
+                Some(self.read_head(frame, receiver, transfer)?)
             }
             Some(Frame::Known(Known::Done { held: false })) => Some(AttemptOutcome::Lost(
                 "it ran, and its answer is gone".to_string(),
@@ -276,6 +290,16 @@
     }
 }
 
+/// The bytes of the head of a call, without the framing.
+fn head_bytes(call: &Call) -> usize {
+    call.method.len() + call.uri.len() + header_bytes(&call.headers)
+}
+
+fn header_bytes(headers: &[Header]) -> usize {
+    let bytes = |header: &Header| header.name.len() + header.value.len();
+    headers.iter().map(bytes).sum()
+}
+
 /// How a refusal counts for the choice among targets.
 fn kind_of_refusal(cause: wire::Cause) -> Kind {
     match cause {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -141,6 +141,8 @@
             urgency: self.job.urgency,
             zone: self.job.zone(),
             exclude,
+            class: self.job.class,
+            regions: None,
         }
     }
 
--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -59,6 +59,7 @@
     pub(crate) retry: retry::Setting,
     pub(crate) max_handovers: Option<u32>,
     pub(crate) choice: pick::Setting,
+    pub(crate) home: Option<pick::region::Home>,
     pub(crate) link_timeout: Option<Duration>,
 }
 
@@ -87,6 +88,7 @@
             retry: retry::Setting::default(),
             max_handovers: None,
             choice: pick::Setting::default(),
+            home: None,
             link_timeout: None,
         }
     }
@@ -161,6 +163,12 @@
         self
     }
 
+    /// Sets the region of this instance and the costs of leaving it. Without it regions are ignored.
+    pub fn home(mut self, home: pick::region::Home) -> Builder {
+        self.home = Some(home);
+        self
+    }
+
     /// Sets how long a request waits for a link to its target before another target is chosen. If
     /// it is not set, the request waits until its deadline.
     ///
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -232,10 +232,13 @@
             reply,
             mut receiver,
             gate,
+            mut transfer,
         } = answer;
         let status = reply.status;
         match collect(&mut receiver, self.guard.idle_timeout).await {
             Collected::Complete(body) => {
+                transfer.add(body.len());
+                transfer.complete();
                 self.report_end(token, Outcome::Ran, Some(gate.clone()), status);
                 let kept = held::Answer { reply, body };
                 let response = answer::complete_response(kept.clone(), Outcome::Ran, Some(&gate));
@@ -248,6 +251,7 @@
                     reply,
                     receiver,
                     gate,
+                    transfer,
                 }
                 .response(start, self.guard))
             }
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -94,6 +94,19 @@
         !matches!(self, RequestBody::Consumed)
     }
 
+    /// The bytes of the body that are sent: those in memory, and of the rest as many as the caller
+    /// has declared.
+    pub(crate) fn bytes(&self) -> usize {
+        match self {
+            RequestBody::Complete(bytes) => bytes.len(),
+            RequestBody::Streamed(bytes, rest) => {
+                bytes.len()
+                    + usize::try_from(rest.body.size_hint().lower()).unwrap_or(usize::MAX / 2)
+            }
+            RequestBody::Empty | RequestBody::Consumed => 0,
+        }
+    }
+
     /// How the body is sent after the frame of the call.
     pub(crate) fn payload(&self) -> Payload {
         match self {
--- a/crates/entry/src/upstream.rs
+++ b/crates/entry/src/upstream.rs
@@ -27,17 +27,21 @@
             instance: entry,
             retry,
             choice,
+            home,
             ..
         } = setting;
         // Each entry has its own seed, or all entries would choose the same targets at the same
         // time.
         let parts = [entry.as_str().as_bytes(), service.as_str().as_bytes()];
         let seed = unit::Digest::of_parts(&parts).0 as u64;
-        let pick = Pick::builder(zone.clone())
+        let builder = Pick::builder(zone.clone())
             .network_delay(*network_delay)
             .seed(seed)
-            .setting(*choice)
-            .build();
+            .setting(*choice);
+        let pick = match home {
+            Some(home) => builder.home(home.clone()).build(),
+            None => builder.build(),
+        };
         Upstream {
             pick: Shared::from(pick),
             retry: Mutex::new(Budget::new(*retry)),
--- a/crates/pick/src/answer.rs
+++ b/crates/pick/src/answer.rs
@@ -11,6 +11,8 @@
     pub latency: Duration,
     /// How the call ended.
     pub kind: Kind,
+    /// The class of work; 0 if it is unknown.
+    pub class: u32,
     /// The gate's report, if one was attached to the answer.
     pub report: Option<Report>,
 }
--- a/crates/pick/src/builder.rs
+++ b/crates/pick/src/builder.rs
@@ -4,6 +4,7 @@
 
 use unit::Zone;
 
+use crate::region::Home;
 use crate::{Pick, Setting};
 
 /// Builds a [`Pick`]; see [`Pick::builder`].
@@ -14,6 +15,7 @@
     pub(crate) zone_delays: Vec<(Zone, Duration)>,
     pub(crate) seed: u64,
     pub(crate) setting: Setting,
+    pub(crate) home: Option<Home>,
 }
 
 impl Builder {
@@ -24,6 +26,7 @@
             zone_delays: Vec::new(),
             seed: 0,
             setting: Setting::default(),
+            home: None,
         }
     }
 
@@ -46,6 +49,12 @@
         self
     }
 
+    /// Sets the region of the entry and the costs of leaving it. Without it regions are ignored.
+    pub fn home(mut self, home: Home) -> Builder {
+        self.home = Some(home);
+        self
+    }
+
     /// Sets everything else.
     pub fn setting(mut self, setting: Setting) -> Builder {
         self.setting = setting;
--- a/crates/pick/src/dump.rs
+++ b/crates/pick/src/dump.rs
@@ -1,9 +1,11 @@
 //! The state of a [`Pick`](crate::Pick) for the operator's dump.
 
+use std::collections::BTreeMap;
+
 use serde::Serialize;
 use unit::{Report, Zone};
 
-use crate::Target;
+use crate::{Target, traffic};
 
 /// The state of one [`Pick`](crate::Pick).
 #[derive(Debug, Clone, Serialize)]
@@ -18,6 +20,8 @@
     pub choices: u64,
     /// Smoothed service time over all targets, in microseconds.
     pub service_us: u64,
+    /// Calls of this entry by the region of the target, and their bytes.
+    pub regions: BTreeMap<String, traffic::Count>,
     /// The targets of the subset, sorted by name.
     pub targets: Vec<Line>,
 }
@@ -35,6 +39,12 @@
     pub failures: u32,
     /// Smoothed failure rate, 0 to 1.
     pub errors: f64,
+    /// Network round-trip time in microseconds: measured where the link to it says so, otherwise as
+    /// configured.
+    pub round_trip_us: u64,
+    /// Smoothed ratio of the time of work here to the mean of the same class over all targets; 1
+    /// where it is unknown.
+    pub speed: f64,
     /// The last report.
     pub report: Option<Report>,
     /// Age of the last report in milliseconds.
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -19,6 +19,7 @@
 //! let target = Target {
 //!     instance: "vault-desk-1".parse()?,
 //!     zone: "gialam".parse()?,
+//!     region: "hanoi".to_string(),
 //!     incarnation: Incarnation(1),
 //!     leaving: false,
 //!     evacuated: false,
@@ -30,6 +31,7 @@
 //! let answer = Answer {
 //!     latency: Duration::from_millis(9),
 //!     kind: Kind::Ok,
+//!     class: 0,
 //!     report: Some(Report { running: 1, limit: 10, ..Report::default() }),
 //! };
 //! pick.end(now + answer.latency, &chosen, &answer);
@@ -41,11 +43,13 @@
 mod builder;
 pub mod dump;
 pub mod hedge;
+mod knee;
 pub mod limit;
 pub mod measure;
 mod need;
 mod pick;
 mod record;
+pub mod region;
 pub mod retry;
 mod round_robin;
 mod score;
@@ -54,13 +58,18 @@
 pub mod subset;
 mod target;
 mod tokens;
+pub mod traffic;
+mod transfer;
+pub mod volume;
+mod work;
 
 pub use answer::{Answer, Kind};
 pub use builder::Builder;
 pub use dump::Dump;
 pub use need::{Need, Preference};
-pub use pick::Pick;
+pub use pick::{Moved, Pick};
 pub use round_robin::RoundRobin;
 pub use setting::Setting;
 pub use shared::{Basis, Guard, Shared};
 pub use target::Target;
+pub use transfer::Transfer;
--- a/crates/pick/src/need.rs
+++ b/crates/pick/src/need.rs
@@ -11,6 +11,10 @@
     pub zone: Preference,
     /// Instances that already had an attempt of this request, or that must not run it.
     pub exclude: &'a [Instance],
+    /// The class of work, for its bytes and its service time; 0 if it is unknown.
+    pub class: u32,
+    /// The regions in which the request may be served; `None` if it may be served anywhere.
+    pub regions: Option<&'a [String]>,
 }
 
 /// How much the zone of the target matters.
@@ -32,6 +36,8 @@
             urgency,
             zone: Preference::Near,
             exclude: &[],
+            class: 0,
+            regions: None,
         }
     }
 }
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -1,5 +1,6 @@
 //! Chooses targets for the requests of one service at one entry.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -8,10 +9,14 @@
 use unit::{Instance, Report, Urgency, Zone};
 
 use crate::dump::Line;
-use crate::record::Record;
+use crate::record::{Record, micros};
+use crate::region::{self, Home};
 use crate::score::{Estimator, Mean};
 use crate::shared::Basis;
-use crate::{Answer, Builder, Dump, Need, Preference, Setting, Target, subset};
+use crate::work::{self, SERVICE_CLASSES};
+use crate::{
+    Answer, Builder, Dump, Kind, Need, Preference, Setting, Target, subset, traffic, volume,
+};
 
 /// Consecutive failures from which on a target gets trial calls only.
 const FAILURE_THRESHOLD: u32 = 2;
@@ -26,6 +31,8 @@
 const NEW_TARGET_INTERVAL: Duration = Duration::from_millis(500);
 /// Share of its fair share at which a new target gets its first call.
 const FIRST_CALL_SHARE: f64 = 0.25;
+/// Highest price, in mean service times, of a first or trial call to a target in another region.
+const MAX_FIRST_CALL_PRICE: f64 = 0.5;
 /// Scale of the random draw: a difference of this share of the service time halves the closeness
 /// of the worse target, whose weight is the cube of it.
 const SPREAD: f64 = 0.1;
@@ -45,9 +52,17 @@
     known: usize,
     /// Number of those in evacuated zones.
     evacuated: usize,
+    /// Regions of the targets that are not evacuated, before the subset.
+    regions: BTreeSet<String>,
     /// Sorted by instance.
     records: Vec<Record>,
     mean: Mean,
+    home: Option<Home>,
+    /// Bytes by class of work.
+    volumes: volume::Table,
+    /// Service times by class of work.
+    work: work::Table,
+    traffic: traffic::Table,
     /// Number of choices made.
     choices: u64,
 }
@@ -68,6 +83,12 @@
     }
 }
 
+/// Whether the request may be served in the region of `target`.
+fn may_serve(need: &Need<'_>, target: &Target) -> bool {
+    need.regions
+        .is_none_or(|regions| regions.contains(&target.region))
+}
+
 /// A target that may be chosen, with its estimate.
 #[derive(Debug, Clone, Copy)]
 struct Candidate {
@@ -75,6 +96,17 @@
     estimate: f64,
 }
 
+/// The bytes that one call has moved, in both directions.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Moved {
+    /// The class of work; 0 if it is unknown.
+    pub class: u32,
+    /// Bytes of heads, body and answer.
+    pub bytes: u64,
+    /// Whether the whole answer was among them.
+    pub complete: bool,
+}
+
 impl Pick {
     /// Returns a builder for an entry in `zone`.
     pub fn builder(zone: Zone) -> Builder {
@@ -91,8 +123,13 @@
             random: Pcg64Mcg::seed_from_u64(builder.seed),
             known: 0,
             evacuated: 0,
+            regions: BTreeSet::new(),
             records: Vec::new(),
             mean: Mean::default(),
+            home: builder.home,
+            volumes: volume::Table::default(),
+            work: work::Table::new(SERVICE_CLASSES),
+            traffic: traffic::Table::default(),
             choices: 0,
         }
     }
@@ -111,7 +148,8 @@
         let open = targets.iter().filter(|target| !target.evacuated);
         let open: Vec<Target> = open.cloned().collect();
         self.evacuated = targets.len() - open.len();
-        let mut chosen = subset::choose(self.seed, &self.zone, &open, &self.setting);
+        self.regions = open.iter().map(|target| target.region.clone()).collect();
+        let mut chosen = subset::choose(self.seed, self.place(), &open, &self.setting);
         chosen.sort_by(|a, b| a.instance.cmp(&b.instance));
         chosen.dedup_by(|a, b| a.instance == b.instance);
         let records = chosen.into_iter().map(|target| self.record(target, first));
@@ -123,6 +161,16 @@
         self.known > 0 && self.evacuated == self.known
     }
 
+    /// Whether the service has targets that stay in a region in which the request may be served,
+    /// reachable or not.
+    ///
+    /// Without one the request can't be served, however long it waits. The subset is no measure:
+    /// it may lack a region that other entries use.
+    pub fn has_allowed_region(&self, need: &Need<'_>) -> bool {
+        need.regions
+            .is_none_or(|regions| regions.iter().any(|region| self.regions.contains(region)))
+    }
+
     /// Chooses a target for a request; returns `None` when no target may serve it.
     pub fn choose(&mut self, now: Instant, need: &Need<'_>) -> Option<Instance> {
         let eligible = self.eligible(now, need);
@@ -183,14 +231,31 @@
 
     /// Records the end of a call that [`Pick::begin`] recorded.
     pub fn end(&mut self, now: Instant, instance: &Instance, answer: &Answer) {
-        if let Some(record) = self.record_mut(instance) {
-            record.end(now, answer);
+        if let Ok(index) = self.index_of(instance) {
+            self.records[index].end(now, answer);
+            self.learn(now, index, answer);
         }
         if let Some(report) = answer.report {
             self.mean.add_report(&report);
         }
     }
 
+    /// Learns the service time of the answer's class, if it tells it.
+    ///
+    /// An answer whose gate has a queue, or whose target is slow for a moment, took longer than the
+    /// work does.
+    fn learn(&mut self, now: Instant, index: usize, answer: &Answer) {
+        let undisturbed = answer
+            .report
+            .is_some_and(|report| report.waiting() == 0 && !report.slow && !report.hot);
+        if !self.setting.by_class || answer.kind != Kind::Ok || !undisturbed {
+            return;
+        }
+        let record = &mut self.records[index];
+        let us = micros(answer.latency.saturating_sub(record.round_trip));
+        record.speed.record(&mut self.work, now, answer.class, us);
+    }
+
     /// Records a report that arrived without an answer: from a probe, or in a notice of a hot gate.
     pub fn receive_report(&mut self, now: Instant, instance: &Instance, report: Report) {
         if let Some(record) = self.record_mut(instance) {
@@ -235,6 +300,7 @@
             known: self.known,
             evacuated: self.evacuated,
             choices: self.choices,
+            regions: self.traffic.counts(),
             service_us: self.mean.service_us as u64,
             targets: self
                 .records
@@ -246,13 +312,16 @@
 
     fn dump_target(&self, now: Instant, record: &Record) -> Line {
         let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        let estimate = self.estimator(now).estimate(record, &Need::default());
+        let estimator = self.estimator(now);
+        let estimate = estimator.estimate(record, &Need::default(), 0.0);
         Line {
             target: record.target.clone(),
             running: record.in_flight.len(),
             answered: record.answered,
             failures: record.failures,
             errors: record.error_rate,
+            round_trip_us: record.round_trip.as_micros() as u64,
+            speed: record.speed.ratio(now),
             report: record.received.map(|received| received.report),
             report_age_ms: record.received.map(|received| age(received.at)),
             estimate_us: estimate as u64,
@@ -268,23 +337,93 @@
                 return kept;
             }
             // The new incarnation is as reachable as the previous one was.
-            let same_zone = target.zone == self.zone;
-            let round_trip = self.delay_to(&target.zone) * 2;
-            let mut record = Record::new(target, round_trip, same_zone, present_at_start);
+            let mut record = self.new_record(target, present_at_start);
             record.unreachable = old.unreachable;
             return record;
         }
-        let same_zone = target.zone == self.zone;
-        let round_trip = self.delay_to(&target.zone) * 2;
-        Record::new(target, round_trip, same_zone, present_at_start)
+        self.new_record(target, present_at_start)
+    }
+
+    fn new_record(&self, target: Target, present_at_start: bool) -> Record {
+        let near = (target.zone == self.zone, self.is_home(&target.region));
+        // Links to the same region take about as long, so one that is measured tells of others.
+        let measured = self.records.iter().find(|record| {
+            !near.1 && record.target.region == target.region && record.measured.is_some()
+        });
+        let measured = measured.and_then(|record| record.measured);
+        let round_trip = measured.unwrap_or_else(|| self.delay_to(&target) * 2);
+        let mut record = Record::new(target, round_trip, near, present_at_start);
+        record.measured = measured;
+        record
+    }
+
+    /// Whether the choice takes account of regions.
+    pub(crate) fn is_regional(&self) -> bool {
+        self.home.is_some()
+    }
+
+    /// Where the entry is: its zone, and its region unless regions are ignored.
+    fn place(&self) -> subset::Place<'_> {
+        subset::Place {
+            zone: &self.zone,
+            region: self.home.as_ref().map(|home| home.region.as_str()),
+        }
+    }
+
+    fn is_home(&self, region: &str) -> bool {
+        self.home.as_ref().is_none_or(|home| home.region == region)
     }
 
-    fn delay_to(&self, zone: &Zone) -> Duration {
-        if *zone == self.zone {
+    fn delay_to(&self, target: &Target) -> Duration {
+        if target.zone == self.zone {
             return Duration::ZERO;
         }
-        let configured = self.zone_delays.iter().find(|(known, _)| known == zone);
-        configured.map_or(self.network_delay, |(_, delay)| *delay)
+        let mut zones = self.zone_delays.iter();
+        let configured = zones.find(|(known, _)| *known == target.zone);
+        let usual = match &self.home {
+            Some(home) if home.region != target.region => home.delay,
+            _ => self.network_delay,
+        };
+        configured.map_or(usual, |(_, delay)| *delay)
+    }
+
+    /// Records the round trip that the link to `instance` has measured.
+    ///
+    /// It is used for targets in other regions only. Within a region the configured delay is short
+    /// beside the estimate, and the measured one contains the peer's scheduling delay. A round trip
+    /// of zero is one that has not been measured yet.
+    pub fn measure_round_trip(&mut self, instance: &Instance, round_trip: Duration) {
+        let Ok(index) = self.index_of(instance) else {
+            return;
+        };
+        if self.records[index].same_region || round_trip.is_zero() {
+            return;
+        }
+        let region = self.records[index].target.region.clone();
+        self.records[index].measure(round_trip);
+        let measured = self.records[index].measured;
+        let same = |record: &&mut Record| record.target.region == region;
+        let unmeasured = self.records.iter_mut().filter(same);
+        for record in unmeasured.filter(|record| record.measured.is_none()) {
+            record.round_trip = measured.unwrap_or(record.round_trip);
+        }
+    }
+
+    /// Records the bytes of a call to a target in `region`; those of a `complete` one, with its
+    /// whole answer, tell what further requests of `class` will move.
+    pub fn record_bytes(&mut self, now: Instant, region: &str, moved: &Moved) {
+        let count = self.traffic.count(region);
+        count.requests += 1;
+        count.bytes += moved.bytes;
+        if moved.complete && self.home.is_some() {
+            self.volumes.record(now, moved.class, moved.bytes);
+        }
+    }
+
+    /// The region of a target of the subset.
+    pub fn region_of(&self, instance: &Instance) -> Option<String> {
+        let index = self.index_of(instance).ok()?;
+        Some(self.records[index].target.region.clone())
     }
 
     fn index_of(&self, instance: &Instance) -> Result<usize, usize> {
@@ -301,6 +440,7 @@
         Estimator {
             now,
             mean: &self.mean,
+            work: self.setting.by_class.then_some(&self.work),
             half_life: self.setting.half_life,
             cross_zone_cost: self.setting.cross_zone_cost,
         }
@@ -315,6 +455,7 @@
     fn eligible(&self, now: Instant, need: &Need<'_>) -> Vec<usize> {
         let may = |record: &Record| {
             !record.target.leaving
+                && may_serve(need, &record.target)
                 && (need.zone != Preference::Only || record.same_zone)
                 && !need.exclude.contains(&record.target.instance)
         };
@@ -350,7 +491,13 @@
             // The daemon may be up before its target is.
             let rested = |at: Instant| now.saturating_duration_since(at) >= NEW_TARGET_INTERVAL;
             let idle = record.in_flight.is_empty() && record.last_chosen_at.is_none_or(rested);
-            idle && record.answered == 0 && record.failures == 0 && !record.present_at_start
+            // A request that moves many bytes is not used to find out about another region.
+            let cheap = record.same_region || self.price_abroad(now, need) <= MAX_FIRST_CALL_PRICE;
+            cheap
+                && idle
+                && record.answered == 0
+                && record.failures == 0
+                && !record.present_at_start
         };
         let untried: Vec<usize> = eligible.iter().copied().filter(untried).collect();
         let share = 1.0 / eligible.len().max(1) as f64;
@@ -366,7 +513,8 @@
         let urgent = need.urgency == Urgency::Urgent;
         let due = |index: &usize| {
             let record = &self.records[*index];
-            record.failures > 0 && self.is_due(now, record, eligible.len(), urgent)
+            let cheap = record.same_region || self.price_abroad(now, need) <= MAX_FIRST_CALL_PRICE;
+            cheap && record.failures > 0 && self.is_due(now, record, eligible.len(), urgent)
         };
         eligible.iter().copied().find(due)
     }
@@ -435,14 +583,19 @@
         part * (fair / (1.0 - part)).min(1.0)
     }
 
-    /// Samples the targets in the entry's zone and those in other zones separately.
+    /// Samples the targets in the entry's zone, those in other zones of its region and those in
+    /// other regions separately.
     fn sample(&mut self, open: Vec<usize>) -> Vec<usize> {
         let records = &self.records;
-        let (near, far): (Vec<_>, Vec<_>) = open
+        let (home, abroad): (Vec<_>, Vec<_>) = open
+            .into_iter()
+            .partition(|index| records[*index].same_region);
+        let (near, far): (Vec<_>, Vec<_>) = home
             .into_iter()
             .partition(|index| records[*index].same_zone);
         let mut sample = self.sample_of(near);
         sample.extend(self.sample_of(far));
+        sample.extend(self.sample_of(abroad));
         sample
     }
 
@@ -456,12 +609,24 @@
         indices
     }
 
+    /// The price of serving the request in another region, in mean service times.
+    fn price_abroad(&self, now: Instant, need: &Need<'_>) -> f64 {
+        let Some(home) = &self.home else {
+            return 0.0;
+        };
+        let bytes = self.volumes.bytes(now, need.class);
+        let work = self.work.mean(need.class);
+        let work = work.map_or(1.0, |us| us / self.mean.service_us.max(1.0));
+        region::price(home, bytes, work)
+    }
+
     /// Draws a target at random, weighted by how close its estimate is to the best one.
     fn draw(&mut self, now: Instant, need: &Need<'_>, indices: &[usize]) -> Option<usize> {
         let estimator = self.estimator(now);
+        let abroad = self.price_abroad(now, need);
         let candidate = |index: &usize| Candidate {
             index: *index,
-            estimate: estimator.estimate(&self.records[*index], need),
+            estimate: estimator.estimate(&self.records[*index], need, abroad),
         };
         let mut candidates: Vec<Candidate> = indices.iter().map(candidate).collect();
         candidates.sort_by(|a, b| a.estimate.total_cmp(&b.estimate));
--- a/crates/pick/src/record.rs
+++ b/crates/pick/src/record.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use unit::Report;
 
+use crate::work::Speed;
 use crate::{Answer, Kind, Target};
 
 /// Weight of a failure in the smoothed failure rate.
@@ -15,6 +16,9 @@
 /// Weight of the newest latency in the smoothed latency.
 const LATENCY_STEP: f64 = 0.1;
 
+/// A new measured round trip counts for one in this many.
+const ROUND_TRIP_WEIGHT: u32 = 8;
+
 /// How long a target that takes no work is passed over, unless a newer report says otherwise.
 const CLOSED_RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -34,8 +38,14 @@
     pub(crate) target: Target,
     /// Network round-trip time.
     pub(crate) round_trip: Duration,
+    /// The smoothed round-trip time that links have measured, if they have.
+    pub(crate) measured: Option<Duration>,
     /// Whether it runs in the entry's zone.
     pub(crate) same_zone: bool,
+    /// Whether it runs in the entry's region, or regions are ignored.
+    pub(crate) same_region: bool,
+    /// Its speed by class of work.
+    pub(crate) speed: Speed,
     pub(crate) received: Option<Received>,
     /// Start times of this entry's calls in flight, oldest first.
     pub(crate) in_flight: VecDeque<Instant>,
@@ -62,16 +72,20 @@
 }
 
 impl Record {
+    /// A new record; `near` says whether the target is in the entry's zone and in its region.
     pub(crate) fn new(
         target: Target,
         round_trip: Duration,
-        same_zone: bool,
+        near: (bool, bool),
         present_at_start: bool,
     ) -> Record {
         Record {
             target,
             round_trip,
-            same_zone,
+            measured: None,
+            same_zone: near.0,
+            same_region: near.1,
+            speed: Speed::new(),
             received: None,
             in_flight: VecDeque::new(),
             ended_since_report: 0,
@@ -125,6 +139,14 @@
         self.received = Some(Received { at: now, report });
     }
 
+    /// Takes in a measured round trip, of which single ones contain queueing on the link.
+    pub(crate) fn measure(&mut self, round_trip: Duration) {
+        let old = self.measured.unwrap_or(round_trip);
+        let smoothed = (old * (ROUND_TRIP_WEIGHT - 1) + round_trip) / ROUND_TRIP_WEIGHT;
+        self.measured = Some(smoothed);
+        self.round_trip = smoothed;
+    }
+
     /// Number of calls in flight that the last report can't have counted.
     ///
     /// The report left the gate one network delay before it arrived here, and a call reaches the
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -12,7 +12,7 @@
 use unit::Urgency;
 
 use crate::record::{Received, Record, micros};
-use crate::{Need, Preference};
+use crate::{Need, Preference, knee, work};
 
 /// Weight of the newest report in the means over all targets.
 const MEAN_STEP: f64 = 0.02;
@@ -101,20 +101,23 @@
 pub(crate) struct Estimator<'a> {
     pub(crate) now: Instant,
     pub(crate) mean: &'a Mean,
+    /// Service times by class, if they are used.
+    pub(crate) work: Option<&'a work::Table>,
     pub(crate) half_life: Duration,
     pub(crate) cross_zone_cost: f64,
 }
 
 impl Estimator<'_> {
-    /// Estimates how long a request with `need` would take at the target, in microseconds.
-    pub(crate) fn estimate(&self, record: &Record, need: &Need<'_>) -> f64 {
+    /// Estimates how long a request with `need` would take at the target, in microseconds. In
+    /// another region `abroad`, in mean service times, is added.
+    pub(crate) fn estimate(&self, record: &Record, need: &Need<'_>, abroad: f64) -> f64 {
         let freshness = self.freshness(record);
         let service = self.service(record);
-        let wait = queueing_delay(
-            self.load(record, need.urgency, freshness),
-            self.limit(record),
-        ) * service;
+        let load = self.load(record, need.urgency, freshness);
+        let limit = self.limit(record);
+        let wait = queueing_delay(load, limit) * service;
         let round_trip = match need.zone {
+            _ if !record.same_region => micros(record.round_trip) + abroad * self.mean.service_us,
             Preference::Any => 0.0,
             Preference::Near if !record.same_zone => {
                 micros(record.round_trip) + self.cross_zone_cost * self.mean.service_us
@@ -123,7 +126,27 @@
         };
         let overload_cost = self.overload_cost(record, need.urgency, freshness) * service;
         let failing = self.error_rate(record) * FAILURE_COST * self.mean.service_us;
-        service + wait + round_trip + overload_cost + failing
+        let run = self.run(record, need.class, service, load / limit);
+        run + wait + round_trip + overload_cost + failing
+    }
+
+    /// The time that the request itself runs: of its class at this target where that is known,
+    /// otherwise the target's `service` time. `ratio` is the load ahead to the limit.
+    fn run(&self, record: &Record, class: u32, service: f64, ratio: f64) -> f64 {
+        let Some(work) = self.work else {
+            return service;
+        };
+        let Some(mean) = work.mean(class) else {
+            return service * knee::slowdown(ratio);
+        };
+        // The service time is raised by the pace and by overdue calls, which slow this one too.
+        let slowness = (service / self.mean.service_us.max(1.0)).max(1.0);
+        let slowness = if slowness > 1.0 + SERVICE_TOLERANCE {
+            slowness
+        } else {
+            1.0
+        };
+        record.speed.time(self.now, class, mean) * slowness * knee::slowdown(ratio)
     }
 
     /// Weight of the last report by its age: 1 for a new one, 0 for none.
--- a/crates/pick/src/setting.rs
+++ b/crates/pick/src/setting.rs
@@ -22,6 +22,11 @@
     /// traffic between zones is billed. A request stays in its zone while the extra wait there is
     /// shorter.
     pub cross_zone_cost: f64,
+    /// Number of targets outside the entry's region among [`Setting::subset_remote`].
+    pub subset_abroad: usize,
+    /// Whether the estimate uses the service time of the request's class at each target instead of
+    /// one time for each target.
+    pub by_class: bool,
 }
 
 impl Default for Setting {
@@ -34,6 +39,8 @@
             subset_threshold: 16,
             subset_remote: 12,
             cross_zone_cost: 0.0,
+            subset_abroad: 4,
+            by_class: false,
         }
     }
 }
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use unit::{Instance, Report};
 
-use crate::{Answer, Dump, Kind, Need, Pick, Target};
+use crate::{Answer, Dump, Kind, Need, Pick, Target, Transfer};
 
 /// A [`Pick`] that is shared between threads. Clones share the same state.
 ///
@@ -15,6 +15,8 @@
 #[derive(Debug, Clone)]
 pub struct Shared {
     pick: Arc<Mutex<Pick>>,
+    /// Whether the choice takes account of regions.
+    regional: bool,
 }
 
 /// A call in flight. Dropped without [`Guard::end`], it counts as cancelled.
@@ -24,6 +26,7 @@
     pick: Arc<Mutex<Pick>>,
     instance: Instance,
     began: Instant,
+    class: u32,
     basis: Basis,
     active: bool,
 }
@@ -40,6 +43,7 @@
 impl From<Pick> for Shared {
     fn from(pick: Pick) -> Shared {
         Shared {
+            regional: pick.is_regional(),
             pick: Arc::new(Mutex::new(pick)),
         }
     }
@@ -81,7 +85,9 @@
     pub fn acquire(&self, now: Instant, need: &Need<'_>) -> Option<Guard> {
         let mut pick = self.pick.lock();
         let instance = pick.choose(now, need)?;
-        Some(self.guard(&mut pick, now, &instance))
+        let mut guard = self.guard(&mut pick, now, &instance);
+        guard.class = need.class;
+        Some(guard)
     }
 
     /// Begins a call to an instance that was chosen by other means.
@@ -94,6 +100,28 @@
         self.pick.lock().set_unreachable(instance, unreachable);
     }
 
+    /// See [`Pick::has_allowed_region`].
+    pub fn has_allowed_region(&self, need: &Need<'_>) -> bool {
+        self.pick.lock().has_allowed_region(need)
+    }
+
+    /// See [`Pick::measure_round_trip`].
+    pub fn measure_round_trip(&self, instance: &Instance, round_trip: Duration) {
+        if !self.regional {
+            return;
+        }
+        self.pick.lock().measure_round_trip(instance, round_trip);
+    }
+
+    /// Begins to count the bytes of a call of `class` to `instance`.
+    pub fn transfer(&self, instance: &Instance, class: u32) -> Transfer {
+        let region = self
+            .regional
+            .then(|| self.pick.lock().region_of(instance))
+            .flatten();
+        Transfer::new(self.pick.clone(), region, class)
+    }
+
     /// See [`Pick::instances`].
     pub fn instances(&self) -> Vec<Instance> {
         self.pick.lock().instances()
@@ -116,6 +144,7 @@
             pick: Arc::clone(&self.pick),
             instance: instance.clone(),
             began,
+            class: 0,
             basis,
             active: true,
         }
@@ -123,6 +152,11 @@
 }
 
 impl Guard {
+    /// Sets the class of work of a call that was begun without a choice.
+    pub fn set_class(&mut self, class: u32) {
+        self.class = class;
+    }
+
     /// The instance that the call goes to.
     pub fn instance(&self) -> &Instance {
         &self.instance
@@ -153,6 +187,7 @@
         let answer = Answer {
             latency: now.saturating_duration_since(self.began),
             kind,
+            class: self.class,
             report,
         };
         self.pick.lock().end(now, &self.instance, &answer);
--- a/crates/pick/src/subset.rs
+++ b/crates/pick/src/subset.rs
@@ -10,24 +10,48 @@
 
 use crate::{Setting, Target};
 
-/// The targets that the entry with `seed` in `zone` uses.
+/// Where an entry is.
+#[derive(Debug, Clone, Copy)]
+pub struct Place<'a> {
+    /// Its zone.
+    pub zone: &'a Zone,
+    /// Its region; `None` if regions are ignored.
+    pub region: Option<&'a str>,
+}
+
+/// The targets that the entry with `seed` at `place` uses.
 ///
 /// Up to [`Setting::subset_threshold`] targets, all are used. Above it, these are all targets in
-/// `zone` and the first [`Setting::subset_remote`] of the others that are not leaving.
-pub fn choose(seed: u64, zone: &Zone, targets: &[Target], setting: &Setting) -> Vec<Target> {
+/// its zone and the first [`Setting::subset_remote`] of the others that are not leaving. Of those,
+/// [`Setting::subset_abroad`] are in other regions, so that a region with many targets leaves room
+/// for the entry's own and the other way round; what one side can't use the other gets.
+pub fn choose(seed: u64, place: Place<'_>, targets: &[Target], setting: &Setting) -> Vec<Target> {
     if targets.len() <= setting.subset_threshold {
         return targets.to_vec();
     }
-    let (near, far): (Vec<_>, Vec<_>) = targets.iter().partition(|target| target.zone == *zone);
+    let (near, far): (Vec<_>, Vec<_>) = targets
+        .iter()
+        .partition(|target| target.zone == *place.zone);
     let mut ranked: Vec<(u64, &Target)> = far
         .into_iter()
         .filter(|target| !target.leaving)
         .map(|target| (rank(seed, target), target))
         .collect();
     ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.instance.cmp(&b.1.instance)));
-    ranked.truncate(setting.subset_remote);
     let far = ranked.into_iter().map(|(_, target)| target);
-    near.into_iter().chain(far).cloned().collect()
+    let (home, abroad): (Vec<_>, Vec<_>) =
+        far.partition(|target| place.region.is_none_or(|region| target.region == region));
+    let abroad_count = setting.subset_abroad.min(setting.subset_remote);
+    let abroad_count = abroad_count.max(setting.subset_remote.saturating_sub(home.len()));
+    let abroad_count = abroad_count.min(abroad.len());
+    let home_count = setting.subset_remote - abroad_count;
+    let home = home.into_iter().take(home_count);
+    let abroad = abroad.into_iter().take(abroad_count);
+    near.into_iter()
+        .chain(home)
+        .chain(abroad)
+        .cloned()
+        .collect()
 }
 
 fn rank(seed: u64, target: &Target) -> u64 {
--- a/crates/pick/src/target.rs
+++ b/crates/pick/src/target.rs
@@ -10,6 +10,8 @@
     pub instance: Instance,
     /// The zone in which it runs.
     pub zone: Zone,
+    /// The region of that zone.
+    pub region: String,
     /// Its incarnation; statistics of an earlier one are dropped.
     pub incarnation: Incarnation,
     /// Whether it has announced that it leaves; then it gets no new requests.
--- a/crates/pick/tests/decisions/join.rs
+++ b/crates/pick/tests/decisions/join.rs
@@ -12,6 +12,7 @@
 fn target(name: &str, zone: &str) -> Target {
     Target {
         instance: name.parse().expect("a name"),
+        region: "r".to_string(),
         zone: zone.parse().expect("a zone"),
         incarnation: Incarnation(1),
         leaving: false,
--- a/crates/pick/tests/decisions/subset.rs
+++ b/crates/pick/tests/decisions/subset.rs
@@ -13,6 +13,10 @@
     format!("z{}", i % ZONES).parse().expect("a zone")
 }
 
+fn place(zone: &Zone) -> subset::Place<'_> {
+    subset::Place { zone, region: None }
+}
+
 fn service(number: usize) -> Vec<Target> {
     let target = |i: usize| Target {
         instance: format!("s{number}-{i}").parse().expect("a name"),
@@ -39,7 +43,7 @@
         let targets = service(number);
         let mut load = [0.0; TARGETS];
         for entry in 0..ENTRIES {
-            let chosen = subset::choose(entry, &zone(entry as usize), &targets, &setting);
+            let chosen = subset::choose(entry, place(&zone(entry as usize)), &targets, &setting);
             for target in &chosen {
                 let place = targets.iter().position(|known| known == target);
                 load[place.expect("a known one")] += 1.0 / chosen.len() as f64;
@@ -68,8 +72,8 @@
     let mut changed = 0;
     for entry in 0..ENTRIES {
         let zone = zone(entry as usize);
-        let old = subset::choose(entry, &zone, &before, &setting);
-        let new = subset::choose(entry, &zone, &after, &setting);
+        let old = subset::choose(entry, place(&zone), &before, &setting);
+        let new = subset::choose(entry, place(&zone), &after, &setting);
         let kept = old.iter().filter(|target| new.contains(target)).count();
         let had = old.contains(&before[0]);
         assert_eq!(old.len() - kept, usize::from(had));
@@ -88,7 +92,7 @@
         let mut targets: Vec<Target> =
             (0..count).map(|i| crate::world::target(i, ["a", "b", "c"][i % 3])).collect();
         let own: Zone = "a".parse().expect("a zone");
-        let chosen = subset::choose(seed, &own, &targets, &setting);
+        let chosen = subset::choose(seed, place(&own), &targets, &setting);
         let near = targets.iter().filter(|target| target.zone == own);
         prop_assert!(near.into_iter().all(|target| chosen.contains(target)));
         let far = chosen.iter().filter(|target| target.zone != own).count();
@@ -96,7 +100,7 @@
         let most = if count <= setting.subset_threshold { all } else { setting.subset_remote.min(all) };
         prop_assert_eq!(far, most);
         targets.rotate_left(turn % count);
-        let again = subset::choose(seed, &own, &targets, &setting);
+        let again = subset::choose(seed, place(&own), &targets, &setting);
         let (mut chosen, mut again) = (names(&chosen), names(&again));
         chosen.sort_unstable();
         again.sort_unstable();
--- a/crates/pick/tests/decisions/world.rs
+++ b/crates/pick/tests/decisions/world.rs
@@ -19,6 +19,7 @@
         incarnation: Incarnation(1),
         leaving: false,
         evacuated: false,
+        region: "r".to_string(),
     }
 }
 
@@ -49,6 +50,7 @@
     Answer {
         latency: Duration::from_millis(millis),
         kind,
+        class: 0,
         report: Some(report),
     }
 }
