--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -41,8 +41,10 @@
 
 mod answer;
 mod builder;
+mod draw;
 pub mod dump;
 pub mod hedge;
+mod home;
 mod knee;
 pub mod limit;
 pub mod measure;
@@ -66,8 +68,9 @@
 pub use answer::{Answer, Kind};
 pub use builder::Builder;
 pub use dump::Dump;
+pub use home::Moved;
 pub use need::{Need, Preference};
-pub use pick::{Moved, Pick};
+pub use pick::Pick;
 pub use round_robin::RoundRobin;
 pub use setting::Setting;
 pub use shared::{Basis, Guard, Shared};
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -10,7 +10,7 @@
 
 use crate::dump::Line;
 use crate::record::{Record, micros};
-use crate::region::{self, Home};
+use crate::region::Home;
 use crate::score::{Estimator, Mean};
 use crate::shared::Basis;
 use crate::work::{self, SERVICE_CLASSES};
@@ -19,7 +19,7 @@
 };
 
 /// Consecutive failures from which on a target gets trial calls only.
-const FAILURE_THRESHOLD: u32 = 2;
+pub(crate) const FAILURE_THRESHOLD: u32 = 2;
 /// A failing target gets one trial call in this many times its fair interval, counted in choices.
 /// The number doubles with each further failure.
 const TRIAL_TURNS: u64 = 8;
@@ -29,58 +29,34 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which a new target that gave no answer to its first call is called again.
 const NEW_TARGET_INTERVAL: Duration = Duration::from_millis(500);
-/// Share of its fair share at which a new target gets its first call.
-const FIRST_CALL_SHARE: f64 = 0.25;
 /// Highest price, in mean service times, of a first or trial call to a target in another region.
 const MAX_FIRST_CALL_PRICE: f64 = 0.5;
-/// Scale of the random draw: a difference of this share of the service time halves the closeness
-/// of the worse target, whose weight is the cube of it.
-const SPREAD: f64 = 0.1;
-/// Lower bound of the spread, in microseconds.
-const MIN_SPREAD_US: f64 = 100.0;
-
 /// Chooses targets for the requests of one service at one entry.
 #[derive(Debug)]
 pub struct Pick {
-    zone: Zone,
-    network_delay: Duration,
-    zone_delays: Vec<(Zone, Duration)>,
-    seed: u64,
-    setting: Setting,
-    random: Pcg64Mcg,
+    pub(crate) zone: Zone,
+    pub(crate) network_delay: Duration,
+    pub(crate) zone_delays: Vec<(Zone, Duration)>,
+    pub(crate) seed: u64,
+    pub(crate) setting: Setting,
+    pub(crate) random: Pcg64Mcg,
     /// Number of targets of the service, before the subset.
-    known: usize,
+    pub(crate) known: usize,
     /// Number of those in evacuated zones.
-    evacuated: usize,
+    pub(crate) evacuated: usize,
     /// Regions of the targets that are not evacuated, before the subset.
-    regions: BTreeSet<String>,
+    pub(crate) regions: BTreeSet<String>,
     /// Sorted by instance.
-    records: Vec<Record>,
-    mean: Mean,
-    home: Option<Home>,
+    pub(crate) records: Vec<Record>,
+    pub(crate) mean: Mean,
+    pub(crate) home: Option<Home>,
     /// Bytes by class of work.
-    volumes: volume::Table,
+    pub(crate) volumes: volume::Table,
     /// Service times by class of work.
-    work: work::Table,
-    traffic: traffic::Table,
+    pub(crate) work: work::Table,
+    pub(crate) traffic: traffic::Table,
     /// Number of choices made.
-    choices: u64,
-}
-
-/// The sampling chance of a target that has neither answered nor sent a report.
-///
-/// A target of the first set is assumed to be warm. One that was added later may be cold, so it
-/// gets one call at a time until a report arrives.
-fn unreported_chance(record: &Record, fair: f64) -> f64 {
-    if record.present_at_start {
-        return 1.0;
-    }
-    let idle = record.in_flight.is_empty();
-    if idle {
-        (fair * FIRST_CALL_SHARE).min(1.0)
-    } else {
-        0.0
-    }
+    pub(crate) choices: u64,
 }
 
 /// Whether the request may be served in the region of `target`.
@@ -89,24 +65,6 @@
         .is_none_or(|regions| regions.contains(&target.region))
 }
 
-/// A target that may be chosen, with its estimate.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    index: usize,
-    estimate: f64,
-}
-
-/// The bytes that one call has moved, in both directions.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Moved {
-    /// The class of work; 0 if it is unknown.
-    pub class: u32,
-    /// Bytes of heads, body and answer.
-    pub bytes: u64,
-    /// Whether the whole answer was among them.
-    pub complete: bool,
-}
-
 impl Pick {
     /// Returns a builder for an entry in `zone`.
     pub fn builder(zone: Zone) -> Builder {
@@ -344,89 +302,7 @@
         self.new_record(target, present_at_start)
     }
 
-    fn new_record(&self, target: Target, present_at_start: bool) -> Record {
-        let near = (target.zone == self.zone, self.is_home(&target.region));
-        // Links to the same region take about as long, so one that is measured tells of others.
-        let measured = self.records.iter().find(|record| {
-            !near.1 && record.target.region == target.region && record.measured.is_some()
-        });
-        let measured = measured.and_then(|record| record.measured);
-        let round_trip = measured.unwrap_or_else(|| self.delay_to(&target) * 2);
-        let mut record = Record::new(target, round_trip, near, present_at_start);
-        record.measured = measured;
-        record
-    }
-
-    /// Whether the choice takes account of regions.
-    pub(crate) fn is_regional(&self) -> bool {
-        self.home.is_some()
-    }
-
-    /// Where the entry is: its zone, and its region unless regions are ignored.
-    fn place(&self) -> subset::Place<'_> {
-        subset::Place {
-            zone: &self.zone,
-            region: self.home.as_ref().map(|home| home.region.as_str()),
-        }
-    }
-
-    fn is_home(&self, region: &str) -> bool {
-        self.home.as_ref().is_none_or(|home| home.region == region)
-    }
-
-    fn delay_to(&self, target: &Target) -> Duration {
-        if target.zone == self.zone {
-            return Duration::ZERO;
-        }
-        let mut zones = self.zone_delays.iter();
-        let configured = zones.find(|(known, _)| *known == target.zone);
-        let usual = match &self.home {
-            Some(home) if home.region != target.region => home.delay,
-            _ => self.network_delay,
-        };
-        configured.map_or(usual, |(_, delay)| *delay)
-    }
-
-    /// Records the round trip that the link to `instance` has measured.
-    ///
-    /// It is used for targets in other regions only. Within a region the configured delay is short
-    /// beside the estimate, and the measured one contains the peer's scheduling delay. A round trip
-    /// of zero is one that has not been measured yet.
-    pub fn measure_round_trip(&mut self, instance: &Instance, round_trip: Duration) {
-        let Ok(index) = self.index_of(instance) else {
-            return;
-        };
-        if self.records[index].same_region || round_trip.is_zero() {
-            return;
-        }
-        let region = self.records[index].target.region.clone();
-        self.records[index].measure(round_trip);
-        let measured = self.records[index].measured;
-        let same = |record: &&mut Record| record.target.region == region;
-        let unmeasured = self.records.iter_mut().filter(same);
-        for record in unmeasured.filter(|record| record.measured.is_none()) {
-            record.round_trip = measured.unwrap_or(record.round_trip);
-        }
-    }
-
-    /// Records the bytes of a call to a target in `region`; those of a `complete` one, with its
-    /// whole answer, tell what further requests of `class` will move.
-    pub fn record_bytes(&mut self, now: Instant, region: &str, moved: &Moved) {
-        let count = self.traffic.count(region);
-        count.requests += 1;
-        count.bytes += moved.bytes;
-        if moved.complete && self.home.is_some() {
-            self.volumes.record(now, moved.class, moved.bytes);
-        }
-    }
-
-    /// The region of a target of the subset.
-    pub fn region_of(&self, instance: &Instance) -> Option<String> {
-        let index = self.index_of(instance).ok()?;
-        Some(self.records[index].target.region.clone())
-    }
-
-    fn index_of(&self, instance: &Instance) -> Result<usize, usize> {
+    pub(crate) fn index_of(&self, instance: &Instance) -> Result<usize, usize> {
         self.records
             .binary_search_by(|record| record.target.instance.cmp(instance))
     }
@@ -436,7 +312,7 @@
         self.records.get_mut(index)
     }
 
-    fn estimator(&self, now: Instant) -> Estimator<'_> {
+    pub(crate) fn estimator(&self, now: Instant) -> Estimator<'_> {
         Estimator {
             now,
             mean: &self.mean,
@@ -537,21 +413,6 @@
         self.draw(now, need, &considered)
     }
 
-    /// Those of `eligible` that are not failing and pass the draw for targets that are not warm.
-    fn uncapped(&mut self, eligible: &[usize]) -> Vec<usize> {
-        let count = eligible.len();
-        let mut open = Vec::with_capacity(count);
-        for index in eligible {
-            let record = &self.records[*index];
-            let chance = self.chance(record, count);
-            let healthy = record.failures < FAILURE_THRESHOLD;
-            if healthy && (chance >= 1.0 || self.random.random_bool(chance)) {
-                open.push(*index);
-            }
-        }
-        open
-    }
-
     /// Whether a failing target is due for a trial call.
     ///
     /// A target that fails fast looks idle, and a choice by load would send it ever more requests.
@@ -564,90 +425,4 @@
         let rested = |at: Instant| now.saturating_duration_since(at) >= TRIAL_INTERVAL;
         record.in_flight.is_empty() && (waited || record.last_chosen_at.is_none_or(rested))
     }
-
-    /// The chance that a target is considered, which is below 1 for targets that are not warm.
-    ///
-    /// A cold target is idle but slow. If it were always considered, it would win each comparison,
-    /// so its chance is a part of its fair share that grows with the answers it has given.
-    fn chance(&self, record: &Record, count: usize) -> f64 {
-        let fair = self.setting.sample as f64 / count as f64;
-        if record.received.is_none() && record.answered == 0 {
-            return unreported_chance(record, fair);
-        }
-        let answers = f64::from(record.answers());
-        let ramp = f64::from(self.setting.ramp.max(1));
-        if answers >= ramp || record.received.is_none() && record.present_at_start {
-            return 1.0;
-        }
-        let part = (answers + 1.0) / (ramp + 1.0);
-        part * (fair / (1.0 - part)).min(1.0)
-    }
-
-    /// Samples the targets in the entry's zone, those in other zones of its region and those in
-    /// other regions separately.
-    fn sample(&mut self, open: Vec<usize>) -> Vec<usize> {
-        let records = &self.records;
-        let (home, abroad): (Vec<_>, Vec<_>) = open
-            .into_iter()
-            .partition(|index| records[*index].same_region);
-        let (near, far): (Vec<_>, Vec<_>) = home
-            .into_iter()
-            .partition(|index| records[*index].same_zone);
-        let mut sample = self.sample_of(near);
-        sample.extend(self.sample_of(far));
-        sample.extend(self.sample_of(abroad));
-        sample
-    }
-
-    fn sample_of(&mut self, mut indices: Vec<usize>) -> Vec<usize> {
-        let count = self.setting.sample.min(indices.len());
-        for i in 0..count {
-            let other = self.random.random_range(i..indices.len());
-            indices.swap(i, other);
-        }
-        indices.truncate(count);
-        indices
-    }
-
-    /// The price of serving the request in another region, in mean service times.
-    fn price_abroad(&self, now: Instant, need: &Need<'_>) -> f64 {
-        let Some(home) = &self.home else {
-            return 0.0;
-        };
-        let bytes = self.volumes.bytes(now, need.class);
-        let work = self.work.mean(need.class);
-        let work = work.map_or(1.0, |us| us / self.mean.service_us.max(1.0));
-        region::price(home, bytes, work)
-    }
-
-    /// Draws a target at random, weighted by how close its estimate is to the best one.
-    fn draw(&mut self, now: Instant, need: &Need<'_>, indices: &[usize]) -> Option<usize> {
-        let estimator = self.estimator(now);
-        let abroad = self.price_abroad(now, need);
-        let candidate = |index: &usize| Candidate {
-            index: *index,
-            estimate: estimator.estimate(&self.records[*index], need, abroad),
-        };
-        let mut candidates: Vec<Candidate> = indices.iter().map(candidate).collect();
-        candidates.sort_by(|a, b| a.estimate.total_cmp(&b.estimate));
-        if need.urgency == Urgency::Urgent {
-            candidates.truncate(self.setting.best.max(1));
-        }
-        let best = candidates.first()?.estimate;
-        let spread = (self.mean.service_us * SPREAD).max(MIN_SPREAD_US);
-        let weight = |candidate: &Candidate| {
-            let closeness = 1.0 / (1.0 + (candidate.estimate - best) / spread);
-            closeness * closeness * closeness
-        };
-        let total: f64 = candidates.iter().map(weight).sum();
-        let mut left = self.random.random_range(0.0..total);
-        let last = candidates.last()?.index;
-        for candidate in &candidates {
-            left -= weight(candidate);
-            if left < 0.0 {
-                return Some(candidate.index);
-            }
-        }
-        Some(last)
-    }
 }
--- a/crates/pick/tests/decisions/main.rs
+++ b/crates/pick/tests/decisions/main.rs
@@ -4,5 +4,6 @@
 mod choice;
 mod fast;
 mod join;
+mod region;
 mod subset;
 mod world;
