Choose by the expected time of the request at each target

Cause: the estimate had one service time for each target, whose differences up to a half were ignored, and judged targets without a new report by the mean load over all. Fast targets got too little, those beyond their knee too much, and short checks were priced like long reads.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -142,6 +142,7 @@
             zone: self.job.zone(),
             exclude,
             class: self.job.class,
+            nested: self.job.depth.0 > 0,
             regions: None,
         }
     }
--- a/crates/pick/src/draw.rs
+++ b/crates/pick/src/draw.rs
@@ -12,6 +12,8 @@
 const FIRST_CALL_SHARE: f64 = 0.25;
 /// Range of the factor by which a request's price of another region is drawn.
 const PRICE_RANGE: std::ops::Range<f64> = 0.5..1.5;
+/// Work is short if the mean work of the service takes at least this many times as long.
+const SHORT_RATIO: f64 = 3.0;
 /// Scale of the random draw: a difference of this share of the service time halves the closeness
 /// of the worse target, whose weight is the cube of it.
 const SPREAD: f64 = 0.1;
@@ -101,6 +103,19 @@
         indices
     }
 
+    /// The mean time of `class` in microseconds, if it is short work beside that of the service.
+    fn short_time(&self, class: u32) -> Option<f64> {
+        let time = self.work.mean(class)?;
+        (time * SHORT_RATIO <= self.mean.service_us).then_some(time)
+    }
+
+    /// Whether requests of `class` are short beside those of the service. For one of them a wait
+    /// behind long work is a multiple of its own time, so it looks for a target where it starts at
+    /// once among all, and not in a sample.
+    pub(crate) fn is_short(&self, class: u32) -> bool {
+        self.short_time(class).is_some()
+    }
+
     /// The price of another region for this request, or 0 if none is among `indices`.
     ///
     /// Each request draws its own around the price of its bytes. With one price for all, the
@@ -133,7 +148,8 @@
             candidates.truncate(self.setting.best.max(1));
         }
         let best = candidates.first()?.estimate;
-        let spread = (self.mean.service_us * SPREAD).max(MIN_SPREAD_US);
+        let scale = self.short_time(need.class).unwrap_or(self.mean.service_us);
+        let spread = (scale * SPREAD).max(MIN_SPREAD_US);
         let weight = |candidate: &Candidate| {
             let closeness = 1.0 / (1.0 + (candidate.estimate - best) / spread);
             closeness * closeness * closeness
--- a/crates/pick/src/need.rs
+++ b/crates/pick/src/need.rs
@@ -13,6 +13,8 @@
     pub exclude: &'a [Instance],
     /// The class of work, for its bytes and its service time; 0 if it is unknown.
     pub class: u32,
+    /// Whether another request waits for this one; gates start it before all that wait.
+    pub nested: bool,
     /// The regions in which the request may be served; `None` if it may be served anywhere.
     pub regions: Option<&'a [String]>,
 }
@@ -37,6 +39,7 @@
             zone: Preference::Near,
             exclude: &[],
             class: 0,
+            nested: false,
             regions: None,
         }
     }
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -407,6 +407,7 @@
             open = eligible;
         }
         let considered = match need.urgency {
+            _ if self.is_short(need.class) => open,
             Urgency::Urgent => open,
             Urgency::Routine | Urgency::Batch => self.sample(open),
         };
--- a/crates/pick/src/record.rs
+++ b/crates/pick/src/record.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use unit::Report;
 
+use crate::score::Usual;
 use crate::work::Speed;
 use crate::{Answer, Kind, Target};
 
@@ -46,6 +47,8 @@
     pub(crate) same_region: bool,
     /// Its speed by class of work.
     pub(crate) speed: Speed,
+    /// Its usual load.
+    pub(crate) usual: Usual,
     pub(crate) received: Option<Received>,
     /// Start times of this entry's calls in flight, oldest first.
     pub(crate) in_flight: VecDeque<Instant>,
@@ -86,6 +89,7 @@
             same_zone: near.0,
             same_region: near.1,
             speed: Speed::new(),
+            usual: Usual::default(),
             received: None,
             in_flight: VecDeque::new(),
             ended_since_report: 0,
@@ -136,6 +140,7 @@
         }
         self.ended_since_report = 0;
         self.closed_until = report.closed.then(|| now + CLOSED_RETRY_INTERVAL);
+        self.usual.add_report(&report);
         self.received = Some(Received { at: now, report });
     }
 
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -40,6 +40,13 @@
 /// Queueing delay at a gate that is just full, in service times.
 const WAIT_AT_LIMIT: f64 = 0.5;
 
+/// Weight of the newest report in the usual load of one target.
+const USUAL_STEP: f64 = 0.1;
+/// Reports for which the mean over all targets counts in the usual load of one.
+const USUAL_PRIOR: u32 = 5;
+/// Load, relative to the limit, up to which a slot is free for a nested request.
+const FREE_RATIO: f64 = 0.6;
+
 /// Smoothed figures over all targets of the service.
 #[derive(Debug, Clone)]
 pub(crate) struct Mean {
@@ -89,6 +96,33 @@
     }
 }
 
+/// The usual load of one target.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Usual {
+    /// Requests ahead divided by the limit, by urgency.
+    ahead: [f64; 3],
+    reports: u32,
+}
+
+impl Usual {
+    pub(crate) fn add_report(&mut self, report: &unit::Report) {
+        self.reports = self.reports.saturating_add(1);
+        let step = USUAL_STEP.max(1.0 / f64::from(self.reports));
+        let limit = f64::from(report.limit.max(1));
+        for urgency in Urgency::ALL {
+            let mean = &mut self.ahead[urgency.rank()];
+            *mean += (f64::from(ahead(report, urgency)) / limit - *mean) * step;
+        }
+    }
+
+    /// The usual requests ahead divided by the limit; `mean` counts for a few reports.
+    fn ahead(&self, urgency: Urgency, mean: f64) -> f64 {
+        let own = f64::from(self.reports.min(USUAL_PRIOR * 4));
+        let prior = f64::from(USUAL_PRIOR);
+        (self.ahead[urgency.rank()] * own + mean * prior) / (own + prior)
+    }
+}
+
 /// Number of requests that the gate serves before a new one of `urgency`.
 fn ahead(report: &unit::Report, urgency: Urgency) -> u32 {
     let queued = &report.queued[..=urgency.rank()];
@@ -115,7 +149,10 @@
         let service = self.service(record);
         let load = self.load(record, need.urgency, freshness);
         let limit = self.limit(record);
-        let wait = queueing_delay(load, limit) * service;
+        let wait = match self.work {
+            Some(_) if need.nested => next_slot_delay(load, limit) * service,
+            _ => queueing_delay(load, limit) * service,
+        };
         let round_trip = match need.zone {
             _ if !record.same_region => micros(record.round_trip) + abroad * self.mean.service_us,
             Preference::Any => 0.0,
@@ -191,10 +228,23 @@
             let all = ahead(&received.report, urgency);
             f64::from(all.saturating_sub(counted))
         });
-        let usual = self.mean.ahead[urgency.rank()] * self.limit(record);
+        let usual = self.usual(record, urgency) * self.limit(record);
         reported * freshness + usual * (1.0 - freshness) + own as f64
     }
 
+    /// Requests ahead divided by the limit that are usual: at this target where times are known by
+    /// class, otherwise over all.
+    ///
+    /// Targets of unlike speed differ in their usual load, as the fast ones get more. Compared by
+    /// the mean over all, each entry that has no new report would send them ever more.
+    fn usual(&self, record: &Record, urgency: Urgency) -> f64 {
+        let mean = self.mean.ahead[urgency.rank()];
+        match self.work {
+            Some(_) => record.usual.ahead(urgency, mean),
+            None => mean,
+        }
+    }
+
     /// Cost of a hot or refusing gate besides its queue, in service times.
     fn overload_cost(&self, record: &Record, urgency: Urgency, freshness: f64) -> f64 {
         let hot = record.received.is_some_and(|received| received.report.hot);
@@ -284,3 +334,12 @@
     }
     WAIT_AT_LIMIT + (load - limit) / limit
 }
+
+/// The delay of a nested request behind `load` requests at `limit` slots, in service times.
+///
+/// It waits for the next slot that frees and for none of the queue. It needs no slot to free while
+/// one is free, which the report tells only about, so the delay rises over the last slots.
+fn next_slot_delay(load: f64, limit: f64) -> f64 {
+    let full = ((load / limit - FREE_RATIO) / (1.0 - FREE_RATIO)).clamp(0.0, 1.0);
+    full * full / limit
+}
--- a/crates/pick/tests/decisions/main.rs
+++ b/crates/pick/tests/decisions/main.rs
@@ -6,4 +6,5 @@
 mod join;
 mod region;
 mod subset;
+mod uneven;
 mod world;
