Serve a request only in the regions that its route and workspace allow

Cause: routes and workspaces can name regions, and the choice ignored them. Without a target there the request is refused before it is claimed: not-run, reason no-region. The regions of other targets in a subset take turns.

--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -23,7 +23,7 @@
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// Retry time of a request for which no target is left.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What to do after an attempt.
 enum Next {
@@ -141,14 +141,14 @@
         self.job.upstream.pick.acquire(Instant::now(), &need)
     }
 
-    fn need<'e>(&self, exclude: &'e [Instance]) -> Need<'e> {
+    fn need<'e>(&'e self, exclude: &'e [Instance]) -> Need<'e> {
         Need {
             urgency: self.job.urgency,
             zone: self.job.zone(),
             exclude,
             class: self.job.class,
             nested: self.job.depth.0 > 0,
-            regions: None,
+            regions: self.job.regions.as_deref(),
         }
     }
 
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -19,6 +19,7 @@
 use crate::job::{Budget, Head, Job};
 use crate::once::{Once, claim_key};
 use crate::request_body::{self, REPLAYABLE_BYTES, RequestBody};
+use crate::residence;
 use crate::{Body, Entry, InFlight, Origin, Reason, Refusal};
 
 /// What the head of a request that is forwarded to a service determines.
@@ -136,6 +137,8 @@
         let service = self.choose_service(&rule, route);
         let mut job = self.build_job(&routed, service, matched.caller, &body);
         job.credit = credit;
+        job.regions = residence::allowed(&document, origin, route, access, &job.caller);
+        self.check_regions(&job, routed.parts)?;
         job.class = Digest::of(rule.as_bytes()).0 as u32;
         if let Some(key) = key {
             let once = Once {
@@ -177,6 +180,7 @@
             route: route.clone(),
             caller,
             workspace: access.workspace().map(|workspace| workspace.name.clone()),
+            regions: None,
             credit: Credit::default(),
             urgency: urgency(origin, route, access),
             depth: routed.depth,
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -7,7 +7,7 @@
 use pick::retry::{Allowance, Cause};
 use rule::{Preference, Route};
 use tokio::time::Instant;
-use unit::{Caller, Depth, Digest, Service, Token, Urgency, Workspace};
+use unit::{Caller, Depth, Digest, Region, Service, Token, Urgency, Workspace};
 use wire::{Call, Header, Payload};
 
 use crate::credit::Credit;
@@ -28,6 +28,8 @@
     pub(crate) caller: Caller,
     /// The workspace that the request belongs to.
     pub(crate) workspace: Option<Workspace>,
+    /// The regions in which the request may be served; `None` for all.
+    pub(crate) regions: Option<Vec<Region>>,
     /// What the request has taken out of the workspace's quota.
     pub(crate) credit: Credit,
     pub(crate) urgency: Urgency,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod port;
 mod refusal;
 mod request_body;
+mod residence;
 pub mod server;
 mod state;
 mod stats;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -56,6 +56,9 @@
     /// No target of the service is known or may be chosen.
     #[display("no-target")]
     NoTarget,
+    /// The service has no target in the regions that the route and the workspace allow.
+    #[display("no-region")]
+    NoRegion,
     /// All zones in which the service has targets are evacuated.
     #[display("evacuated")]
     Evacuated,
@@ -265,6 +268,7 @@
         Reason::TooDeep => StatusCode::LOOP_DETECTED,
         Reason::Lost => StatusCode::BAD_GATEWAY,
         Reason::NoTarget
+        | Reason::NoRegion
         | Reason::Evacuated
         | Reason::Full
         | Reason::Deadline
--- a/crates/pick/src/need.rs
+++ b/crates/pick/src/need.rs
@@ -1,6 +1,6 @@
 //! The requirements of a request.
 
-use unit::{Instance, Urgency};
+use unit::{Instance, Region, Urgency};
 
 /// The requirements of a request.
 #[derive(Debug, Clone, Copy, Default)]
@@ -16,7 +16,7 @@
     /// Whether another request waits for this one; gates start it before all that wait.
     pub nested: bool,
     /// The regions in which the request may be served; `None` if it may be served anywhere.
-    pub regions: Option<&'a [String]>,
+    pub regions: Option<&'a [Region]>,
 }
 
 /// How much the zone of the target matters.
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -61,8 +61,11 @@
 
 /// Whether the request may be served in the region of `target`.
 fn may_serve(need: &Need<'_>, target: &Target) -> bool {
-    need.regions
-        .is_none_or(|regions| regions.contains(&target.region))
+    need.regions.is_none_or(|regions| {
+        regions
+            .iter()
+            .any(|region| region.as_str() == target.region)
+    })
 }
 
 impl Pick {
@@ -125,8 +128,11 @@
     /// Without one the request can't be served, however long it waits. The subset is no measure:
     /// it may lack a region that other entries use.
     pub fn has_allowed_region(&self, need: &Need<'_>) -> bool {
-        need.regions
-            .is_none_or(|regions| regions.iter().any(|region| self.regions.contains(region)))
+        need.regions.is_none_or(|regions| {
+            regions
+                .iter()
+                .any(|region| self.regions.contains(region.as_str()))
+        })
     }
 
     /// Chooses a target for a request; returns `None` when no target may serve it.
--- a/crates/pick/src/subset.rs
+++ b/crates/pick/src/subset.rs
@@ -5,6 +5,8 @@
 //! order and takes the first ones. When a target is removed, only the entries that used it replace
 //! it; when one is added, only the entries that rank it high enough take it.
 
+use std::collections::BTreeMap;
+
 use unit::Zone;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -23,7 +25,7 @@
 ///
 /// Up to [`Setting::subset_threshold`] targets, all are used. Above it, these are all targets in
 /// its zone and the first [`Setting::subset_remote`] of the others that are not leaving. Of those,
-/// [`Setting::subset_abroad`] are in other regions, so that a region with many targets leaves room
+/// [`Setting::subset_abroad`] are in other regions, which take turns, so that a region with many targets leaves room
 /// for the entry's own and the other way round; what one side can't use the other gets.
 pub fn choose(seed: u64, place: Place<'_>, targets: &[Target], setting: &Setting) -> Vec<Target> {
     if targets.len() <= setting.subset_threshold {
@@ -46,7 +48,7 @@
     let abroad_count = abroad_count.min(abroad.len());
     let home_count = setting.subset_remote - abroad_count;
     let home = home.into_iter().take(home_count);
-    let abroad = abroad.into_iter().take(abroad_count);
+    let abroad = by_turns(abroad).into_iter().take(abroad_count);
     near.into_iter()
         .chain(home)
         .chain(abroad)
@@ -54,6 +56,20 @@
         .collect()
 }
 
+/// Orders targets so that their regions take turns, and the order within a region is kept. A request
+/// that may be served in one region only needs a target there in the subset.
+fn by_turns(targets: Vec<&Target>) -> Vec<&Target> {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut turns: Vec<(usize, &Target)> = Vec::with_capacity(targets.len());
+    for target in targets {
+        let count = counts.entry(&target.region).or_default();
+        turns.push((*count, target));
+        *count += 1;
+    }
+    turns.sort_by_key(|(turn, _)| *turn);
+    turns.into_iter().map(|(_, target)| target).collect()
+}
+
 fn rank(seed: u64, target: &Target) -> u64 {
     xxh3_64_with_seed(target.instance.as_str().as_bytes(), seed)
 }
--- a/crates/pick/tests/decisions/region.rs
+++ b/crates/pick/tests/decisions/region.rs
@@ -217,7 +217,7 @@
     let mut pick = pick(now, 4);
     tell(&mut pick, now, 60, 0);
     for (regions, from, to) in [(["r"], 0, 3), (["t"], 6, 9)] {
-        let regions = regions.map(str::to_string);
+        let regions = regions.map(|name| name.parse().expect("a region"));
         for urgency in Urgency::ALL {
             let need = Need {
                 regions: Some(&regions),
@@ -230,7 +230,7 @@
             }
         }
     }
-    let nowhere = ["u".to_string()];
+    let nowhere = ["u".parse().expect("a region")];
     let need = Need {
         regions: Some(&nowhere),
         ..Need::default()
@@ -264,6 +264,12 @@
         let home = chosen.iter().filter(|target| target.region == region);
         assert_eq!(home.count(), near + 8);
         assert_eq!(chosen.len(), near + 12);
+        for other in 0..3 {
+            let there = chosen
+                .iter()
+                .filter(|target| target.region == format!("r{other}"));
+            assert!(there.count() >= 2, "region r{other}");
+        }
         // Where the own region has no other zone, other regions have its part.
         let alone: Vec<Target> = targets
             .iter()
