--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -46,7 +46,9 @@
     let (nests, held) = parts;
     let slots = u16::try_from(setting.slots).unwrap_or(u16::MAX);
     let queue = setting.slots as usize * setting.limits.queue as usize;
-    let mut gate = Gate::builder(slots).queue(queue);
+    let mut gate = Gate::builder(slots)
+        .queue(queue)
+        .nested_slot(setting.placement.uneven);
     if profile.heartbeat.is_some() {
         // The target tells its slots and its pace, so a slow answer is no sign of too much work: times
         // vary five times by spells that are no one's fault. What is left to find is whether it
@@ -161,6 +163,9 @@
     .dialect(profile.dialect.clone())
     .retry(profile.retry)
     .choice(profile.choice);
+    if let Some(home) = &profile.home {
+        entry = entry.home(home.clone());
+    }
     if let Some(most) = profile.hand_overs {
         entry = entry.max_handovers(most);
     }
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -33,6 +33,8 @@
     pub link_within: Option<Duration>,
     /// How targets are chosen.
     pub choice: pick::Setting,
+    /// The region and the costs of leaving it; `None` where regions are ignored.
+    pub home: Option<pick::region::Home>,
     /// Callers and the own target use one port, where the target is known by its address.
     pub one_port: bool,
 }
@@ -73,6 +75,9 @@
             one_port: setting.one_port,
             ..Profile::default()
         };
+        profile.choice.by_class = setting.placement.uneven;
+        let home = |delay| pick::region::Home::new(setting.region.clone(), delay);
+        profile.home = setting.placement.region_delay.map(home);
         profile.retry.share = setting.retry.share;
         if let Some(saved) = setting.retry.saved {
             profile.retry.share *= RETRY_PART;
--- a/crates/mesh/src/mesh.rs
+++ b/crates/mesh/src/mesh.rs
@@ -42,6 +42,7 @@
     settings: String,
     services: Vec<String>,
     zones: Vec<String>,
+    regions: Vec<String>,
 }
 
 /// A running mesh.
@@ -67,6 +68,7 @@
             settings: String::new(),
             services: vec!["desk".to_string()],
             zones: vec!["longbien".to_string()],
+            regions: vec!["local".to_string()],
         }
     }
 
@@ -240,6 +242,12 @@
         self
     }
 
+    /// Regions of the instances in turn; all are `local` unless set.
+    pub fn regions(mut self, regions: &[&str]) -> Builder {
+        self.regions = regions.iter().map(ToString::to_string).collect();
+        self
+    }
+
     /// Further fields of each daemon's settings, such as `"log": "debug"`.
     pub fn settings(mut self, fields: &str) -> Builder {
         self.settings = format!(", {fields}");
@@ -278,12 +286,13 @@
         let address = |what| block.of(index, what);
         format!(
             r#"{{
-                "instance": "{}", "zone": "{}", "service": "{}",
+                "instance": "{}", "zone": "{}", "region": "{}", "service": "{}",
                 "callers": "{}", "outbound": "{}", "link": "{}", "operator": "{}",
                 "target": "{}", "slots": {}, "store": ["{}"]{}
             }}"#,
             name(index),
             self.zones[index % self.zones.len()],
+            self.regions[index % self.regions.len()],
             self.services[index % self.services.len()],
             address(Address::Callers),
             address(Address::Outbound),
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -21,6 +21,7 @@
 mod check;
 mod cold;
 mod limits;
+mod placement;
 mod read;
 mod retry;
 
@@ -33,6 +34,7 @@
 pub use cold::Cold;
 pub use jsonc::{Error, Fault};
 pub use limits::Limits;
+pub use placement::Placement;
 pub use retry::Retry;
 
 /// The transport of the links between daemons.
@@ -84,6 +86,8 @@
     pub links: Links,
     /// The retry budget of the fleet's entries.
     pub retry: Retry,
+    /// How targets of several regions and of unlike speed are chosen.
+    pub placement: Placement,
     /// The address for the target's nested calls, HTTP over TCP; reachable only from the target's
     /// machine.
     pub outbound: SocketAddr,
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -8,9 +8,9 @@
 use unit::{Decimal, Span};
 
 use crate::address::{self, Endpoint};
-use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, retry};
+use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, placement, retry};
 
-const FIELDS: [&str; 28] = [
+const FIELDS: [&str; 29] = [
     "instance",
     "zone",
     "region",
@@ -39,6 +39,7 @@
     "retry",
     "evacuation_prefix",
     "cold",
+    "placement",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -107,6 +108,8 @@
     let retry = retry.and_then(|value| retry::read(reader, value));
     let cold = fields.get("cold");
     let cold = cold.and_then(|value| cold::read(reader, value));
+    let placement = fields.get("placement");
+    let placement = placement.and_then(|value| placement::read(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -136,6 +139,7 @@
         heartbeat,
         links: links.unwrap_or_default(),
         retry: retry.unwrap_or_default(),
+        placement: placement.unwrap_or_default(),
         link: addresses.link?.address,
         link_announced: announced?,
         operator: addresses.operator?.address,
