Count requests and bytes between regions in the metrics

Cause: traffic between regions is billed, and no figure showed it. Change: counters by the region of the daemon and that of the target.

--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -37,6 +37,7 @@
 mod operator;
 mod port;
 mod profile;
+mod region_metric;
 mod state;
 mod suspicion;
 
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -9,6 +9,7 @@
 use prometheus_client::registry::Registry;
 use unit::Version;
 
+use crate::region_metric::Regions;
 use crate::state::State;
 
 /// Encodes the present values of all metrics.
@@ -165,6 +166,7 @@
     era: u64,
     evacuated: bool,
     left_out: u64,
+    regions: Regions,
 }
 
 impl Values {
@@ -181,6 +183,7 @@
             era: feed.era.unwrap_or_default().0,
             evacuated: state.evacuations.zones().contains(&state.setting.zone),
             left_out: crate::logging::left_out(),
+            regions: Regions::of(&state.entry, &state.setting.region),
         }
     }
 }
@@ -198,7 +201,9 @@
             era,
             evacuated,
             left_out,
+            regions,
         } = &self.0;
+        regions.encode(&mut encoder)?;
         counter(
             &mut encoder,
             "ran",
--- a/crates/appleshore/tests/regions.rs
+++ b/crates/appleshore/tests/regions.rs
@@ -1,6 +1,7 @@
 //! Regions, on whole daemons over loopback.
 
 use appleshore::Part;
+use http::Method;
 use mesh::{Mesh, until};
 
 const RULES: &str = r#"{ "rules": [
@@ -65,4 +66,9 @@
         count("requests") >= 5 && count("bytes") >= 5 * 20
     })
     .await;
+    let operator = mesh.operator(0);
+    let metrics = mesh.client.send(operator, Method::GET, "/metrics", &[], "");
+    let metrics = String::from_utf8_lossy(&metrics.await.body).into_owned();
+    let line = r#"appleshore_region_requests_total{from="west",to="east"}"#;
+    assert!(metrics.contains(line), "{metrics}");
 }
--- a/crates/pick/src/home.rs
+++ b/crates/pick/src/home.rs
@@ -1,12 +1,13 @@
 //! What an entry knows of its region and of the ways to others.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tokio::time::Instant;
 use unit::Instance;
 
 use crate::record::Record;
-use crate::{Need, Pick, Target, region, subset};
+use crate::{Need, Pick, Target, region, subset, traffic};
 
 /// The bytes that one call has moved, in both directions.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -96,6 +97,11 @@
         }
     }
 
+    /// Calls and bytes by the region of the target.
+    pub(crate) fn traffic(&self) -> BTreeMap<String, traffic::Count> {
+        self.traffic.counts()
+    }
+
     /// The region of a target of the subset.
     pub fn region_of(&self, instance: &Instance) -> Option<String> {
         let index = self.index_of(instance).ok()?;
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -1,5 +1,6 @@
 //! A [`Pick`] under its own lock, with guards for calls in flight.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use tokio::time::Instant;
 use unit::{Instance, Report};
 
-use crate::{Answer, Dump, Kind, Need, Pick, Target, Transfer};
+use crate::{Answer, Dump, Kind, Need, Pick, Target, Transfer, traffic};
 
 /// A [`Pick`] that is shared between threads. Clones share the same state.
 ///
@@ -122,6 +123,11 @@
         Transfer::new(self.pick.clone(), region, class)
     }
 
+    /// Calls and bytes by the region of the target; empty where regions are ignored.
+    pub fn traffic(&self) -> BTreeMap<String, traffic::Count> {
+        self.pick.lock().traffic()
+    }
+
     /// See [`Pick::instances`].
     pub fn instances(&self) -> Vec<Instance> {
         self.pick.lock().instances()
