Merge the placement over regions and uneven targets

The section of the settings template that switched placement on by a bound of another part is left out: what switches it on is still open.

--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -38,6 +38,7 @@
 mod port;
 mod profile;
 mod quota;
+mod region_metric;
 mod state;
 mod suspicion;
 
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -11,6 +11,7 @@
 use unit::Version;
 
 use crate::quota::Group;
+use crate::region_metric::Regions;
 use crate::state::State;
 
 /// Encodes the present values of all metrics.
@@ -185,6 +186,7 @@
     quotas: Option<Vec<Group>>,
     confirmations: Option<feed::Confirmations>,
     link: Option<bandwidth::Dump>,
+    regions: Regions,
 }
 
 impl Values {
@@ -204,6 +206,7 @@
             confirmations: feed.confirmations,
             link: state.link.as_ref().map(bandwidth::Link::dump),
             quotas: state.quotas.as_ref().map(|quotas| quotas.groups()),
+            regions: Regions::of(&state.entry, &state.setting.region),
         }
     }
 }
@@ -224,7 +227,9 @@
             quotas,
             confirmations,
             link,
+            regions,
         } = &self.0;
+        regions.encode(&mut encoder)?;
         if let Some(link) = link {
             encode_link(&mut encoder, link)?;
         }
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -23,12 +23,12 @@
 const DECLINED_RETRY_AFTER: Duration = Duration::from_millis(10);
 
 /// Retry time of a request for which no target is left.
-const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// What to do after an attempt.
 enum Next {
     /// Relay this answer to the caller.
-    Answer(Answer),
+    Answer(Box<Answer>),
     /// Answer the caller with this refusal.
     Refuse(Refusal),
     /// Retry on another target, which the retry budget has paid for.
@@ -120,7 +120,7 @@
                 .credit
                 .settle(self.may_have_run || outcome.may_have_run());
             match self.next(outcome, body) {
-                Next::Answer(answer) => return Ok(answer),
+                Next::Answer(answer) => return Ok(*answer),
                 Next::Refuse(refusal) => return Err(refusal),
                 Next::Retry => self.retries_left = self.retries_left.saturating_sub(1),
                 Next::HandOver => self.handovers += 1,
@@ -141,12 +141,15 @@
         self.job.upstream.pick.acquire(Instant::now(), &need)
     }
 
-    fn need<'e>(&self, exclude: &'e [Instance]) -> Need<'e> {
+    fn need<'e>(&'e self, exclude: &'e [Instance]) -> Need<'e> {
         Need {
             urgency: self.job.urgency,
             zone: self.job.zone(),
             exclude,
             bulk: self.job.route.bulk,
+            class: self.job.class,
+            nested: self.job.depth.0 > 0,
+            regions: self.job.regions.as_deref(),
         }
     }
 
@@ -204,7 +207,7 @@
         self.retry_or_refuse(Cause::Failed, refusal, again)
     }
 
-    fn answered(&mut self, answer: Answer, body: &RequestBody) -> Next {
+    fn answered(&mut self, answer: Box<Answer>, body: &RequestBody) -> Next {
         let reply = &answer.reply;
         self.job
             .budget
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -37,6 +37,7 @@
 mod port;
 mod refusal;
 mod request_body;
+mod residence;
 pub mod server;
 mod share;
 mod state;
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -195,6 +195,7 @@
     let target = pick::Target {
         instance: parse("desk-b"),
         zone,
+        region: "here".to_string(),
         incarnation: Incarnation(1),
         leaving: false,
         evacuated: false,
--- a/crates/gate/tests/all/main.rs
+++ b/crates/gate/tests/all/main.rs
@@ -9,6 +9,7 @@
 
 mod shares;
 mod shell;
+mod short;
 mod slowdown;
 mod suspect;
 mod throttle;
--- a/crates/pick/src/need.rs
+++ b/crates/pick/src/need.rs
@@ -1,6 +1,6 @@
 //! The requirements of a request.
 
-use unit::{Instance, Urgency};
+use unit::{Instance, Region, Urgency};
 
 /// The requirements of a request.
 #[derive(Debug, Clone, Copy, Default)]
@@ -13,6 +13,12 @@
     pub exclude: &'a [Instance],
     /// Whether the answer is long, so that the backlog of the target's link counts.
     pub bulk: bool,
+    /// The class of work, for its bytes and its service time; 0 if it is unknown.
+    pub class: u32,
+    /// Whether another request waits for this one; gates start it before all that wait.
+    pub nested: bool,
+    /// The regions in which the request may be served; `None` if it may be served anywhere.
+    pub regions: Option<&'a [Region]>,
 }
 
 /// How much the zone of the target matters.
@@ -35,6 +41,9 @@
             zone: Preference::Near,
             exclude: &[],
             bulk: false,
+            class: 0,
+            nested: false,
+            regions: None,
         }
     }
 }
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -1,5 +1,6 @@
 //! Chooses targets for the requests of one service at one entry.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
@@ -8,13 +9,17 @@
 use unit::{Instance, Report, Urgency, Zone};
 
 use crate::dump::Line;
-use crate::record::Record;
+use crate::record::{Record, micros};
+use crate::region::Home;
 use crate::score::{Estimator, Mean};
 use crate::shared::Basis;
-use crate::{Answer, Builder, Dump, Need, Preference, Setting, Target, subset};
+use crate::work::{self, SERVICE_CLASSES};
+use crate::{
+    Answer, Builder, Dump, Kind, Need, Preference, Setting, Target, subset, traffic, volume,
+};
 
 /// Consecutive failures from which on a target gets trial calls only.
-const FAILURE_THRESHOLD: u32 = 2;
+pub(crate) const FAILURE_THRESHOLD: u32 = 2;
 /// A failing target gets one trial call in this many times its fair interval, counted in choices.
 /// The number doubles with each further failure.
 const TRIAL_TURNS: u64 = 8;
@@ -24,55 +29,43 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
 /// Time after which a new target that gave no answer to its first call is called again.
 const NEW_TARGET_INTERVAL: Duration = Duration::from_millis(500);
-/// Share of its fair share at which a new target gets its first call.
-const FIRST_CALL_SHARE: f64 = 0.25;
-/// Scale of the random draw: a difference of this share of the service time halves the closeness
-/// of the worse target, whose weight is the cube of it.
-const SPREAD: f64 = 0.1;
-/// Lower bound of the spread, in microseconds.
-const MIN_SPREAD_US: f64 = 100.0;
-
+/// Highest price, in mean service times, of a first or trial call to a target in another region.
+const MAX_FIRST_CALL_PRICE: f64 = 0.5;
 /// Chooses targets for the requests of one service at one entry.
 #[derive(Debug)]
 pub struct Pick {
-    zone: Zone,
-    network_delay: Duration,
-    zone_delays: Vec<(Zone, Duration)>,
-    seed: u64,
-    setting: Setting,
-    random: Pcg64Mcg,
+    pub(crate) zone: Zone,
+    pub(crate) network_delay: Duration,
+    pub(crate) zone_delays: Vec<(Zone, Duration)>,
+    pub(crate) seed: u64,
+    pub(crate) setting: Setting,
+    pub(crate) random: Pcg64Mcg,
     /// Number of targets of the service, before the subset.
-    known: usize,
+    pub(crate) known: usize,
     /// Number of those in evacuated zones.
-    evacuated: usize,
+    pub(crate) evacuated: usize,
+    /// Regions of the targets that are not evacuated, before the subset.
+    pub(crate) regions: BTreeSet<String>,
     /// Sorted by instance.
-    records: Vec<Record>,
-    mean: Mean,
+    pub(crate) records: Vec<Record>,
+    pub(crate) mean: Mean,
+    pub(crate) home: Option<Home>,
+    /// Bytes by class of work.
+    pub(crate) volumes: volume::Table,
+    /// Service times by class of work.
+    pub(crate) work: work::Table,
+    pub(crate) traffic: traffic::Table,
     /// Number of choices made.
-    choices: u64,
-}
-
-/// The sampling chance of a target that has neither answered nor sent a report.
-///
-/// A target of the first set is assumed to be warm. One that was added later may be cold, so it
-/// gets one call at a time until a report arrives.
-fn unreported_chance(record: &Record, fair: f64) -> f64 {
-    if record.present_at_start {
-        return 1.0;
-    }
-    let idle = record.in_flight.is_empty();
-    if idle {
-        (fair * FIRST_CALL_SHARE).min(1.0)
-    } else {
-        0.0
-    }
+    pub(crate) choices: u64,
 }
 
-/// A target that may be chosen, with its estimate.
-#[derive(Debug, Clone, Copy)]
-struct Candidate {
-    index: usize,
-    estimate: f64,
+/// Whether the request may be served in the region of `target`.
+fn may_serve(need: &Need<'_>, target: &Target) -> bool {
+    need.regions.is_none_or(|regions| {
+        regions
+            .iter()
+            .any(|region| region.as_str() == target.region)
+    })
 }
 
 impl Pick {
@@ -91,8 +84,13 @@
             random: Pcg64Mcg::seed_from_u64(builder.seed),
             known: 0,
             evacuated: 0,
+            regions: BTreeSet::new(),
             records: Vec::new(),
             mean: Mean::default(),
+            home: builder.home,
+            volumes: volume::Table::default(),
+            work: work::Table::new(SERVICE_CLASSES),
+            traffic: traffic::Table::default(),
             choices: 0,
         }
     }
@@ -111,7 +109,8 @@
         let open = targets.iter().filter(|target| !target.evacuated);
         let open: Vec<Target> = open.cloned().collect();
         self.evacuated = targets.len() - open.len();
-        let mut chosen = subset::choose(self.seed, &self.zone, &open, &self.setting);
+        self.regions = open.iter().map(|target| target.region.clone()).collect();
+        let mut chosen = subset::choose(self.seed, self.place(), &open, &self.setting);
         chosen.sort_by(|a, b| a.instance.cmp(&b.instance));
         chosen.dedup_by(|a, b| a.instance == b.instance);
         let records = chosen.into_iter().map(|target| self.record(target, first));
@@ -123,6 +122,19 @@
         self.known > 0 && self.evacuated == self.known
     }
 
+    /// Whether the service has targets that stay in a region in which the request may be served,
+    /// reachable or not.
+    ///
+    /// Without one the request can't be served, however long it waits. The subset is no measure:
+    /// it may lack a region that other entries use.
+    pub fn has_allowed_region(&self, need: &Need<'_>) -> bool {
+        need.regions.is_none_or(|regions| {
+            regions
+                .iter()
+                .any(|region| self.regions.contains(region.as_str()))
+        })
+    }
+
     /// Chooses a target for a request; returns `None` when no target may serve it.
     pub fn choose(&mut self, now: Instant, need: &Need<'_>) -> Option<Instance> {
         let eligible = self.eligible(now, need);
@@ -183,14 +195,31 @@
 
     /// Records the end of a call that [`Pick::begin`] recorded.
     pub fn end(&mut self, now: Instant, instance: &Instance, answer: &Answer) {
-        if let Some(record) = self.record_mut(instance) {
-            record.end(now, answer);
+        if let Ok(index) = self.index_of(instance) {
+            self.records[index].end(now, answer);
+            self.learn(now, index, answer);
         }
         if let Some(report) = answer.report {
             self.mean.add_report(&report);
         }
     }
 
+    /// Learns the service time of the answer's class, if it tells it.
+    ///
+    /// An answer whose gate has a queue, or whose target is slow for a moment, took longer than the
+    /// work does.
+    fn learn(&mut self, now: Instant, index: usize, answer: &Answer) {
+        let undisturbed = answer
+            .report
+            .is_some_and(|report| report.waiting() == 0 && !report.slow && !report.hot);
+        if !self.setting.by_class || answer.kind != Kind::Ok || !undisturbed {
+            return;
+        }
+        let record = &mut self.records[index];
+        let us = micros(answer.latency.saturating_sub(record.round_trip));
+        record.speed.record(&mut self.work, now, answer.class, us);
+    }
+
     /// Records a report that arrived without an answer: from a probe, or in a notice of a hot gate.
     pub fn receive_report(&mut self, now: Instant, instance: &Instance, report: Report) {
         if let Some(record) = self.record_mut(instance) {
@@ -235,6 +264,7 @@
             known: self.known,
             evacuated: self.evacuated,
             choices: self.choices,
+            regions: self.traffic.counts(),
             service_us: self.mean.service_us as u64,
             targets: self
                 .records
@@ -246,13 +276,16 @@
 
     fn dump_target(&self, now: Instant, record: &Record) -> Line {
         let age = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
-        let estimate = self.estimator(now).estimate(record, &Need::default());
+        let estimator = self.estimator(now);
+        let estimate = estimator.estimate(record, &Need::default(), 0.0);
         Line {
             target: record.target.clone(),
             running: record.in_flight.len(),
             answered: record.answered,
             failures: record.failures,
             errors: record.error_rate,
+            round_trip_us: record.round_trip.as_micros() as u64,
+            speed: record.speed.ratio(now),
             report: record.received.map(|received| received.report),
             report_age_ms: record.received.map(|received| age(received.at)),
             estimate_us: estimate as u64,
@@ -268,26 +301,14 @@
                 return kept;
             }
             // The new incarnation is as reachable as the previous one was.
-            let same_zone = target.zone == self.zone;
-            let round_trip = self.delay_to(&target.zone) * 2;
-            let mut record = Record::new(target, round_trip, same_zone, present_at_start);
+            let mut record = self.new_record(target, present_at_start);
             record.unreachable = old.unreachable;
             return record;
         }
-        let same_zone = target.zone == self.zone;
-        let round_trip = self.delay_to(&target.zone) * 2;
-        Record::new(target, round_trip, same_zone, present_at_start)
+        self.new_record(target, present_at_start)
     }
 
-    fn delay_to(&self, zone: &Zone) -> Duration {
-        if *zone == self.zone {
-            return Duration::ZERO;
-        }
-        let configured = self.zone_delays.iter().find(|(known, _)| known == zone);
-        configured.map_or(self.network_delay, |(_, delay)| *delay)
-    }
-
-    fn index_of(&self, instance: &Instance) -> Result<usize, usize> {
+    pub(crate) fn index_of(&self, instance: &Instance) -> Result<usize, usize> {
         self.records
             .binary_search_by(|record| record.target.instance.cmp(instance))
     }
@@ -297,10 +318,11 @@
         self.records.get_mut(index)
     }
 
-    fn estimator(&self, now: Instant) -> Estimator<'_> {
+    pub(crate) fn estimator(&self, now: Instant) -> Estimator<'_> {
         Estimator {
             now,
             mean: &self.mean,
+            work: self.setting.by_class.then_some(&self.work),
             half_life: self.setting.half_life,
             cross_zone_cost: self.setting.cross_zone_cost,
         }
@@ -315,6 +337,7 @@
     fn eligible(&self, now: Instant, need: &Need<'_>) -> Vec<usize> {
         let may = |record: &Record| {
             !record.target.leaving
+                && may_serve(need, &record.target)
                 && (need.zone != Preference::Only || record.same_zone)
                 && !need.exclude.contains(&record.target.instance)
         };
@@ -350,7 +373,13 @@
             // The daemon may be up before its target is.
             let rested = |at: Instant| now.saturating_duration_since(at) >= NEW_TARGET_INTERVAL;
             let idle = record.in_flight.is_empty() && record.last_chosen_at.is_none_or(rested);
-            idle && record.answered == 0 && record.failures == 0 && !record.present_at_start
+            // A request that moves many bytes is not used to find out about another region.
+            let cheap = record.same_region || self.price_abroad(now, need) <= MAX_FIRST_CALL_PRICE;
+            cheap
+                && idle
+                && record.answered == 0
+                && record.failures == 0
+                && !record.present_at_start
         };
         let untried: Vec<usize> = eligible.iter().copied().filter(untried).collect();
         let share = 1.0 / eligible.len().max(1) as f64;
@@ -366,7 +395,8 @@
         let urgent = need.urgency == Urgency::Urgent;
         let due = |index: &usize| {
             let record = &self.records[*index];
-            record.failures > 0 && self.is_due(now, record, eligible.len(), urgent)
+            let cheap = record.same_region || self.price_abroad(now, need) <= MAX_FIRST_CALL_PRICE;
+            cheap && record.failures > 0 && self.is_due(now, record, eligible.len(), urgent)
         };
         eligible.iter().copied().find(due)
     }
@@ -383,27 +413,13 @@
             open = eligible;
         }
         let considered = match need.urgency {
+            _ if self.is_short(need.class) => open,
             Urgency::Urgent => open,
             Urgency::Routine | Urgency::Batch => self.sample(open),
         };
         self.draw(now, need, &considered)
     }
 
-    /// Those of `eligible` that are not failing and pass the draw for targets that are not warm.
-    fn uncapped(&mut self, eligible: &[usize]) -> Vec<usize> {
-        let count = eligible.len();
-        let mut open = Vec::with_capacity(count);
-        for index in eligible {
-            let record = &self.records[*index];
-            let chance = self.chance(record, count);
-            let healthy = record.failures < FAILURE_THRESHOLD;
-            if healthy && (chance >= 1.0 || self.random.random_bool(chance)) {
-                open.push(*index);
-            }
-        }
-        open
-    }
-
     /// Whether a failing target is due for a trial call.
     ///
     /// A target that fails fast looks idle, and a choice by load would send it ever more requests.
@@ -416,73 +432,4 @@
         let rested = |at: Instant| now.saturating_duration_since(at) >= TRIAL_INTERVAL;
         record.in_flight.is_empty() && (waited || record.last_chosen_at.is_none_or(rested))
     }
-
-    /// The chance that a target is considered, which is below 1 for targets that are not warm.
-    ///
-    /// A cold target is idle but slow. If it were always considered, it would win each comparison,
-    /// so its chance is a part of its fair share that grows with the answers it has given.
-    fn chance(&self, record: &Record, count: usize) -> f64 {
-        let fair = self.setting.sample as f64 / count as f64;
-        if record.received.is_none() && record.answered == 0 {
-            return unreported_chance(record, fair);
-        }
-        let answers = f64::from(record.answers());
-        let ramp = f64::from(self.setting.ramp.max(1));
-        if answers >= ramp || record.received.is_none() && record.present_at_start {
-            return 1.0;
-        }
-        let part = (answers + 1.0) / (ramp + 1.0);
-        part * (fair / (1.0 - part)).min(1.0)
-    }
-
-    /// Samples the targets in the entry's zone and those in other zones separately.
-    fn sample(&mut self, open: Vec<usize>) -> Vec<usize> {
-        let records = &self.records;
-        let (near, far): (Vec<_>, Vec<_>) = open
-            .into_iter()
-            .partition(|index| records[*index].same_zone);
-        let mut sample = self.sample_of(near);
-        sample.extend(self.sample_of(far));
-        sample
-    }
-
-    fn sample_of(&mut self, mut indices: Vec<usize>) -> Vec<usize> {
-        let count = self.setting.sample.min(indices.len());
-        for i in 0..count {
-            let other = self.random.random_range(i..indices.len());
-            indices.swap(i, other);
-        }
-        indices.truncate(count);
-        indices
-    }
-
-    /// Draws a target at random, weighted by how close its estimate is to the best one.
-    fn draw(&mut self, now: Instant, need: &Need<'_>, indices: &[usize]) -> Option<usize> {
-        let estimator = self.estimator(now);
-        let candidate = |index: &usize| Candidate {
-            index: *index,
-            estimate: estimator.estimate(&self.records[*index], need),
-        };
-        let mut candidates: Vec<Candidate> = indices.iter().map(candidate).collect();
-        candidates.sort_by(|a, b| a.estimate.total_cmp(&b.estimate));
-        if need.urgency == Urgency::Urgent {
-            candidates.truncate(self.setting.best.max(1));
-        }
-        let best = candidates.first()?.estimate;
-        let spread = (self.mean.service_us * SPREAD).max(MIN_SPREAD_US);
-        let weight = |candidate: &Candidate| {
-            let closeness = 1.0 / (1.0 + (candidate.estimate - best) / spread);
-            closeness * closeness * closeness
-        };
-        let total: f64 = candidates.iter().map(weight).sum();
-        let mut left = self.random.random_range(0.0..total);
-        let last = candidates.last()?.index;
-        for candidate in &candidates {
-            left -= weight(candidate);
-            if left < 0.0 {
-                return Some(candidate.index);
-            }
-        }
-        Some(last)
-    }
 }
--- a/crates/pick/tests/decisions/main.rs
+++ b/crates/pick/tests/decisions/main.rs
@@ -4,5 +4,7 @@
 mod choice;
 mod fast;
 mod join;
+mod region;
 mod subset;
+mod uneven;
 mod world;
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -8,9 +8,9 @@
 use unit::{Bandwidth, Decimal, Span};
 
 use crate::address::{self, Endpoint};
-use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, quota, retry};
+use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, placement, quota, retry};
 
-const FIELDS: [&str; 31] = [
+const FIELDS: [&str; 32] = [
     "instance",
     "zone",
     "region",
@@ -42,6 +42,7 @@
     "quota",
     "revoke",
     "bandwidth",
+    "placement",
 ];
 
 const LEVELS: [(&str, LevelFilter); 6] = [
@@ -124,6 +125,8 @@
     let revoke = revoke.and_then(|value| revocation_time(reader, value));
     let bandwidth = fields.get("bandwidth");
     let bandwidth = bandwidth.and_then(|value| link_rate(reader, value));
+    let placement = fields.get("placement");
+    let placement = placement.and_then(|value| placement::read(reader, value));
     let slots = reader.required(&fields, "slots");
     let slots = slots.and_then(|value| reader.count(value, 1..=MAX_SLOTS));
     let store = reader.required(&fields, "store");
@@ -153,6 +156,7 @@
         heartbeat,
         links: links.unwrap_or_default(),
         retry: retry.unwrap_or_default(),
+        placement: placement.unwrap_or_default(),
         link: addresses.link?.address,
         link_announced: announced?,
         operator: addresses.operator?.address,
