--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,7 +38,7 @@
 mod refusal;
 mod request_body;
 pub mod server;
-mod share;
+pub mod share;
 mod state;
 mod stats;
 mod upstream;
