--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,7 +39,7 @@
 mod request_body;
 mod residence;
 pub mod server;
-mod share;
+pub mod share;
 mod state;
 mod stats;
 mod upstream;
