Play regions, uneven targets and a hot caller in the model

Cause: bench policy had one region and equal targets. Change: scenarios regions, uneven and hot; modes that ignore regions, price bytes, bound remote bytes and weigh regions by expected load.

--- a/bench/src/experiment/read.rs
+++ b/bench/src/experiment/read.rs
@@ -76,6 +76,8 @@
     let returns = fields.get("returns").and_then(|flag| reader.flag(flag));
     let (fault, length) = fault(reader, fields).unwrap_or((Fault::None, usual.length));
     Some(Scenario {
+        regions: None,
+        uneven: false,
         name: name.to_string(),
         targets: targets as usize,
         slots: slots
@@ -218,6 +220,8 @@
         .filter_map(|part| reader.choice(part, &PARTS))
         .collect();
     Some(Mode {
+        abroad: crate::policy::Abroad::Priced,
+        by_class: false,
         name: name.to_string(),
         choice: choice.unwrap_or(Choice::Pick),
         gate: gate.unwrap_or(true),
--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -8,8 +8,8 @@
 mod scenario;
 mod world;
 
+pub(crate) use scenario::{Abroad, Choice, Fault, LEAD, PERIOD, Part, Spell, steady};
 use scenario::{BASE, modes, scenarios};
-pub(crate) use scenario::{Choice, Fault, LEAD, PERIOD, Part, Spell, steady};
 pub use scenario::{Mode, Scenario};
 pub use world::Figure;
 pub(crate) use world::{CLASSES, Outcome, Second, Tally};
--- a/bench/src/policy/scenario.rs
+++ b/bench/src/policy/scenario.rs
@@ -42,6 +42,31 @@
     pub(crate) gap: Duration,
 }
 
+/// Zones in several regions.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Regions {
+    pub(crate) count: usize,
+    /// One way between them.
+    pub(crate) way: Duration,
+    /// Part of its mean by which the demand of a zone varies, and the time of one swing.
+    pub(crate) swing: f64,
+    pub(crate) period: Duration,
+}
+
+/// How an entry decides on other regions.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Abroad {
+    /// It ignores regions.
+    Ignored,
+    /// The round trip and the price of the bytes are part of the estimate.
+    Priced,
+    /// The round trip is part of the estimate, and each entry may send this many bytes a second.
+    Budget(u64),
+    /// What exceeds the load that the targets of the region take is spread over the others, by the
+    /// rate of the last second against that of all time.
+    Weighted,
+}
+
 /// A service, its load and a fault.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -62,6 +87,10 @@
     /// Callers that are refused come back once, when they are told to.
     pub(crate) returns: bool,
     pub(crate) spell: Option<Spell>,
+    /// Several regions, whose demand swings.
+    pub(crate) regions: Option<Regions>,
+    /// Targets take 0.7 to 1.4 times as long.
+    pub(crate) uneven: bool,
     pub(crate) fault: Fault,
     /// A fault begins with each round and lasts for `length`. The figures are of calls that come
     /// `from` to `to` after its begin.
@@ -86,6 +115,8 @@
         goal: None,
         returns: false,
         spell: None,
+        regions: None,
+        uneven: false,
         fault: Fault::None,
         rounds: 10,
         length: ms(1_000),
@@ -136,6 +167,39 @@
             ..steady().called("stale", Fault::None)
         },
         steady().called("storm", Fault::Storm(3)),
+        Scenario {
+            targets: 12,
+            slots: 9,
+            zones: 6,
+            way: near,
+            service: ms(100),
+            load: 65,
+            regions: Some(Regions {
+                count: 3,
+                way: ms(8),
+                swing: 0.55,
+                period: ms(13_000),
+            }),
+            ..steady().called("regions", Fault::None)
+        },
+        Scenario {
+            targets: 8,
+            slots: 9,
+            service: ms(100),
+            uneven: true,
+            spell: Some(Spell {
+                factor: 5,
+                length: ms(150),
+                gap: ms(1_350),
+            }),
+            ..steady().called("uneven", Fault::None)
+        },
+        Scenario {
+            length: ms(2_500),
+            from: ms(0),
+            to: ms(2_500),
+            ..steady().called("hot", Fault::Batch(2))
+        },
         Scenario {
             targets: 5,
             client: ms(1),
@@ -221,6 +285,8 @@
     /// The decisions of the gate, or a plain queue before the same slots.
     pub(crate) gate: bool,
     pub(crate) without: Vec<Part>,
+    pub(crate) abroad: Abroad,
+    pub(crate) by_class: bool,
 }
 
 /// Appleshore and the baselines are the first of [`modes`].
@@ -245,6 +311,13 @@
         Mode::ours("rides and notices", &[Probe]),
         Mode::ours("no hand-over", &[HandOver]),
         Mode::ours("no hedges", &[Hedge]),
+        Mode::abroad("regions ignored", Abroad::Ignored),
+        Mode::abroad("remote bytes budget", Abroad::Budget(50_000)),
+        Mode::abroad("region weights", Abroad::Weighted),
+        Mode {
+            by_class: true,
+            ..Mode::ours("times by class", &[])
+        },
     ]
 }
 
@@ -261,6 +334,16 @@
             choice: Choice::Pick,
             gate: true,
             without: without.to_vec(),
+            abroad: Abroad::Priced,
+            by_class: false,
+        }
+    }
+
+    /// Another way to decide on other regions.
+    fn abroad(name: &str, abroad: Abroad) -> Mode {
+        Mode {
+            abroad,
+            ..Mode::ours(name, &[])
         }
     }
 
--- a/bench/src/policy/world.rs
+++ b/bench/src/policy/world.rs
@@ -1,5 +1,6 @@
 //! Callers and instances on a queue of events. Each instance is an entry and has a target.
 
+mod abroad;
 mod entry;
 mod figure;
 mod outcome;
@@ -88,6 +89,7 @@
     budget: measure::Budget,
     timer: Option<Instant>,
     hot: bool,
+    abroad: abroad::State,
     /// Restarts, answers given before the last one, and slow answers left.
     life: u64,
     before: u32,
@@ -119,6 +121,7 @@
     repeats: usize,
     handed: usize,
     false_not_run: u64,
+    abroad: abroad::Sum,
     /// Calls that a target which limits them began to run while figures are taken.
     limited_starts: u64,
 }
@@ -149,6 +152,7 @@
             handed: 0,
             false_not_run: 0,
             limited_starts: 0,
+            abroad: abroad::Sum::default(),
         };
         world.places = places.map(|place| world.place(place, seed)).collect();
         world.tell();
@@ -156,7 +160,8 @@
     }
 
     fn place(&self, place: usize, seed: u64) -> Place {
-        let pick = Pick::builder(self.zone(place)).seed(seed * 1_000 + place as u64);
+        let pick = self.regional(place, Pick::builder(self.zone(place)));
+        let pick = pick.seed(seed * 1_000 + place as u64);
         let mut gate = Builder::new(self.scenario.slots);
         if !self.mode.gate {
             // With one caller, one urgency and no deadline the gate is a plain queue.
@@ -173,6 +178,7 @@
             budget: measure::Budget::new(measure::Setting::default()),
             timer: None,
             hot: false,
+            abroad: abroad::State::default(),
             life: 1,
             before: 0,
             cold: 0,
@@ -186,7 +192,11 @@
 
     fn way(&self, entry: usize, target: usize) -> Duration {
         let same = entry % self.scenario.zones == target % self.scenario.zones;
-        if same { ms(0) } else { self.scenario.way }
+        match self.scenario.regions {
+            Some(regions) if self.region(entry) != self.region(target) => regions.way,
+            _ if same => ms(0),
+            _ => self.scenario.way,
+        }
     }
 
     fn after(&mut self, wait: Duration, event: impl FnOnce(&mut World) + 'static) {
@@ -215,7 +225,7 @@
             incarnation: Incarnation(self.places[place].life),
             leaving: false,
             evacuated: false,
-            region: "local".to_string(),
+            region: self.region(place),
         };
         let targets: Vec<Target> = self.living(ms(0)).into_iter().map(target).collect();
         for place in &self.places {
--- a/bench/src/policy/world/entry.rs
+++ b/bench/src/policy/world/entry.rs
@@ -12,7 +12,7 @@
     /// A request comes, which its caller has sent `resent` times before, at `first` for the first time.
     pub(super) fn open(&mut self, caller: usize, resent: usize, first: Instant) {
         let living = self.living(ms(0));
-        let entry = living[self.draw.below(living.len())];
+        let entry = self.draw_entry(&living);
         let (number, urgency) = (self.calls.len(), CALLERS[caller].1);
         self.calls.push(Call {
             caller,
@@ -47,7 +47,8 @@
         let (number, entry) = (self.tries.len(), self.calls[call].entry);
         let (way, place) = (self.way(entry, target), &mut self.places[entry]);
         place.flying[target] += 1;
-        let guard = place.pick.begin(self.now, &self.names[target]);
+        let mut guard = place.pick.begin(self.now, &self.names[target]);
+        guard.set_class(self.calls[call].caller as u32 + 1);
         let age = guard.basis().age;
         self.calls[call].tries.push(number);
         self.calls[call].tried.push(self.names[target].clone());
@@ -62,17 +63,21 @@
             retry_after: ms(0),
             id: None,
         });
+        self.move_bytes(call, target);
         self.after(way, move |world| world.reach(number));
         true
     }
 
     fn choose(&mut self, number: usize) -> Option<usize> {
+        let regions = self.allowed(number);
         let call = &self.calls[number];
         let mut fit = self.living(ROSTER);
         let entry = &mut self.places[call.entry];
         if self.mode.choice == Choice::Pick {
             let mut need = Need::of(CALLERS[call.caller].1);
             need.exclude = &call.tried;
+            need.class = call.caller as u32 + 1;
+            need.regions = regions.as_deref();
             let chosen = entry.pick.choose(self.now, &need)?;
             return self.names.iter().position(|name| *name == chosen);
         }
--- a/bench/src/policy/world/figure.rs
+++ b/bench/src/policy/world/figure.rs
@@ -30,6 +30,14 @@
     pub false_not_run: u64,
     /// Calls that a target which limits them ran, in percent of its limit.
     pub limit_used: f64,
+    /// Calls to another region in percent of tries.
+    pub abroad: f64,
+    /// Bytes a second of those calls.
+    pub abroad_bytes: f64,
+    /// Good answers within 400 ms in percent of the calls.
+    pub in_time: f64,
+    /// The same for the worst zone of entries.
+    pub worst_zone: f64,
     rows: Vec<Row>,
 }
 
@@ -75,10 +83,28 @@
             messages: spent.map(|spent| spent.messages).sum::<u64>() as f64 / whole,
             false_not_run: self.false_not_run,
             limit_used: self.limit_used(),
+            abroad: percent(self.abroad.calls, self.tries.len()),
+            abroad_bytes: self.abroad.bytes as f64 / (LEAD + of.rounds * PERIOD).as_secs_f64(),
+            in_time: self.in_time(None),
+            worst_zone: (0..of.zones)
+                .map(|zone| self.in_time(Some(zone)))
+                .fold(100.0, f64::min),
             rows: [rows("quiet", &quiet), rows("fault", &fault)].concat(),
         }
     }
 
+    /// Calls after the first second that had a good answer within 400 ms, in percent.
+    fn in_time(&self, zone: Option<usize>) -> f64 {
+        let of_zone =
+            |call: &Call| zone.is_none_or(|zone| call.entry % self.scenario.zones == zone);
+        let calls = self.ended(|call| call.came - self.base > ms(1_000) && of_zone(call));
+        let good = calls.iter().filter(|call| call.end == Some(Kind::Ok));
+        percent(
+            good.filter(|call| call.latency <= ms(400)).count(),
+            calls.len(),
+        )
+    }
+
     fn limit_used(&self) -> f64 {
         let of = &self.scenario;
         let Fault::Limit(percent) = of.fault else {
@@ -176,6 +202,13 @@
         if self.limit_used > 0.0 {
             writeln!(f, "  {:.1} % of the limit used", self.limit_used)?;
         }
+        if self.abroad > 0.0 {
+            writeln!(
+                f,
+                "  abroad {:.2} % of tries, {:.0} bytes/s; in time {:.2} %, worst zone {:.2} %",
+                self.abroad, self.abroad_bytes, self.in_time, self.worst_zone
+            )?;
+        }
         write!(f, "  measuring {:.0} bytes/s, ", self.bytes)?;
         writeln!(f, "{:.2} messages/s a target", self.messages)?;
         for row in &self.rows {
--- a/bench/src/policy/world/target.rs
+++ b/bench/src/policy/world/target.rs
@@ -144,6 +144,10 @@
         let part = self.scenario.service / 5;
         let mut time = part + self.draw.exponential(4 * part.as_nanos() as u64);
         let mut kind = Kind::Ok;
+        if self.scenario.uneven {
+            // 0.7 to 1.4 over the targets.
+            time = time * (70 + 70 * target as u32 / (self.names.len() as u32 - 1)) / 100;
+        }
         if place.cold > 0 {
             place.cold -= 1;
             time *= COLD.0;
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 use unit::{Instance, Report};
 
-use crate::{Answer, Dump, Kind, Need, Pick, Target, Transfer, traffic};
+use crate::{Answer, Dump, Kind, Moved, Need, Pick, Target, Transfer, traffic};
 
 /// A [`Pick`] that is shared between threads. Clones share the same state.
 ///
@@ -114,6 +114,11 @@
         self.pick.lock().measure_round_trip(instance, round_trip);
     }
 
+    /// See [`Pick::record_bytes`].
+    pub fn record_bytes(&self, now: Instant, region: &str, moved: &Moved) {
+        self.pick.lock().record_bytes(now, region, moved);
+    }
+
     /// Begins to count the bytes of a call of `class` to `instance`.
     pub fn transfer(&self, instance: &Instance, class: u32) -> Transfer {
         let region = self
