--- a/crates/pick/src/transfer.rs
+++ b/crates/pick/src/transfer.rs
@@ -11,10 +11,15 @@
 #[derive(Debug)]
 #[must_use = "a transfer that is dropped at once records no bytes"]
 pub struct Transfer {
+    /// `None` if regions are ignored or the target has left the subset; then nothing is recorded.
+    counted: Option<Box<Counted>>,
+}
+
+#[derive(Debug)]
+struct Counted {
     pick: Arc<Mutex<Pick>>,
-    /// The region of the target; `None` if regions are ignored or the target has left the subset.
-    /// Then nothing is recorded.
-    region: Option<String>,
+    /// The region of the target.
+    region: String,
     moved: Moved,
 }
 
@@ -24,30 +29,35 @@
             class,
             ..Moved::default()
         };
-        Transfer {
-            pick,
-            region,
-            moved,
-        }
+        let counted = region.map(|region| {
+            Box::new(Counted {
+                pick,
+                region,
+                moved,
+            })
+        });
+        Transfer { counted }
     }
 
     /// Adds bytes that were sent or received.
     pub fn add(&mut self, bytes: usize) {
-        self.moved.bytes += bytes as u64;
+        if let Some(counted) = &mut self.counted {
+            counted.moved.bytes += bytes as u64;
+        }
     }
 
     /// Records that the answer has arrived in full. Only then do the bytes tell what further
     /// requests of the class will move.
     pub fn complete(&mut self) {
-        self.moved.complete = true;
+        if let Some(counted) = &mut self.counted {
+            counted.moved.complete = true;
+        }
     }
 }
 
-impl Drop for Transfer {
+impl Drop for Counted {
     fn drop(&mut self) {
-        if let Some(region) = &self.region {
-            let mut pick = self.pick.lock();
-            pick.record_bytes(Instant::now(), region, &self.moved);
-        }
+        let mut pick = self.pick.lock();
+        pick.record_bytes(Instant::now(), &self.region, &self.moved);
     }
 }
