Read gate dumps of daemons that don't report their link

Cause: top failed on a dump without link_ms, a field that is new in load reports. Change: it counts as 0 where it is missing. Result: two tests of top pass again; they failed in the run over the whole workspace.

--- a/crates/unit/src/report.rs
+++ b/crates/unit/src/report.rs
@@ -30,6 +30,7 @@
     pub hot: bool,
     /// Milliseconds until the link of the gate's machine has sent the long answers that wait for it or
     /// are expected; 0 where answers are not paced.
+    #[serde(default)]
     pub link_ms: u16,
 }
 
