Set the name of the workspace in the head that is sent

A caller that sent `Connection: X-Tenant` with its key was served without the header that names its workspace, so a target that takes a request without the header for an internal one ran it as such.

Cause: the name was set in the request of the caller, and the copy that is sent leaves out all headers that the caller names in `Connection`.

The header is now removed from the request of the caller and set in the copy, as the service of origin is. The new test of `Connection: x-workspace`, also beside `close` and in other letters, failed before and passes now.

--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -3,14 +3,15 @@
 use std::time::Duration;
 
 use dialect::{Dialect, Presented};
+use http::StatusCode;
 use http::request::Parts;
-use http::{HeaderValue, StatusCode};
 use rule::{Document, Route};
 use tokio::time::Instant;
 use unit::Caller;
 use workspace::Workspace;
 
 use crate::credit::Credit;
+use crate::job::Head;
 use crate::{Entry, Exceeded, Origin, QuotaAsk, Reason, Refusal, Unconfirmed};
 
 /// Longest wait for credit. It is enough for a question to the daemon that lends it.
@@ -48,22 +49,23 @@
             .map_or(caller, |workspace| Caller::from(&workspace.name))
     }
 
-    /// Removes the key from the head of the request, and sets the name of the workspace in place of
-    /// whatever the caller has sent.
-    pub(crate) fn rewrite(&self, dialect: &Dialect, parts: &mut Parts) {
+    /// Removes the key, and whatever the caller says of its workspace, from the head of the request.
+    pub(crate) fn strip(&self, dialect: &Dialect, parts: &mut Parts) {
         if matches!(self, Access::Open) {
             return;
         }
         if let Some(credential) = &dialect.credential {
             parts.headers.remove(&credential.header);
         }
-        let Some(header) = &dialect.workspace else {
-            return;
-        };
-        parts.headers.remove(header);
-        let name = self.workspace().map(|workspace| workspace.name.as_str());
-        if let Some(Ok(name)) = name.map(HeaderValue::from_str) {
-            parts.headers.insert(header.clone(), name);
+        if let Some(header) = &dialect.workspace {
+            parts.headers.remove(header);
+        }
+    }
+
+    /// Sets the name of the workspace in the head that is sent to the target.
+    pub(crate) fn name_workspace(&self, dialect: &Dialect, head: &mut Head) {
+        if let (Some(header), Some(workspace)) = (&dialect.workspace, self.workspace()) {
+            head.set(header, workspace.name.as_str());
         }
     }
 }
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -108,7 +108,7 @@
             Then::Refuse(refuse) => return Err(refused_by_rule(refuse)),
         };
         let access = self.authenticate(&document, origin, parts, route)?;
-        access.rewrite(&self.setting.dialect, parts);
+        access.strip(&self.setting.dialect, parts);
         matched.caller = access.caller(matched.caller);
         let credit = self.admit(access, parts, route).await?;
         let caller_limit = self.enter_caller_limit(matched.rule, route, &matched.caller)?;
@@ -180,6 +180,8 @@
         if let Some(name) = &self.setting.dialect.origin {
             head.set(name, self.setting.service.as_str());
         }
+        // Only now: a caller that names a header in `Connection` has it left out of the head.
+        access.name_workspace(&self.setting.dialect, &mut head);
         Job {
             id: self.id(parts),
             entry: self.clone(),
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -396,6 +396,25 @@
     assert_eq!(world.asks(), 1, "a public route counts against no quota");
 }
 
+/// Guards against a caller that names headers in `Connection` and so has the name of its workspace removed
+/// from the call after the entry has set it.
+#[tokio::test]
+async fn caller_cannot_have_the_name_of_its_workspace_dropped() {
+    let mut world = world(Deed::Answer).await;
+    let key = format!("Bearer {KEY}");
+    for connection in ["x-workspace", "close, X-Workspace", "authorization"] {
+        let headers = [
+            ("authorization", key.as_str()),
+            ("connection", connection),
+            ("x-workspace", "other"),
+        ];
+        world.send(outside(), "/a", &headers).await;
+        let call = world.calls.recv().await.expect("the call");
+        assert_eq!(names(&call), ["x-workspace"], "{connection}");
+        assert_eq!(call.headers[0].value, b"pulo", "{connection}");
+    }
+}
+
 /// Guards against a nested call that is refused or counted, which would waste the run that waits for it,
 /// and against one that passes with a wrong key.
 #[tokio::test]
