Ask for a key where a public path has another reading

Where rules have prefixes only, which is so on the platform, a request of `/public/../orders/1`, `/public/%2e%2e/orders/1`, `//orders/1` or `/%6frders/1` ran without a key, without a quota and without the name of a workspace at a target that resolves such paths to `/orders/1`.

Cause: prefixes are compared with the path as it was sent, so that no path has to be refused, and a public route was taken at its word.

Such a request now counts as public only if its normalized path leads to a public route too. Others need a key and are then served as before; none is refused for its path alone.

--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -82,11 +82,13 @@
         origin: &Origin,
         parts: &Parts,
         route: &Route,
+        caller: &Caller,
     ) -> Result<Access<'d>, Refusal> {
         let Some(workspaces) = document.workspaces() else {
             return Ok(Access::Open);
         };
-        if route.public {
+        let path = parts.uri.path();
+        if document.is_public(route, &self.rule_request(origin, parts, path, caller)) {
             return Ok(Access::Keyless);
         }
         let cause = match self.setting.dialect.credential(&parts.headers) {
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -107,7 +107,7 @@
             Then::Route(route) => route,
             Then::Refuse(refuse) => return Err(refused_by_rule(refuse)),
         };
-        let access = self.authenticate(&document, origin, parts, route)?;
+        let access = self.authenticate(&document, origin, parts, route, &matched.caller)?;
         access.strip(&self.setting.dialect, parts);
         matched.caller = access.caller(matched.caller);
         let credit = self.admit(access, parts, route).await?;
@@ -259,7 +259,7 @@
     }
 
     /// The properties of the request that rules match on.
-    fn rule_request<'a>(
+    pub(crate) fn rule_request<'a>(
         &'a self,
         origin: &Origin,
         parts: &'a Parts,
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -87,6 +87,20 @@
     )
 }
 
+/// Routes by prefixes, which are compared with the path as it was sent: all is public but `/orders/`.
+fn prefix_rules() -> String {
+    let salt = Salt::of(b"configuration");
+    format!(
+        r#"{{
+            "workspaces": {{ "salt": "{salt}", "members": {{}} }},
+            "rules": [
+                {{ "name": "orders", "when": {{ "prefix": "/orders/" }}, "then": {{ "service": "desk" }} }},
+                {{ "name": "open", "when": {{ "prefix": "/" }}, "then": {{ "service": "desk", "public": true }} }}
+            ]
+        }}"#
+    )
+}
+
 async fn gate(stream: Stream, deed: Deed, seen: mpsc::UnboundedSender<Call>) -> Option<()> {
     let Stream {
         mut sender,
@@ -128,6 +142,10 @@
 
 /// An entry and one target, whose gate does `deed`.
 async fn world(deed: Deed) -> World {
+    world_with(deed, &rules()).await
+}
+
+async fn world_with(deed: Deed, rules: &str) -> World {
     let listener = Listener::plain((Ipv4Addr::LOCALHOST, 0).into(), greeter("desk-b"));
     let listener = listener.await.expect("it listens");
     let peer = Peer {
@@ -172,7 +190,7 @@
         }),
     };
     let (zone, service): (Zone, Service) = (parse("longbien"), parse("desk"));
-    let document = Arc::new(Document::parse(&rules()).expect("valid rules"));
+    let document = Arc::new(Document::parse(rules).expect("valid rules"));
     let dialect = Dialect {
         attempt: Some(HeaderName::from_static("x-attempt")),
         parent: Some(|name| name.rsplit_once('.').map(|(parent, _)| parent)),
@@ -415,6 +433,49 @@
     }
 }
 
+/// Guards against a path that a public route matches as it was sent, and that the target reads as one that
+/// needs a key.
+#[tokio::test]
+async fn path_with_two_readings_is_not_public() {
+    let world = world_with(Deed::Answer, &prefix_rules()).await;
+    let hidden = [
+        "/orders/1",
+        "/orders",
+        "/a/../orders/1",
+        "/a/%2e%2e/orders/1",
+        "/a/..;x/orders/1",
+        "//orders/1",
+        "/%6frders/1",
+        "/orders;x/1",
+        "/orders%2f1",
+        "/a%2f..%2forders/1",
+        "/%256frders/1",
+        "/a/..%5corders/1",
+        "http://desk/a/../orders/1",
+    ];
+    let mut served = Vec::new();
+    for path in hidden {
+        let answer = world.send(outside(), path, &[]).await;
+        if answer.status().as_u16() != 401 {
+            served.push(path);
+        }
+    }
+    assert_eq!(served, Vec::<&str>::new());
+    let public = [
+        "/",
+        "/a",
+        "/a/",
+        "/a//b",
+        "/a%20b/;c=d",
+        "/caf%c3%a9",
+        "/a?b=/../orders/",
+    ];
+    for path in public {
+        let answer = world.send(outside(), path, &[]).await;
+        assert_eq!(answer.status().as_u16(), 200, "{path}");
+    }
+}
+
 /// Guards against a nested call that is refused or counted, which would waste the run that waits for it,
 /// and against one that passes with a wrong key.
 #[tokio::test]
--- a/crates/rule/src/document.rs
+++ b/crates/rule/src/document.rs
@@ -11,7 +11,7 @@
 use crate::explain::{self, Explanation};
 use crate::index::Index;
 use crate::shadow::{self, Warning};
-use crate::{ConnectionLimits, Error, Request, Target, Then, When, read};
+use crate::{ConnectionLimits, Error, Request, Route, Target, Then, When, path, read};
 
 /// A rule: conditions, and the action for requests that meet them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -161,6 +161,26 @@
         rules.find(|rule| rule.when.matches(request))
     }
 
+    /// Whether a request whose `route` was found by [`decide`](Document::decide) needs no key.
+    ///
+    /// The route must be public however the target reads the path. A path that is matched as it was sent
+    /// may be under a public prefix, while a target that decodes it or resolves its dot segments reads
+    /// one that needs a key, as in `/public/../orders/1`.
+    pub fn is_public(&self, route: &Route, request: &Request<'_>) -> bool {
+        if !route.public || !self.matches_raw_paths() {
+            return route.public;
+        }
+        let Ok(path) = path::normalize(request.path) else {
+            return false;
+        };
+        let request = Request {
+            path: &path,
+            ..*request
+        };
+        let rule = self.decide(&request);
+        rule.is_some_and(|rule| matches!(&rule.then, Then::Route(route) if route.public))
+    }
+
     /// Explains the result of [`decide`](Document::decide) for `request`.
     pub fn explain(&self, request: &Request<'_>) -> Explanation {
         explain::explain(&self.rules, request)
