Check the key once more before a request is sent

A caller could send heads with its key, complete the bodies as slowly as the idle timeout allows, and have the requests run up to the timeout of their route after the key was removed, on every daemon. The same held for requests that waited for a claim or a link, and for those of a process that was stopped between the check and the send. A request whose document was replaced between the look-up of its key and the check of the confirmation was judged by the old document and the new confirmation.

Cause: key and confirmation were checked once, before the body was read.

Each attempt now checks them again after its link is open and before anything is written: the configuration must be confirmed, and if it is another one than at admission, it must still give the key to the same workspace. A request that fails the check is refused as not run if no earlier attempt may have run, and returns its credit and its claim. Public routes and nested calls without a key are exempt.

The new test completes a body after the key was removed, was given to another workspace or is unconfirmed: each such request ran before and is refused now.

--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -130,6 +130,10 @@
         if values.next().is_some() {
             return Presented::Malformed;
         }
+        self.read_value(value)
+    }
+
+    fn read_value<'h>(&self, value: &'h HeaderValue) -> Presented<'h> {
         let value = value.as_bytes().trim_ascii();
         let end = value.iter().position(|byte| *byte == b' ');
         let (scheme, key) = value.split_at(end.unwrap_or(value.len()));
@@ -186,6 +190,14 @@
         credential.read(headers)
     }
 
+    /// The key in `value`, which was the only value of the header for keys.
+    pub fn credential_in<'h>(&self, value: &'h HeaderValue) -> Presented<'h> {
+        let credential = self.credential.as_ref();
+        credential.map_or(Presented::Nothing, |credential| {
+            credential.read_value(value)
+        })
+    }
+
     /// The load that an answer tells of.
     pub fn figures(&self, headers: &HeaderMap) -> Option<Figures> {
         let load = self.load.as_ref()?;
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -11,6 +11,7 @@
 
 use crate::answer::Answer;
 use crate::credit::Sent;
+use crate::grant::Grant;
 use crate::request_body::RequestBody;
 use crate::{Entry, Upstream};
 
@@ -22,6 +23,8 @@
     Refused(Refusal),
     /// Nothing was sent, or the gate has fenced the token: the request has not run and never will.
     NotSent(String),
+    /// The key of the request gives no access any more; nothing was sent.
+    Withdrawn(crate::Refusal),
     /// The answer was lost; the request may have run.
     Lost(String),
     /// The link broke; the request may have run, and the instance itself may be healthy.
@@ -36,6 +39,8 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) call: Call,
     pub(crate) deadline: Instant,
+    /// Checked just before the request is sent.
+    pub(crate) grant: Option<Arc<Grant>>,
     /// Marked just before the request is sent.
     pub(crate) sent: Sent,
 }
@@ -68,6 +73,13 @@
                 return AttemptOutcome::NotSent(format!("dial {instance}: no link in time"));
             }
         };
+        let checked = self
+            .grant
+            .as_deref()
+            .map(|grant| self.entry.check_grant(grant));
+        if let Some(Err(refusal)) = checked {
+            return AttemptOutcome::Withdrawn(refusal);
+        }
         self.upstream.pick.measure_round_trip(&instance, link.rtt());
         let mut transfer = self.upstream.pick.transfer(&instance, self.call.class);
         transfer.add(head_bytes(&self.call) + body.bytes());
@@ -287,6 +299,7 @@
                 guard.end(kind_of_refusal(refusal.cause), refusal.report)
             }
             AttemptOutcome::NotSent(_)
+            | AttemptOutcome::Withdrawn(_)
             | AttemptOutcome::Lost(_)
             | AttemptOutcome::LinkBroken(_)
             | AttemptOutcome::TimedOut => guard.end(Kind::Lost, None),
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -161,6 +161,7 @@
             upstream: self.job.upstream.clone(),
             call,
             deadline: self.job.deadline,
+            grant: self.job.grant.clone(),
             sent: self.job.credit.sent(),
         }
     }
@@ -188,6 +189,7 @@
                 }
                 self.retry_or_refuse(Cause::NotRun, refusal, body.sendable())
             }
+            AttemptOutcome::Withdrawn(refusal) => Next::Refuse(self.with_earlier_attempts(refusal)),
             AttemptOutcome::Lost(cause) => self.lost(cause, body),
             AttemptOutcome::LinkBroken(cause) => {
                 self.link_broke = true;
@@ -326,7 +328,7 @@
     fn may_have_run(&self) -> bool {
         !matches!(
             self,
-            AttemptOutcome::Refused(_) | AttemptOutcome::NotSent(_)
+            AttemptOutcome::Refused(_) | AttemptOutcome::NotSent(_) | AttemptOutcome::Withdrawn(_)
         )
     }
 
@@ -334,7 +336,7 @@
     fn reached(&self) -> bool {
         match self {
             AttemptOutcome::Refused(refusal) => refusal.cause == wire::Cause::Declined,
-            AttemptOutcome::NotSent(_) => false,
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Withdrawn(_) => false,
             AttemptOutcome::Answer(_)
             | AttemptOutcome::Lost(_)
             | AttemptOutcome::LinkBroken(_)
--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use dialect::{Dialect, Presented};
-use http::StatusCode;
 use http::request::Parts;
+use http::{HeaderValue, StatusCode};
 use rule::{Document, Route};
 use tokio::time::Instant;
 use unit::Caller;
@@ -50,16 +50,15 @@
     }
 
     /// Removes the key, and whatever the caller says of its workspace, from the head of the request.
-    pub(crate) fn strip(&self, dialect: &Dialect, parts: &mut Parts) {
+    /// Returns the header with the key.
+    pub(crate) fn strip(&self, dialect: &Dialect, parts: &mut Parts) -> Option<HeaderValue> {
         if matches!(self, Access::Open) {
-            return;
-        }
-        if let Some(credential) = &dialect.credential {
-            parts.headers.remove(&credential.header);
+            return None;
         }
         if let Some(header) = &dialect.workspace {
             parts.headers.remove(header);
         }
+        parts.headers.remove(&dialect.credential.as_ref()?.header)
     }
 
     /// Sets the name of the workspace in the head that is sent to the target.
@@ -114,16 +113,18 @@
             }
             Presented::Nothing => "a key is needed",
         };
+        Err(self.refuse_key(&self.id(parts), cause))
+    }
+
+    /// Refuses a request whose key gives it no access.
+    pub(crate) fn refuse_key(&self, id: &str, cause: &str) -> Refusal {
         self.stats().no_workspace.inc();
-        log::info!(
-            "entry: id={} workspace=none verdict=no-workspace cause={cause:?}.",
-            self.id(parts)
-        );
+        log::info!("entry: id={id} workspace=none verdict=no-workspace cause={cause:?}.");
         let refusal = Refusal::not_run(Reason::NoWorkspace).detail(cause);
-        Err(match &self.setting.dialect.credential {
+        match &self.setting.dialect.credential {
             Some(credential) => refusal.challenge(credential.scheme),
             None => refusal,
-        })
+        }
     }
 
     /// Whether the request says that it serves a running call, which then isn't known here: it may have
@@ -152,7 +153,7 @@
         };
         let admission = &self.setting.admission;
         if let Err(unconfirmed) = (admission.confirmed)() {
-            return Err(self.refuse_unconfirmed(workspace, parts, unconfirmed));
+            return Err(self.refuse_unconfirmed(&workspace.name, &self.id(parts), unconfirmed));
         }
         let Some(quota) = workspace.quota else {
             return Ok(Credit::default());
@@ -194,19 +195,17 @@
             .retry_after(retry_after))
     }
 
-    fn refuse_unconfirmed(
+    pub(crate) fn refuse_unconfirmed(
         &self,
-        workspace: &Workspace,
-        parts: &Parts,
+        workspace: &unit::Workspace,
+        id: &str,
         unconfirmed: Unconfirmed,
     ) -> Refusal {
         let Unconfirmed { age, retry_after } = unconfirmed;
         self.stats().unconfirmed.inc();
         let age = age.map_or("none".to_string(), |age| age.as_millis().to_string());
         log::info!(
-            "entry: id={} workspace={} verdict=unconfirmed age_ms={age} retry_after_ms={}.",
-            self.id(parts),
-            workspace.name,
+            "entry: id={id} workspace={workspace} verdict=unconfirmed age_ms={age} retry_after_ms={}.",
             retry_after.as_millis(),
         );
         Refusal::not_run(Reason::Unconfirmed)
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -108,7 +108,8 @@
             Then::Refuse(refuse) => return Err(refused_by_rule(refuse)),
         };
         let access = self.authenticate(&document, origin, parts, route, &matched.caller)?;
-        access.strip(&self.setting.dialect, parts);
+        let key = access.strip(&self.setting.dialect, parts);
+        let grant = self.grant(access, key, parts, &document);
         matched.caller = access.caller(matched.caller);
         let credit = self.admit(access, parts, route).await?;
         let caller_limit = self.enter_caller_limit(matched.rule, route, &matched.caller)?;
@@ -140,6 +141,7 @@
         let rule = matched.rule.name.clone();
         let service = self.choose_service(&rule, route);
         let mut job = self.build_job(&routed, service, matched.caller, &body);
+        job.grant = grant;
         job.credit = credit;
         job.regions = residence::allowed(&document, origin, route, access, &job.caller);
         self.check_regions(&job, routed.parts)?;
@@ -192,6 +194,7 @@
             workspace: access.workspace().map(|workspace| workspace.name.clone()),
             weight: share::weight(route, access.workspace()),
             regions: None,
+            grant: None,
             credit: Credit::default(),
             urgency: urgency(origin, route, access),
             depth: routed.depth,
@@ -227,7 +230,7 @@
         Ok(Some(claim_key(&matched.caller, &route.service, &text)))
     }
 
-    fn document(&self) -> Result<Arc<Document>, Refusal> {
+    pub(crate) fn document(&self) -> Result<Arc<Document>, Refusal> {
         let none = || {
             Refusal::not_run(Reason::NoRule)
                 .status(StatusCode::SERVICE_UNAVAILABLE)
--- a/crates/entry/src/job.rs
+++ b/crates/entry/src/job.rs
@@ -11,6 +11,7 @@
 use wire::{Call, Header, Payload};
 
 use crate::credit::Credit;
+use crate::grant::Grant;
 use crate::{Entry, Upstream};
 
 /// How many bytes of the body go into the fingerprint of a request.
@@ -32,6 +33,8 @@
     pub(crate) weight: u32,
     /// The regions in which the request may be served; `None` for all.
     pub(crate) regions: Option<Vec<Region>>,
+    /// The key that the request was admitted by; `None` if it needs none.
+    pub(crate) grant: Option<Arc<Grant>>,
     /// What the request has taken out of the workspace's quota.
     pub(crate) credit: Credit,
     pub(crate) urgency: Urgency,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod builder;
 mod connection;
 mod credit;
+mod grant;
 mod handle;
 mod initial_timeout;
 mod job;
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -6,11 +6,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use dialect::{Credential, Dialect};
 use entry::{
     Admission, Body, Entry, Exceeded, OUTCOME, Origin, QuotaAsk, REASON, Spent, Unconfirmed,
 };
+use futures_util::stream;
 use http::{HeaderName, Request, Response};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame as Piece;
 use nest::{Context, Table};
 use parking_lot::Mutex;
 use rule::Document;
@@ -42,6 +46,7 @@
     /// Credits that were taken and not returned.
     spent: Arc<AtomicU64>,
     admission: Arc<Mutex<Verdict>>,
+    document: Arc<Mutex<Arc<Document>>>,
 }
 
 /// What the admission says.
@@ -68,8 +73,13 @@
 }
 
 fn rules() -> String {
-    let salt = Salt::of(b"configuration");
-    let digest = salt.digest(&Key::new(KEY.as_bytes()).expect("a key"));
+    rules_of(b"configuration", KEY)
+}
+
+/// The rules of the configuration with this content, in which `pulo` has `key`.
+fn rules_of(content: &[u8], key: &str) -> String {
+    let salt = Salt::of(content);
+    let digest = salt.digest(&Key::new(key.as_bytes()).expect("a key"));
     format!(
         r#"{{
             "workspaces": {{ "salt": "{salt}", "members": {{
@@ -101,6 +111,10 @@
     )
 }
 
+fn parsed(rules: &str) -> Arc<Document> {
+    Arc::new(Document::parse(rules).expect("valid rules"))
+}
+
 async fn gate(stream: Stream, deed: Deed, seen: mpsc::UnboundedSender<Call>) -> Option<()> {
     let Stream {
         mut sender,
@@ -190,7 +204,8 @@
         }),
     };
     let (zone, service): (Zone, Service) = (parse("longbien"), parse("desk"));
-    let document = Arc::new(Document::parse(rules).expect("valid rules"));
+    let document = Arc::new(Mutex::new(parsed(rules)));
+    let in_force = document.clone();
     let dialect = Dialect {
         attempt: Some(HeaderName::from_static("x-attempt")),
         parent: Some(|name| name.rsplit_once('.').map(|(parent, _)| parent)),
@@ -205,7 +220,7 @@
     };
     let dialer = Arc::new(Dialer::plain(greeter("desk-a")));
     let entry = Entry::builder(parse("desk-a"), zone.clone(), service.clone(), dialer)
-        .rules(Arc::new(move || Some(document.clone())))
+        .rules(Arc::new(move || Some(in_force.lock().clone())))
         .peers(Arc::new(move |_| Some(peer.clone())))
         .admission(hook)
         .dialect(dialect)
@@ -225,6 +240,7 @@
         asks,
         spent,
         admission,
+        document,
     }
 }
 
@@ -433,6 +449,55 @@
     }
 }
 
+/// Guards against a caller that begins requests while its key is known and completes their bodies long
+/// after the key was removed or the daemon was cut off.
+#[tokio::test]
+async fn key_is_checked_again_before_the_request_is_sent() {
+    let removed = rules_of(b"removed", "k-new");
+    let changed = rules_of(b"changed", KEY);
+    let moved = changed.replace("pulo", "other");
+    let unconfirmed = Some(Unconfirmed {
+        age: Some(Duration::from_secs(5)),
+        retry_after: Duration::from_secs(1),
+    });
+    let cases = [
+        ("/a", Some(&removed), None, "no-workspace"),
+        ("/a", Some(&moved), None, "no-workspace"),
+        ("/a", None, unconfirmed, "unconfirmed"),
+        ("/a", Some(&changed), None, ""),
+        ("/open", Some(&removed), unconfirmed, ""),
+    ];
+    for (path, document, verdict, reason) in cases {
+        let mut world = world(Deed::Answer).await;
+        let (body, pieces) = mpsc::channel::<Bytes>(1);
+        let pieces = stream::unfold(pieces, |mut pieces| async move {
+            let piece = pieces.recv().await?;
+            Some((Ok(Piece::data(piece)), pieces))
+        });
+        let request = Request::post(path).header("authorization", format!("Bearer {KEY}"));
+        let request = request.body(StreamBody::new(pieces).boxed_unsync());
+        let entry = world.entry.clone();
+        let request = request.expect("a valid request");
+        let sent = tokio::spawn(async move { entry.handle(outside(), request).await });
+        body.send("begun".into()).await.expect("the body is read");
+        // There is room again once the entry reads the body, which it does after it has checked the key.
+        drop(body.reserve().await.expect("the body is read"));
+        if let Some(document) = document {
+            *world.document.lock() = parsed(document);
+        }
+        world.admission.lock().unconfirmed = verdict;
+        drop(body);
+        let answer = sent.await.expect("no panic");
+        let called = world.calls.try_recv().is_ok();
+        assert_eq!(header(&answer, REASON), reason, "{path}");
+        assert_eq!(called, reason.is_empty(), "{path} {reason}");
+        let outcome = if called { "ran" } else { "not-run" };
+        assert_eq!(header(&answer, OUTCOME), outcome, "{path} {reason}");
+        let kept = u64::from(called && path == "/a");
+        assert_eq!(world.spent(), kept, "{path} {reason}");
+    }
+}
+
 /// Guards against a path that a public route matches as it was sent, and that the target reads as one that
 /// needs a key.
 #[tokio::test]
