Leave revocation off where the platform says false

A daemon whose platform gives `fail_closed` as false refused requests with keys 4.5 s after it had been cut off, if the platform renders a section of the template for each value that is present.

Cause: the template gave `revoke` inside `{{#bounds.fail_closed}}`, and the description of the platform says that a section is rendered "once if the value is true or present", which for false may mean either.

The part now also renders the value as `revoke_enabled`, and the setting `revoke` applies only if that is true; left out, it is true. Both readings give the same for true, false and an absent value.

--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -10,7 +10,7 @@
 use crate::address::{self, Endpoint};
 use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, placement, quota, retry};
 
-const FIELDS: [&str; 32] = [
+const FIELDS: [&str; 33] = [
     "instance",
     "zone",
     "region",
@@ -41,6 +41,7 @@
     "cold",
     "quota",
     "revoke",
+    "revoke_enabled",
     "bandwidth",
     "placement",
 ];
@@ -123,6 +124,8 @@
     let quota = quota.and_then(|value| quota::read(reader, value));
     let revoke = fields.get("revoke");
     let revoke = revoke.and_then(|value| revocation_time(reader, value));
+    let revoke_enabled = fields.get("revoke_enabled");
+    let revoke_enabled = revoke_enabled.and_then(|value| flag_or_text(reader, value));
     let bandwidth = fields.get("bandwidth");
     let bandwidth = bandwidth.and_then(|value| link_rate(reader, value));
     let placement = fields.get("placement");
@@ -170,7 +173,7 @@
         evacuation_prefix: keys.evacuation,
         cold,
         quota,
-        revoke,
+        revoke: revoke.filter(|_| revoke_enabled.unwrap_or(true)),
         bandwidth,
         limits: limits.unwrap_or_else(Limits::default),
         log: log.unwrap_or(LevelFilter::Info),
@@ -216,6 +219,20 @@
     Some(revoke)
 }
 
+/// Reads a flag that may also be a text in any case, as templates render one between quotes.
+fn flag_or_text<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<bool> {
+    let Value::StringLit(text) = value else {
+        return reader.flag(value);
+    };
+    let text = text.value.as_ref();
+    let named = |flag: &bool| text.eq_ignore_ascii_case(&flag.to_string());
+    let flag = [true, false].into_iter().find(named);
+    if flag.is_none() {
+        reader.fault_at(value, format!("{text:?}: expected true or false"));
+    }
+    flag
+}
+
 fn link_rate<'t>(reader: &mut Reader<'t>, value: &Value<'t>) -> Option<Bandwidth> {
     let rate: Bandwidth = reader.parsed(value)?;
     let (min, max) = BANDWIDTH_RANGE;
