Tell callers to come back in time while the configuration is unconfirmed

Callers of the platform honour a time up to a third of what they have left; others would have waited in vain.

Cause: the time was taken for one before which a retry is certainly refused, as that of a quota is. It is not: a daemon asks for confirmations every 0.4 to 0.6 s, and any answer lets it serve again.

The time of `unconfirmed` is now cut to a third of what is left, as that of other 503. That of `quota` stays: until then the daemon itself refuses each request of the workspace, so a shorter time would be untrue.

--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -193,14 +193,14 @@
 
     /// Sets the retry time to at most a third of the caller's remaining time `left`, so that it can
     /// still retry in time. Applies only to refusals that a retry may overcome: those for which
-    /// nothing ran, with a server error or status 429. A time after which a quota has credit or a
-    /// confirmation is due is kept, because an earlier retry would be refused again.
+    /// nothing ran, with a server error or status 429. The time after which a quota has credit is kept,
+    /// because an earlier retry would certainly be refused again.
     pub(crate) fn limit_retry_after(mut self, left: Duration) -> Refusal {
         let may_retry = self.outcome == Outcome::NotRun && self.status.is_server_error()
             || self.status == StatusCode::TOO_MANY_REQUESTS;
         if may_retry {
             let after = self.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
-            let is_exact = matches!(self.reason, Reason::Quota | Reason::Unconfirmed);
+            let is_exact = self.reason == Reason::Quota;
             self.retry_after = Some(if is_exact { after } else { after.min(left / 3) });
             self.subsecond = true;
         }
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -357,9 +357,12 @@
     );
     assert_eq!(header(&old, "retry-after"), "2.300");
     assert_eq!(world.asks(), 0);
-    world.admission.lock().unconfirmed = None;
     let key = format!("Bearer {KEY}");
     let headers = [("authorization", key.as_str()), ("x-left", "900")];
+    let old = world.send(outside(), "/a", &headers).await;
+    // A confirmation may come at any time, so the caller is told to come back while it has time.
+    assert_eq!(header(&old, "retry-after"), "0.300");
+    world.admission.lock().unconfirmed = None;
     let over = world.send(outside(), "/a", &headers).await;
     assert_eq!(
         (over.status().as_u16(), header(&over, REASON)),
@@ -372,7 +375,7 @@
     assert!(world.calls.try_recv().is_err(), "nothing was sent");
     let stats = world.entry.stats();
     let counts = [&stats.no_workspace, &stats.unconfirmed, &stats.over_quota];
-    assert_eq!(counts.map(|count| count.get()), [1; 3]);
+    assert_eq!(counts.map(|count| count.get()), [1, 2, 1]);
 }
 
 /// Guards against a wait for credit that takes more of the caller's time than the page allows.
