End the rejection of an unreadable version with the next configuration

After one configuration whose version could not be read, `/ready`, the metric and `appleshore top` showed it as rejected until the daemon was restarted, although newer ones were in force. Later rejections were neither logged nor shown, and their texts were fetched and parsed again with each offer.

Cause: such a configuration has the highest version, since it may be newer than any, and a rejection ended only with a higher version in force.

Rules that come into force, other than the first of a daemon, now end the rejection of the unreadable version, and the rejection of any other version replaces it. The highest version has a name, `feed::UNREADABLE`.

--- a/crates/feed/src/current.rs
+++ b/crates/feed/src/current.rs
@@ -54,6 +54,10 @@
     pub since: Instant,
 }
 
+/// The version of rules whose real one can't be read. It is above all others, so that rules in force are
+/// not confirmed as the newest while the store holds such rules.
+pub const UNREADABLE: Version = Version::of(u64::MAX);
+
 /// The result of offering rules.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Offer {
@@ -126,14 +130,27 @@
         {
             return Ok(Offer::Old);
         }
+        let is_first = current.is_none();
         *current = Some(rules);
+        drop(current);
+        if !is_first {
+            self.end_unreadable();
+        }
         Ok(Offer::Accepted)
     }
 
+    /// Ends the rejection of rules of an unreadable version, because they can't be compared with those
+    /// that have come into force. The first rules of a daemon do not end it: they mostly come from other
+    /// daemons and are older.
+    fn end_unreadable(&self) {
+        let mut rejected = self.rejected.write();
+        rejected.take_if(|one| one.version == UNREADABLE);
+    }
+
     fn refuse(&self, version: Version, cause: rule::Error) -> Error {
         let mut rejected = self.rejected.write();
         let known = rejected.as_ref().map_or(Version::NONE, |one| one.version);
-        if known < version {
+        if known < version || (known == UNREADABLE && version != UNREADABLE) {
             log::error!("feed: rules {version} are refused: {cause}.");
             *rejected = Some(Rejected {
                 version,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -52,7 +52,7 @@
 pub use carrier::{Carrier, CarrierFuture, over, peer};
 pub use confirm::{Confirm, Confirmations, Confirmed, Unconfirmed};
 pub use count::{Flow, MESSAGE_OVERHEAD, PACKET_OVERHEAD};
-pub use current::{Current, Offer, Rejected, Rules};
+pub use current::{Current, Offer, Rejected, Rules, UNREADABLE};
 pub use error::Error;
 pub use feed::{Dump, Feed, RejectedState};
 pub use fetch::{Ask, Piece};
--- a/crates/feed/tests/it/rejected.rs
+++ b/crates/feed/tests/it/rejected.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use feed::{Current, Offer};
+use feed::{Current, Offer, UNREADABLE};
 use tokio::time::{Instant, advance};
 use unit::Version;
 
@@ -34,3 +34,21 @@
     assert_eq!(offer(6, &text("six")), Some(Offer::Accepted));
     assert_eq!(shown(), None);
 }
+
+/// Guards against an alarm that stays after a version that can't be read, which is above all others, and that
+/// hides the causes of all later rejections.
+#[test]
+fn rejection_of_an_unreadable_version_ends_with_the_next_rules() {
+    let current = Current::default();
+    let offer = |version, text: &str| current.offer(version, text).ok();
+    let shown = || current.rejected().map(|rejected| rejected.version);
+    assert_eq!(offer(UNREADABLE, r#"{ "fault": "no version" }"#), None);
+    assert_eq!(offer(Version::of(4), &text("four")), Some(Offer::Accepted));
+    assert_eq!(shown(), Some(UNREADABLE), "the first rules are older");
+    assert_eq!(offer(Version::of(5), r#"{ "fault": "no routes" }"#), None);
+    assert_eq!(shown(), Some(Version::of(5)));
+    assert!(!current.wants(Version::of(5)));
+    assert_eq!(offer(UNREADABLE, r#"{ "fault": "no version" }"#), None);
+    assert_eq!(offer(Version::of(6), &text("six")), Some(Offer::Accepted));
+    assert_eq!(shown(), None);
+}
