Count the wait for credit against the time of the caller

A request of a workspace that waited up to 150 ms for credit was sent with a deadline later by that wait than its caller waits, so it could run for a caller that had given up.

Cause: the time left that the caller states was read again, as if it had just come, when the request had its credit.

The deadline and the goal are now computed before the wait.

--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -162,7 +162,6 @@
         let share = route
             .objective
             .map(|objective| objective / QUOTA_WAIT_SHARE);
-        // A time left that can't be read is refused later, and the credit is returned then.
         let left = self.setting.dialect.time_left(&parts.headers);
         let bounds = [share, left.ok().flatten(), Some(route.timeout)];
         let wait = bounds
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -111,6 +111,8 @@
         let key = access.strip(&self.setting.dialect, parts);
         let grant = self.grant(access, key, parts, &document);
         matched.caller = access.caller(matched.caller);
+        // The time of the caller runs while the request waits for credit.
+        let timing = self.timing(&matched.rule.name, origin, parts, route)?;
         let credit = self.admit(access, parts, route).await?;
         let caller_limit = self.enter_caller_limit(matched.rule, route, &matched.caller)?;
         let routed = Routed {
@@ -118,7 +120,7 @@
             parts,
             route,
             depth: self.depth(origin)?,
-            timing: self.timing(&matched.rule.name, origin, parts, route)?,
+            timing,
             access,
         };
         let idle_timeout = self.setting.limits.idle_timeout;
--- a/crates/entry/tests/admission.rs
+++ b/crates/entry/tests/admission.rs
@@ -54,6 +54,8 @@
 struct Verdict {
     unconfirmed: Option<Unconfirmed>,
     exceeded: Option<Exceeded>,
+    /// How long the quota takes to answer.
+    wait: Duration,
 }
 
 fn parse<T: std::str::FromStr>(text: &str) -> T {
@@ -190,9 +192,10 @@
         confirmed: Box::new(move || confirmed.lock().unconfirmed.map_or(Ok(()), Err)),
         quota: Box::new(move |ask| {
             asked.lock().push(ask);
-            let exceeded = verdict.lock().exceeded;
+            let Verdict { exceeded, wait, .. } = *verdict.lock();
             let taken = taken.clone();
             Box::pin(async move {
+                tokio::time::sleep(wait).await;
                 if let Some(exceeded) = exceeded {
                     return Err(exceeded);
                 }
@@ -343,6 +346,7 @@
     *world.admission.lock() = Verdict {
         unconfirmed: Some(unconfirmed),
         exceeded: Some(exceeded),
+        ..Verdict::default()
     };
     let none = world.send(outside(), "/a", &[]).await;
     assert_eq!(
@@ -402,6 +406,23 @@
     }
 }
 
+/// Guards against a request that runs after its caller has given up, because it has waited for credit.
+#[tokio::test]
+async fn wait_for_credit_is_taken_from_the_time_of_the_caller() {
+    let mut world = world(Deed::Answer).await;
+    let wait = Duration::from_millis(100);
+    world.admission.lock().wait = wait;
+    let key = format!("Bearer {KEY}");
+    let headers = [("authorization", key.as_str()), ("x-left", "900")];
+    world.send(outside(), "/a", &headers).await;
+    let call = world.calls.recv().await.expect("the call");
+    assert!(
+        call.remaining <= Duration::from_millis(900) - wait,
+        "{:?}",
+        call.remaining
+    );
+}
+
 /// Guards against a key on a link, and against requests that are told apart by something else than their
 /// workspace.
 #[tokio::test]
