Split the admission of a request into steps

The wait for credit is bounded by the deadline, which holds that time already; refusals and the reading of the body have functions of their own. Behaviour is unchanged; the tests of the entry pass as before.

--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -8,7 +8,7 @@
 use rule::{Document, Route};
 use tokio::time::Instant;
 use unit::Caller;
-use workspace::Workspace;
+use workspace::{Quota, Workspace};
 
 use crate::credit::Credit;
 use crate::job::Head;
@@ -100,16 +100,7 @@
                 return Ok(Access::Keyless);
             }
             Presented::Nothing if self.names_parent(origin, parts) => {
-                let cause = "the call that this one serves is not known here";
-                self.stats().no_workspace.inc();
-                log::info!(
-                    "entry: id={} workspace=none verdict=unknown-parent.",
-                    self.id(parts)
-                );
-                return Err(Refusal::not_run(Reason::NoWorkspace)
-                    .status(StatusCode::SERVICE_UNAVAILABLE)
-                    .detail(cause)
-                    .retry_after(UNKNOWN_PARENT_RETRY_AFTER));
+                return Err(self.refuse_unknown_parent(&self.id(parts)));
             }
             Presented::Nothing => "a key is needed",
         };
@@ -127,6 +118,15 @@
         }
     }
 
+    fn refuse_unknown_parent(&self, id: &str) -> Refusal {
+        self.stats().no_workspace.inc();
+        log::info!("entry: id={id} workspace=none verdict=unknown-parent.");
+        Refusal::not_run(Reason::NoWorkspace)
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .detail("the call that this one serves is not known here")
+            .retry_after(UNKNOWN_PARENT_RETRY_AFTER)
+    }
+
     /// Whether the request says that it serves a running call, which then isn't known here: it may have
     /// begun before this daemon started.
     fn names_parent(&self, origin: &Origin, parts: &Parts) -> bool {
@@ -136,8 +136,8 @@
     }
 
     /// Admits a request of a workspace: the configuration must be confirmed, and the quota must have
-    /// credit. The request waits for credit at most for a share of the objective, and no longer than its
-    /// caller.
+    /// credit. The request waits for credit at most for a share of the objective, and no longer than to
+    /// its `deadline`.
     ///
     /// # Errors
     ///
@@ -147,6 +147,7 @@
         access: Access<'_>,
         parts: &Parts,
         route: &Route,
+        deadline: Instant,
     ) -> Result<Credit, Refusal> {
         let Some(workspace) = access.workspace() else {
             return Ok(Credit::default());
@@ -162,36 +163,39 @@
         let share = route
             .objective
             .map(|objective| objective / QUOTA_WAIT_SHARE);
-        let left = self.setting.dialect.time_left(&parts.headers);
-        let bounds = [share, left.ok().flatten(), Some(route.timeout)];
-        let wait = bounds
-            .into_iter()
-            .flatten()
-            .fold(MAX_QUOTA_WAIT, Duration::min);
+        let wait = share.map_or(MAX_QUOTA_WAIT, |share| share.min(MAX_QUOTA_WAIT));
         let ask = QuotaAsk {
             workspace: workspace.name.clone(),
             quota,
-            latest: now + wait,
+            latest: deadline.min(now + wait),
         };
         let taken = (admission.quota)(ask).await;
-        let exceeded = match taken {
-            Ok(spent) => return Ok(Credit::new(spent)),
-            Err(exceeded) => exceeded,
-        };
+        taken.map(Credit::new).map_err(|exceeded| {
+            self.refuse_over_quota(workspace, quota, &self.id(parts), now.elapsed(), exceeded)
+        })
+    }
+
+    fn refuse_over_quota(
+        &self,
+        workspace: &Workspace,
+        quota: Quota,
+        id: &str,
+        waited: Duration,
+        exceeded: Exceeded,
+    ) -> Refusal {
         let Exceeded { retry_after } = exceeded;
         self.stats().over_quota.inc();
         log::info!(
-            "entry: id={} workspace={} verdict=quota rate={} burst={} waited_ms={} retry_after_ms={}.",
-            self.id(parts),
+            "entry: id={id} workspace={} verdict=quota rate={} burst={} waited_ms={} retry_after_ms={}.",
             workspace.name,
             quota.rate,
             quota.burst,
-            now.elapsed().as_millis(),
+            waited.as_millis(),
             retry_after.as_millis(),
         );
-        Err(Refusal::not_run(Reason::Quota)
+        Refusal::not_run(Reason::Quota)
             .detail("the quota of the workspace is used up")
-            .retry_after(retry_after))
+            .retry_after(retry_after)
     }
 
     pub(crate) fn refuse_unconfirmed(
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -113,7 +113,7 @@
         matched.caller = access.caller(matched.caller);
         // The time of the caller runs while the request waits for credit.
         let timing = self.timing(&matched.rule.name, origin, parts, route)?;
-        let credit = self.admit(access, parts, route).await?;
+        let credit = self.admit(access, parts, route, timing.deadline).await?;
         let caller_limit = self.enter_caller_limit(matched.rule, route, &matched.caller)?;
         let routed = Routed {
             origin,
@@ -123,23 +123,14 @@
             timing,
             access,
         };
-        let idle_timeout = self.setting.limits.idle_timeout;
         let guard = ResponseGuard {
             _in_flight: in_flight,
             _caller_limit: caller_limit,
-            idle_timeout,
+            idle_timeout: self.setting.limits.idle_timeout,
         };
         let key = self.idempotency_key(route, origin, parts, &matched)?;
-        let (buffer, size) = match key {
-            Some(_) => (usize::MAX, self.setting.limits.once_body),
-            None => (REPLAYABLE_BYTES, self.setting.limits.body),
-        };
-        let limits = request_body::Limits {
-            size,
-            idle_timeout,
-            deadline: routed.timing.deadline,
-        };
-        let mut body = RequestBody::read(body, buffer, limits).await?;
+        let body = self.read_body(body, key.is_some(), routed.timing.deadline);
+        let mut body = body.await?;
         let rule = matched.rule.name.clone();
         let service = self.choose_service(&rule, route);
         let mut job = self.build_job(&routed, service, matched.caller, &body);
@@ -166,6 +157,27 @@
         Ok(response)
     }
 
+    /// Reads the body of a request; that of one that runs `once` completely, because its claim is for
+    /// this body.
+    async fn read_body(
+        &self,
+        body: Body,
+        once: bool,
+        deadline: Instant,
+    ) -> Result<RequestBody, Refusal> {
+        let limits = &self.setting.limits;
+        let (buffer, size) = match once {
+            true => (usize::MAX, limits.once_body),
+            false => (REPLAYABLE_BYTES, limits.body),
+        };
+        let limits = request_body::Limits {
+            size,
+            idle_timeout: limits.idle_timeout,
+            deadline,
+        };
+        RequestBody::read(body, buffer, limits).await
+    }
+
     fn build_job(
         self: &Arc<Self>,
         routed: &Routed<'_>,
