Keep callers without a key from naming themselves as a workspace

It then ran in that workspace's share at gates and under its limits, and a claimed request with a key of the workspace got the answer of the workspace's run.

Cause: workspaces and callers that name themselves share one kind of name.

Such a request now counts for its address. The new test sends the name of a workspace on a public route and got it as the caller of the call before. The look-up by name is the one that calls of targets use for their regions; it no longer copies the name of the caller where there are no workspaces.

--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -4,7 +4,7 @@
 
 use dialect::{Dialect, Presented};
 use http::request::Parts;
-use http::{HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use rule::{Document, Route};
 use tokio::time::Instant;
 use unit::Caller;
@@ -12,6 +12,7 @@
 
 use crate::credit::Credit;
 use crate::job::Head;
+use crate::residence::workspace_of;
 use crate::{Entry, Exceeded, Origin, QuotaAsk, Reason, Refusal, Unconfirmed};
 
 /// Longest wait for credit. It is enough for a question to the daemon that lends it.
@@ -44,9 +45,19 @@
     }
 
     /// Who the request counts for in fair shares, limits and claims: its workspace, or else `caller`.
-    pub(crate) fn caller(&self, caller: Caller) -> Caller {
-        self.workspace()
-            .map_or(caller, |workspace| Caller::from(&workspace.name))
+    ///
+    /// A request from outside that shows no key counts for its address if `caller` is the name of a
+    /// workspace: it would take the share of that workspace, and get the answers to its claims.
+    pub(crate) fn caller(&self, document: &Document, origin: &Origin, caller: Caller) -> Caller {
+        match (self, origin) {
+            (Access::Of(workspace), _) => Caller::from(&workspace.name),
+            (Access::Keyless, Origin::Outside(peer))
+                if workspace_of(document, &caller).is_some() =>
+            {
+                document.caller(&HeaderMap::new(), *peer)
+            }
+            _ => caller,
+        }
     }
 
     /// Removes the key, and whatever the caller says of its workspace, from the head of the request.
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -110,7 +110,7 @@
         let access = self.authenticate(&document, origin, parts, route, &matched.caller)?;
         let key = access.strip(&self.setting.dialect, parts);
         let grant = self.grant(access, key, parts, &document);
-        matched.caller = access.caller(matched.caller);
+        matched.caller = access.caller(&document, origin, matched.caller);
         // The time of the caller runs while the request waits for credit.
         let timing = self.timing(&matched.rule.name, origin, parts, route)?;
         let credit = self.admit(access, parts, route, timing.deadline).await?;
--- a/crates/entry/src/residence.rs
+++ b/crates/entry/src/residence.rs
@@ -38,9 +38,12 @@
     }
 }
 
-fn workspace_of<'d>(document: &'d Document, caller: &Caller) -> Option<&'d Workspace> {
+/// The workspace whose name `caller` has.
+pub(crate) fn workspace_of<'d>(document: &'d Document, caller: &Caller) -> Option<&'d Workspace> {
+    // The name is parsed only where there are workspaces, because that allocates.
+    let workspaces = document.workspaces()?;
     let name = caller.as_str().parse().ok()?;
-    document.workspaces()?.get(&name)
+    workspaces.get(&name)
 }
 
 impl Entry {
--- a/crates/entry/tests/admission/main.rs
+++ b/crates/entry/tests/admission/main.rs
@@ -175,6 +175,22 @@
     assert_eq!(world.asks(), 1, "a public route counts against no quota");
 }
 
+/// Guards against a request without a key that takes the name of a workspace, and with it the workspace's share
+/// at gates and the answers to its claimed requests.
+#[tokio::test]
+async fn caller_without_a_key_cannot_name_itself_as_a_workspace() {
+    let mut world = world(Deed::Answer).await;
+    for (name, caller) in [
+        ("pulo", "127.0.0.1"),
+        (" pulo ", "127.0.0.1"),
+        ("clinic-7", "clinic-7"),
+    ] {
+        world.send(outside(), "/open", &[("x-caller", name)]).await;
+        let call = world.calls.recv().await.expect("the call");
+        assert_eq!(call.caller.as_str(), caller, "{name:?}");
+    }
+}
+
 /// Guards against a caller that names headers in `Connection` and so has the name of its workspace removed
 /// from the call after the entry has set it.
 #[tokio::test]
--- a/crates/entry/tests/admission/world.rs
+++ b/crates/entry/tests/admission/world.rs
@@ -77,6 +77,7 @@
     let digest = salt.digest(&Key::new(key.as_bytes()).expect("a key"));
     format!(
         r#"{{
+            "caller": {{ "header": "x-caller" }},
             "workspaces": {{ "salt": "{salt}", "members": {{
                 "pulo": {{ "keys": ["{digest}"], "priority": 0, "rate": "5/s", "burst": 2 }}
             }} }},
