Pass answers by value

Each answered request allocated a box for the head of its answer, also where neither regions nor workspaces are in use; before the count of bytes it did not. The count is boxed itself since it is allocated only where regions are used, so the box is not needed any more and clippy accepts the value. Behaviour is unchanged.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -18,7 +18,7 @@
 /// The outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// The head of the target's answer has arrived.
-    Answer(Box<Answer>),
+    Answer(Answer),
     /// The gate refused the request; it has not run and never will.
     Refused(Refusal),
     /// Nothing was sent, or the gate has fenced the token: the request has not run and never will.
@@ -171,12 +171,12 @@
         match frame {
             Some(Frame::Reply(reply)) if reply.token == self.call.token => {
                 transfer.add(header_bytes(&reply.headers));
-                Ok(AttemptOutcome::Answer(Box::new(Answer {
+                Ok(AttemptOutcome::Answer(Answer {
                     transfer,
                     reply,
                     receiver,
                     gate,
-                })))
+                }))
             }
             Some(Frame::Refusal(refusal)) if refusal.token == self.call.token => {
                 Ok(self.outcome_of_refusal(refusal))
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -28,7 +28,7 @@
 /// What to do after an attempt.
 enum Next {
     /// Relay this answer to the caller.
-    Answer(Box<Answer>),
+    Answer(Answer),
     /// Answer the caller with this refusal.
     Refuse(Refusal),
     /// Retry on another target, which the retry budget has paid for.
@@ -120,7 +120,7 @@
                 .credit
                 .settle(self.may_have_run || outcome.may_have_run());
             match self.next(outcome, body) {
-                Next::Answer(answer) => return Ok(*answer),
+                Next::Answer(answer) => return Ok(answer),
                 Next::Refuse(refusal) => return Err(refusal),
                 Next::Retry => self.retries_left = self.retries_left.saturating_sub(1),
                 Next::HandOver => self.handovers += 1,
@@ -209,7 +209,7 @@
         self.retry_or_refuse(Cause::Failed, refusal, again)
     }
 
-    fn answered(&mut self, answer: Box<Answer>, body: &RequestBody) -> Next {
+    fn answered(&mut self, answer: Answer, body: &RequestBody) -> Next {
         let reply = &answer.reply;
         self.job
             .budget
