--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -79,16 +79,20 @@
         "Requests refused because they have no known key",
         entry.no_workspace,
     );
-    registry.register(
-        "unconfirmed",
-        "Requests refused because the configuration was not confirmed",
-        entry.unconfirmed,
-    );
-    registry.register(
-        "over_quota",
-        "Requests refused because they were over the quota of their workspace",
-        entry.over_quota,
-    );
+    if state.setting.revoke.is_some() {
+        registry.register(
+            "unconfirmed",
+            "Requests refused because the configuration was not confirmed",
+            entry.unconfirmed,
+        );
+    }
+    if state.setting.quota.is_some() {
+        registry.register(
+            "over_quota",
+            "Requests refused because they were over the quota of their workspace",
+            entry.over_quota,
+        );
+    }
     let target = state.server.stats().clone();
     registry.register(
         "waited_seconds",
