--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -11,17 +11,20 @@
 
 use crate::answer::Answer;
 use crate::credit::Sent;
+use crate::grant::Grant;
 use crate::request_body::RequestBody;
 use crate::{Entry, Upstream};
 
 /// The outcome of one attempt.
 pub(crate) enum AttemptOutcome {
     /// The head of the target's answer has arrived.
-    Answer(Box<Answer>),
+    Answer(Answer),
     /// The gate refused the request; it has not run and never will.
     Refused(Refusal),
     /// Nothing was sent, or the gate has fenced the token: the request has not run and never will.
     NotSent(String),
+    /// The key of the request gives no access any more; nothing was sent.
+    Withdrawn(crate::Refusal),
     /// The answer was lost; the request may have run.
     Lost(String),
     /// The link broke; the request may have run, and the instance itself may be healthy.
@@ -36,6 +39,8 @@
     pub(crate) upstream: Arc<Upstream>,
     pub(crate) call: Call,
     pub(crate) deadline: Instant,
+    /// Checked just before the request is sent.
+    pub(crate) grant: Option<Arc<Grant>>,
     /// Marked just before the request is sent.
     pub(crate) sent: Sent,
 }
@@ -68,6 +73,13 @@
                 return AttemptOutcome::NotSent(format!("dial {instance}: no link in time"));
             }
         };
+        let checked = self
+            .grant
+            .as_deref()
+            .map(|grant| self.entry.check_grant(grant));
+        if let Some(Err(refusal)) = checked {
+            return AttemptOutcome::Withdrawn(refusal);
+        }
         self.upstream.pick.measure_round_trip(&instance, link.rtt());
         let mut transfer = self.upstream.pick.transfer(&instance, self.call.class);
         transfer.add(head_bytes(&self.call) + body.bytes());
@@ -159,12 +171,12 @@
         match frame {
             Some(Frame::Reply(reply)) if reply.token == self.call.token => {
                 transfer.add(header_bytes(&reply.headers));
-                Ok(AttemptOutcome::Answer(Box::new(Answer {
+                Ok(AttemptOutcome::Answer(Answer {
                     transfer,
                     reply,
                     receiver,
                     gate,
-                })))
+                }))
             }
             Some(Frame::Refusal(refusal)) if refusal.token == self.call.token => {
                 Ok(self.outcome_of_refusal(refusal))
@@ -287,6 +299,7 @@
                 guard.end(kind_of_refusal(refusal.cause), refusal.report)
             }
             AttemptOutcome::NotSent(_)
+            | AttemptOutcome::Withdrawn(_)
             | AttemptOutcome::Lost(_)
             | AttemptOutcome::LinkBroken(_)
             | AttemptOutcome::TimedOut => guard.end(Kind::Lost, None),
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -28,7 +28,7 @@
 /// What to do after an attempt.
 enum Next {
     /// Relay this answer to the caller.
-    Answer(Box<Answer>),
+    Answer(Answer),
     /// Answer the caller with this refusal.
     Refuse(Refusal),
     /// Retry on another target, which the retry budget has paid for.
@@ -120,7 +120,7 @@
                 .credit
                 .settle(self.may_have_run || outcome.may_have_run());
             match self.next(outcome, body) {
-                Next::Answer(answer) => return Ok(*answer),
+                Next::Answer(answer) => return Ok(answer),
                 Next::Refuse(refusal) => return Err(refusal),
                 Next::Retry => self.retries_left = self.retries_left.saturating_sub(1),
                 Next::HandOver => self.handovers += 1,
@@ -161,6 +161,7 @@
             upstream: self.job.upstream.clone(),
             call,
             deadline: self.job.deadline,
+            grant: self.job.grant.clone(),
             sent: self.job.credit.sent(),
         }
     }
@@ -188,6 +189,7 @@
                 }
                 self.retry_or_refuse(Cause::NotRun, refusal, body.sendable())
             }
+            AttemptOutcome::Withdrawn(refusal) => Next::Refuse(self.with_earlier_attempts(refusal)),
             AttemptOutcome::Lost(cause) => self.lost(cause, body),
             AttemptOutcome::LinkBroken(cause) => {
                 self.link_broke = true;
@@ -207,7 +209,7 @@
         self.retry_or_refuse(Cause::Failed, refusal, again)
     }
 
-    fn answered(&mut self, answer: Box<Answer>, body: &RequestBody) -> Next {
+    fn answered(&mut self, answer: Answer, body: &RequestBody) -> Next {
         let reply = &answer.reply;
         self.job
             .budget
@@ -326,7 +328,7 @@
     fn may_have_run(&self) -> bool {
         !matches!(
             self,
-            AttemptOutcome::Refused(_) | AttemptOutcome::NotSent(_)
+            AttemptOutcome::Refused(_) | AttemptOutcome::NotSent(_) | AttemptOutcome::Withdrawn(_)
         )
     }
 
@@ -334,7 +336,7 @@
     fn reached(&self) -> bool {
         match self {
             AttemptOutcome::Refused(refusal) => refusal.cause == wire::Cause::Declined,
-            AttemptOutcome::NotSent(_) => false,
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Withdrawn(_) => false,
             AttemptOutcome::Answer(_)
             | AttemptOutcome::Lost(_)
             | AttemptOutcome::LinkBroken(_)
--- a/crates/entry/src/authentication.rs
+++ b/crates/entry/src/authentication.rs
@@ -4,13 +4,15 @@
 
 use dialect::{Dialect, Presented};
 use http::request::Parts;
-use http::{HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode};
 use rule::{Document, Route};
 use tokio::time::Instant;
 use unit::Caller;
-use workspace::Workspace;
+use workspace::{Quota, Workspace};
 
 use crate::credit::Credit;
+use crate::job::Head;
+use crate::residence::workspace_of;
 use crate::{Entry, Exceeded, Origin, QuotaAsk, Reason, Refusal, Unconfirmed};
 
 /// Longest wait for credit. It is enough for a question to the daemon that lends it.
@@ -43,27 +45,37 @@
     }
 
     /// Who the request counts for in fair shares, limits and claims: its workspace, or else `caller`.
-    pub(crate) fn caller(&self, caller: Caller) -> Caller {
-        self.workspace()
-            .map_or(caller, |workspace| Caller::from(&workspace.name))
+    ///
+    /// A request from outside that shows no key counts for its address if `caller` is the name of a
+    /// workspace: it would take the share of that workspace, and get the answers to its claims.
+    pub(crate) fn caller(&self, document: &Document, origin: &Origin, caller: Caller) -> Caller {
+        match (self, origin) {
+            (Access::Of(workspace), _) => Caller::from(&workspace.name),
+            (Access::Keyless, Origin::Outside(peer))
+                if workspace_of(document, &caller).is_some() =>
+            {
+                document.caller(&HeaderMap::new(), *peer)
+            }
+            _ => caller,
+        }
     }
 
-    /// Removes the key from the head of the request, and sets the name of the workspace in place of
-    /// whatever the caller has sent.
-    pub(crate) fn rewrite(&self, dialect: &Dialect, parts: &mut Parts) {
+    /// Removes the key, and whatever the caller says of its workspace, from the head of the request.
+    /// Returns the header with the key.
+    pub(crate) fn strip(&self, dialect: &Dialect, parts: &mut Parts) -> Option<HeaderValue> {
         if matches!(self, Access::Open) {
-            return;
+            return None;
         }
-        if let Some(credential) = &dialect.credential {
-            parts.headers.remove(&credential.header);
+        if let Some(header) = &dialect.workspace {
+            parts.headers.remove(header);
         }
-        let Some(header) = &dialect.workspace else {
-            return;
-        };
-        parts.headers.remove(header);
-        let name = self.workspace().map(|workspace| workspace.name.as_str());
-        if let Some(Ok(name)) = name.map(HeaderValue::from_str) {
-            parts.headers.insert(header.clone(), name);
+        parts.headers.remove(&dialect.credential.as_ref()?.header)
+    }
+
+    /// Sets the name of the workspace in the head that is sent to the target.
+    pub(crate) fn name_workspace(&self, dialect: &Dialect, head: &mut Head) {
+        if let (Some(header), Some(workspace)) = (&dialect.workspace, self.workspace()) {
+            head.set(header, workspace.name.as_str());
         }
     }
 }
@@ -80,11 +92,13 @@
         origin: &Origin,
         parts: &Parts,
         route: &Route,
+        caller: &Caller,
     ) -> Result<Access<'d>, Refusal> {
         let Some(workspaces) = document.workspaces() else {
             return Ok(Access::Open);
         };
-        if route.public {
+        let path = parts.uri.path();
+        if document.is_public(route, &self.rule_request(origin, parts, path, caller)) {
             return Ok(Access::Keyless);
         }
         let cause = match self.setting.dialect.credential(&parts.headers) {
@@ -97,29 +111,31 @@
                 return Ok(Access::Keyless);
             }
             Presented::Nothing if self.names_parent(origin, parts) => {
-                let cause = "the call that this one serves is not known here";
-                self.stats().no_workspace.inc();
-                log::info!(
-                    "entry: id={} workspace=none verdict=unknown-parent.",
-                    self.id(parts)
-                );
-                return Err(Refusal::not_run(Reason::NoWorkspace)
-                    .status(StatusCode::SERVICE_UNAVAILABLE)
-                    .detail(cause)
-                    .retry_after(UNKNOWN_PARENT_RETRY_AFTER));
+                return Err(self.refuse_unknown_parent(&self.id(parts)));
             }
             Presented::Nothing => "a key is needed",
         };
+        Err(self.refuse_key(&self.id(parts), cause))
+    }
+
+    /// Refuses a request whose key gives it no access.
+    pub(crate) fn refuse_key(&self, id: &str, cause: &str) -> Refusal {
         self.stats().no_workspace.inc();
-        log::info!(
-            "entry: id={} workspace=none verdict=no-workspace cause={cause:?}.",
-            self.id(parts)
-        );
+        log::info!("entry: id={id} workspace=none verdict=no-workspace cause={cause:?}.");
         let refusal = Refusal::not_run(Reason::NoWorkspace).detail(cause);
-        Err(match &self.setting.dialect.credential {
+        match &self.setting.dialect.credential {
             Some(credential) => refusal.challenge(credential.scheme),
             None => refusal,
-        })
+        }
+    }
+
+    fn refuse_unknown_parent(&self, id: &str) -> Refusal {
+        self.stats().no_workspace.inc();
+        log::info!("entry: id={id} workspace=none verdict=unknown-parent.");
+        Refusal::not_run(Reason::NoWorkspace)
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .detail("the call that this one serves is not known here")
+            .retry_after(UNKNOWN_PARENT_RETRY_AFTER)
     }
 
     /// Whether the request says that it serves a running call, which then isn't known here: it may have
@@ -131,8 +147,8 @@
     }
 
     /// Admits a request of a workspace: the configuration must be confirmed, and the quota must have
-    /// credit. The request waits for credit at most for a share of the objective, and no longer than its
-    /// caller.
+    /// credit. The request waits for credit at most for a share of the objective, and no longer than to
+    /// its `deadline`.
     ///
     /// # Errors
     ///
@@ -142,13 +158,14 @@
         access: Access<'_>,
         parts: &Parts,
         route: &Route,
+        deadline: Instant,
     ) -> Result<Credit, Refusal> {
         let Some(workspace) = access.workspace() else {
             return Ok(Credit::default());
         };
         let admission = &self.setting.admission;
         if let Err(unconfirmed) = (admission.confirmed)() {
-            return Err(self.refuse_unconfirmed(workspace, parts, unconfirmed));
+            return Err(self.refuse_unconfirmed(&workspace.name, &self.id(parts), unconfirmed));
         }
         let Some(quota) = workspace.quota else {
             return Ok(Credit::default());
@@ -157,52 +174,52 @@
         let share = route
             .objective
             .map(|objective| objective / QUOTA_WAIT_SHARE);
-        // A time left that can't be read is refused later, and the credit is returned then.
-        let left = self.setting.dialect.time_left(&parts.headers);
-        let bounds = [share, left.ok().flatten(), Some(route.timeout)];
-        let wait = bounds
-            .into_iter()
-            .flatten()
-            .fold(MAX_QUOTA_WAIT, Duration::min);
+        let wait = share.map_or(MAX_QUOTA_WAIT, |share| share.min(MAX_QUOTA_WAIT));
         let ask = QuotaAsk {
             workspace: workspace.name.clone(),
             quota,
-            latest: now + wait,
+            latest: deadline.min(now + wait),
         };
         let taken = (admission.quota)(ask).await;
-        let exceeded = match taken {
-            Ok(spent) => return Ok(Credit::new(spent)),
-            Err(exceeded) => exceeded,
-        };
+        taken.map(Credit::new).map_err(|exceeded| {
+            self.refuse_over_quota(workspace, quota, &self.id(parts), now.elapsed(), exceeded)
+        })
+    }
+
+    fn refuse_over_quota(
+        &self,
+        workspace: &Workspace,
+        quota: Quota,
+        id: &str,
+        waited: Duration,
+        exceeded: Exceeded,
+    ) -> Refusal {
         let Exceeded { retry_after } = exceeded;
         self.stats().over_quota.inc();
         log::info!(
-            "entry: id={} workspace={} verdict=quota rate={} burst={} waited_ms={} retry_after_ms={}.",
-            self.id(parts),
+            "entry: id={id} workspace={} verdict=quota rate={} burst={} waited_ms={} retry_after_ms={}.",
             workspace.name,
             quota.rate,
             quota.burst,
-            now.elapsed().as_millis(),
+            waited.as_millis(),
             retry_after.as_millis(),
         );
-        Err(Refusal::not_run(Reason::Quota)
+        Refusal::not_run(Reason::Quota)
             .detail("the quota of the workspace is used up")
-            .retry_after(retry_after))
+            .retry_after(retry_after)
     }
 
-    fn refuse_unconfirmed(
+    pub(crate) fn refuse_unconfirmed(
         &self,
-        workspace: &Workspace,
-        parts: &Parts,
+        workspace: &unit::Workspace,
+        id: &str,
         unconfirmed: Unconfirmed,
     ) -> Refusal {
         let Unconfirmed { age, retry_after } = unconfirmed;
         self.stats().unconfirmed.inc();
         let age = age.map_or("none".to_string(), |age| age.as_millis().to_string());
         log::info!(
-            "entry: id={} workspace={} verdict=unconfirmed age_ms={age} retry_after_ms={}.",
-            self.id(parts),
-            workspace.name,
+            "entry: id={id} workspace={workspace} verdict=unconfirmed age_ms={age} retry_after_ms={}.",
             retry_after.as_millis(),
         );
         Refusal::not_run(Reason::Unconfirmed)
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -107,39 +107,34 @@
             Then::Route(route) => route,
             Then::Refuse(refuse) => return Err(refused_by_rule(refuse)),
         };
-        let access = self.authenticate(&document, origin, parts, route)?;
-        access.rewrite(&self.setting.dialect, parts);
-        matched.caller = access.caller(matched.caller);
-        let credit = self.admit(access, parts, route).await?;
+        let access = self.authenticate(&document, origin, parts, route, &matched.caller)?;
+        let key = access.strip(&self.setting.dialect, parts);
+        let grant = self.grant(access, key, parts, &document);
+        matched.caller = access.caller(&document, origin, matched.caller);
+        // The time of the caller runs while the request waits for credit.
+        let timing = self.timing(&matched.rule.name, origin, parts, route)?;
+        let credit = self.admit(access, parts, route, timing.deadline).await?;
         let caller_limit = self.enter_caller_limit(matched.rule, route, &matched.caller)?;
         let routed = Routed {
             origin,
             parts,
             route,
             depth: self.depth(origin)?,
-            timing: self.timing(&matched.rule.name, origin, parts, route)?,
+            timing,
             access,
         };
-        let idle_timeout = self.setting.limits.idle_timeout;
         let guard = ResponseGuard {
             _in_flight: in_flight,
             _caller_limit: caller_limit,
-            idle_timeout,
+            idle_timeout: self.setting.limits.idle_timeout,
         };
         let key = self.idempotency_key(route, origin, parts, &matched)?;
-        let (buffer, size) = match key {
-            Some(_) => (usize::MAX, self.setting.limits.once_body),
-            None => (REPLAYABLE_BYTES, self.setting.limits.body),
-        };
-        let limits = request_body::Limits {
-            size,
-            idle_timeout,
-            deadline: routed.timing.deadline,
-        };
-        let mut body = RequestBody::read(body, buffer, limits).await?;
+        let body = self.read_body(body, key.is_some(), routed.timing.deadline);
+        let mut body = body.await?;
         let rule = matched.rule.name.clone();
         let service = self.choose_service(&rule, route);
         let mut job = self.build_job(&routed, service, matched.caller, &body);
+        job.grant = grant;
         job.credit = credit;
         job.regions = residence::allowed(&document, origin, route, access, &job.caller);
         self.check_regions(&job, routed.parts)?;
@@ -162,6 +157,27 @@
         Ok(response)
     }
 
+    /// Reads the body of a request; that of one that runs `once` completely, because its claim is for
+    /// this body.
+    async fn read_body(
+        &self,
+        body: Body,
+        once: bool,
+        deadline: Instant,
+    ) -> Result<RequestBody, Refusal> {
+        let limits = &self.setting.limits;
+        let (buffer, size) = match once {
+            true => (usize::MAX, limits.once_body),
+            false => (REPLAYABLE_BYTES, limits.body),
+        };
+        let limits = request_body::Limits {
+            size,
+            idle_timeout: limits.idle_timeout,
+            deadline,
+        };
+        RequestBody::read(body, buffer, limits).await
+    }
+
     fn build_job(
         self: &Arc<Self>,
         routed: &Routed<'_>,
@@ -180,6 +196,8 @@
         if let Some(name) = &self.setting.dialect.origin {
             head.set(name, self.setting.service.as_str());
         }
+        // Only now: a caller that names a header in `Connection` has it left out of the head.
+        access.name_workspace(&self.setting.dialect, &mut head);
         Job {
             id: self.id(parts),
             entry: self.clone(),
@@ -190,6 +208,7 @@
             workspace: access.workspace().map(|workspace| workspace.name.clone()),
             weight: share::weight(route, access.workspace()),
             regions: None,
+            grant: None,
             credit: Credit::default(),
             urgency: urgency(origin, route, access),
             depth: routed.depth,
@@ -225,7 +244,7 @@
         Ok(Some(claim_key(&matched.caller, &route.service, &text)))
     }
 
-    fn document(&self) -> Result<Arc<Document>, Refusal> {
+    pub(crate) fn document(&self) -> Result<Arc<Document>, Refusal> {
         let none = || {
             Refusal::not_run(Reason::NoRule)
                 .status(StatusCode::SERVICE_UNAVAILABLE)
@@ -257,7 +276,7 @@
     }
 
     /// The properties of the request that rules match on.
-    fn rule_request<'a>(
+    pub(crate) fn rule_request<'a>(
         &'a self,
         origin: &Origin,
         parts: &'a Parts,
