Pace workspaces that are over their quota

Cause: a workspace over its quota was lent the tokens of a whole window within two seconds, and got nothing until the window had moved on. Change: borrowers report the requests that came. An allocator counts them against a token bucket of rate and burst and, while they exceed it, gives each borrower its part of the bucket. A borrower whose part is too small takes each token from the allocator. The sliding window stays the hard bound. A daemon that sees a surge reports it at once.

--- a/crates/appleshore/src/quota/borrowing.rs
+++ b/crates/appleshore/src/quota/borrowing.rs
@@ -60,7 +60,11 @@
                 let mut borrower = self.borrower.lock();
                 let now = self.now();
                 borrower.set_limit(now, workspace, limit);
-                borrower.take(now, workspace)
+                let taken = borrower.take(now, workspace);
+                if borrower.is_urgent(now, workspace) {
+                    self.wanted.notify_one();
+                }
+                taken
             };
             match taken {
                 Take::Spent(at) => {
--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -49,7 +49,7 @@
         let now = self.now();
         let mut lender = self.lender.lock();
         self.confirm(now, &mut lender);
-        let answer = lender.ask(now, from, ask, |workspace| self.limit(workspace));
+        let answer = lender.ask(now, from, ask, |workspace| (self.parts.quotas)(workspace));
         // The answer has about the size of the ask.
         lender.count_traffic(now, 2 * (bytes as u64 + feed::MESSAGE_OVERHEAD));
         answer
--- a/crates/quota/src/borrower.rs
+++ b/crates/quota/src/borrower.rs
@@ -100,7 +100,9 @@
         let limit = self.limits.get(workspace).copied().unwrap_or(0);
         let share = self.share(now, limit);
         let purse = self.purses.entry(workspace.clone());
-        let purse = purse.or_insert_with(|| Purse::new(limit, share));
+        let incarnation = self.incarnation;
+        let purse =
+            purse.or_insert_with(|| Purse::new(limit, share, phase(incarnation, workspace)));
         purse.advance(now, self.setting.window, limit, share);
     }
 
@@ -119,6 +121,10 @@
         if purse.take(now) {
             return Take::Spent(now);
         }
+        let paced = purse.pace_left(now);
+        if !paced.is_zero() {
+            return Take::Exceeded(paced.max(MIN_RETRY));
+        }
         let again = purse.again(now);
         if has_allocator && again.is_zero() {
             return Take::Wait;
@@ -135,6 +141,10 @@
             return RENEWAL;
         };
         purse.refuse(now);
+        let paced = purse.pace_left(now);
+        if !paced.is_zero() {
+            return paced.max(MIN_RETRY);
+        }
         let again = Some(purse.again(now)).filter(|again| !again.is_zero());
         let again = again.unwrap_or(RENEWAL);
         let free = purse.next_free(now, window).unwrap_or(again);
@@ -224,6 +234,7 @@
             };
             let renewal = purse.renew_at(contact.last_sent(), contact.renewal())?;
             let wished = match purse.waiting > 0 {
+                _ if purse.is_urgent(now) => now,
                 true => renewal.min(now + purse.again(now)),
                 false => renewal,
             };
@@ -232,6 +243,12 @@
         next.min()
     }
 
+    /// Whether an ask about a workspace should be sent before the next renewal.
+    pub fn is_urgent(&self, now: Moment, workspace: &Workspace) -> bool {
+        let purse = self.purses.get(workspace);
+        purse.is_some_and(|purse| purse.is_urgent(now))
+    }
+
     /// Whether an answer of an allocator is awaited.
     pub fn is_asking(&self, now: Moment, workspace: &Workspace) -> bool {
         let contact = self
@@ -303,3 +320,11 @@
             .collect()
     }
 }
+
+/// A number from 0 to 1 that differs between daemons and workspaces.
+fn phase(incarnation: Incarnation, workspace: &Workspace) -> f64 {
+    let mut state = xxhash_rust::xxh3::Xxh3::new();
+    state.update(&incarnation.0.to_le_bytes());
+    state.update(workspace.as_str().as_bytes());
+    (state.digest() >> 32) as f64 / f64::from(u32::MAX)
+}
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use unit::{Incarnation, Instance, Version, Workspace};
+use unit::{Incarnation, Instance, Rate, Version, Workspace};
+use workspace::Quota;
 
 use crate::pool::{Pool, Takeover, Terms};
 use crate::{
@@ -172,14 +173,13 @@
         })
     }
 
-    /// Answers an ask of `from`. `limit` gives the limit of a workspace by the configuration in force,
-    /// 0 if it has none.
+    /// Answers an ask of `from`. `quota` gives the quota of a workspace by the configuration in force.
     pub fn ask(
         &mut self,
         now: Moment,
         from: &Instance,
         ask: &Ask,
-        limit: impl Fn(&Workspace) -> u32,
+        quota: impl Fn(&Workspace) -> Option<Quota>,
     ) -> Answer {
         let mut answer = Answer {
             lending: self.has_authority(now),
@@ -203,10 +203,17 @@
             if !self.is_allocator(&item.workspace) {
                 continue;
             }
-            let limit = limit(&item.workspace);
+            let none = Quota {
+                rate: Rate::of(0.0),
+                burst: 0,
+            };
+            let quota = quota(&item.workspace).unwrap_or(none);
+            let limit = self.setting.limit(&quota);
             let terms = Terms {
+                quota,
                 limit,
                 lendable: self.setting.lendable(limit, fleet),
+                share: self.setting.share(limit, fleet),
                 margin: self.setting.margin(limit),
             };
             let takeover = self.takeover(&item.workspace);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -23,11 +23,13 @@
 
 mod borrower;
 mod contact;
+mod demand;
 mod fill;
 mod lender;
 mod list;
 mod message;
 mod moment;
+mod pacer;
 mod pool;
 mod purse;
 mod review;
@@ -37,7 +39,7 @@
 pub use fill::fill;
 pub use lender::Lender;
 pub use list::{List, Member};
-pub use message::{Age, Answer, Ask, Holding, Item, Record, Reply, Transfer};
+pub use message::{Age, Answer, Ask, Holding, Item, Pace, Record, Reply, Transfer};
 pub use moment::Moment;
 pub use purse::Usage;
 pub use review::{Daemon, Review, View};
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -25,6 +25,8 @@
     pub held: u32,
     /// The number of tokens that it needs, at least `held`.
     pub want: u32,
+    /// The requests that came since the last answered ask, refused ones too.
+    pub tried: u32,
     /// The tokens that it has given up since the last answered ask and that were spent within the
     /// window.
     pub returned: Vec<Age>,
@@ -61,6 +63,25 @@
     pub limit: u32,
     /// The time for which asking for more is of no use, in milliseconds.
     pub again_ms: u16,
+    /// The pace at which the borrower may admit requests while the fleet's demand is above the quota.
+    pub pace: Option<Pace>,
+}
+
+/// How a borrower admits requests of a workspace that is over its quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Pace {
+    /// At the borrower's part of rate and burst.
+    Share {
+        /// Requests a second, in thousandths.
+        rate: u32,
+        /// Requests at once, in thousandths.
+        burst: u32,
+        /// The time since when requests count against the burst, in milliseconds.
+        since_ms: u16,
+    },
+    /// Each with a token lent for it, as its part is too small to be kept by itself. The tokens are
+    /// returned at once.
+    Slow,
 }
 
 /// The records of an allocator that stops, for its successor.
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -3,8 +3,11 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use workspace::Quota;
+
+use crate::demand::{Demand, Load};
 use crate::message::AGE_UNIT;
-use crate::{Age, Holding, Item, LEASE, Member, Moment, RENEWAL, Reply, Setting, fill};
+use crate::{Age, Holding, Item, LEASE, Member, Moment, Pace, RENEWAL, Reply, Setting, fill};
 
 /// The shortest time for which a borrower is told not to ask again.
 const MIN_AGAIN: Duration = Duration::from_millis(20);
@@ -13,6 +16,22 @@
 /// workspace this bounds the sorting to ten times a second.
 const LEVEL_AGE: Duration = Duration::from_millis(100);
 
+/// How long a borrower under a pace is told not to ask again while all tokens are in use.
+const PACED_AGAIN: Duration = Duration::from_millis(200);
+
+/// The tokens that wait at a borrower under a pace, on average.
+const IDLE_TOKENS: f64 = 0.1;
+const MIN_USABLE: f64 = 0.8;
+
+/// What a borrower gets of its part at least while others have more than theirs.
+const MIN_PART: f64 = 0.5;
+
+/// The asks for each token that is lent for a single request.
+const SLOW_ASKS: f64 = 4.0;
+
+/// The fewest requests in a window at which a borrower keeps the pace of its part by itself.
+const MIN_SHARE: f64 = 2.0;
+
 /// What one borrower may hold.
 #[derive(Debug, Clone, Copy)]
 struct Loan {
@@ -26,13 +45,20 @@
     ends: Moment,
     /// When the last request admitted under the loan has left the window.
     frees: Moment,
+    /// The requests that come there.
+    load: Load,
+    /// Its part in rate and burst while it is under a pace.
+    part: f64,
 }
 
 /// The limit of a workspace, as the allocator's configuration gives it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Terms {
+    pub(crate) quota: Quota,
     pub(crate) limit: u32,
     pub(crate) lendable: u32,
+    /// The even share of each daemon.
+    pub(crate) share: u32,
     pub(crate) margin: u32,
 }
 
@@ -56,6 +82,7 @@
     cooling: BTreeMap<Moment, u32>,
     level: Option<u32>,
     level_at: Option<Moment>,
+    demand: Demand,
 }
 
 impl Pool {
@@ -67,6 +94,7 @@
             cooling: BTreeMap::new(),
             level: None,
             level_at: None,
+            demand: Demand::new(),
         }
     }
 
@@ -142,20 +170,45 @@
         }
         let freed = before.saturating_sub(item.held);
         self.take_back(now, freed, &item.returned, setting.window);
+        let mut load = Load::new(now, item.tried);
+        let mut part = 0.0;
+        if let Some(loan) = self.loans.get(borrower) {
+            (load, part) = (loan.load, loan.part);
+            load.count(now, item.tried);
+        }
         let loan = Loan {
             out: item.held,
             target: item.held,
             want: item.want,
             ends: now + LEASE,
             frees: now + setting.loan_span(),
+            load,
+            part,
         };
         self.loans.insert(borrower.clone(), loan);
-        let lent = self.grant(now, item, terms);
+        let (part, slow) = self.parts(now, &load, terms, setting);
+        self.demand
+            .count(now, item.tried, &terms.quota, terms.limit, slow);
+        let part = self.fair_part(borrower, part);
+        let pace = self.pace(now, part, terms, setting);
+        if let Some(loan) = self.loans.get_mut(borrower) {
+            loan.part = if pace.is_some() { part } else { 0.0 };
+        }
+        let credit = match pace {
+            Some(Pace::Slow) => self.demand.credit(),
+            _ => u32::MAX,
+        };
+        let lent = self.grant(now, item, terms, credit);
+        if let Some(Pace::Slow) = pace {
+            self.demand.lend(lent.saturating_sub(item.held));
+        }
         if let Some(loan) = self.loans.get_mut(borrower) {
             loan.target = lent;
             loan.out = lent.max(item.held);
         }
         let again = match lent < item.want {
+            true if pace == Some(Pace::Slow) => self.slow_again(&terms.quota),
+            true if pace.is_some() => PACED_AGAIN,
             true => self.again(now),
             false => Duration::ZERO,
         };
@@ -164,14 +217,66 @@
             lent,
             limit: terms.limit,
             again_ms: again.as_millis() as u16,
+            pace,
         }
     }
 
-    fn grant(&mut self, now: Moment, item: &Item, terms: &Terms) -> u32 {
+    /// The part of a load in the demand of the workspace, and that of all borrowers whose part is too
+    /// small to be kept by themselves.
+    fn parts(&self, now: Moment, load: &Load, terms: &Terms, setting: &Setting) -> (f64, f64) {
+        let rates = || self.loans.values().map(|loan| loan.load.rate(now));
+        let total = rates().sum::<f64>().max(f64::MIN_POSITIVE);
+        let tokens = terms.quota.rate.per_second() * setting.window.as_secs_f64();
+        let slow: f64 = rates()
+            .filter(|rate| tokens * rate / total < MIN_SHARE)
+            .sum();
+        (load.rate(now) / total, slow / total)
+    }
+
+    /// The part that a borrower gets beside what others have. While demand rises, reports of others are
+    /// older, and the parts by the loads sum up to more than one.
+    fn fair_part(&self, borrower: &Member, part: f64) -> f64 {
+        let others = self.loans.iter().filter(|(other, _)| *other != borrower);
+        let others: f64 = others.map(|(_, loan)| loan.part).sum();
+        part.min((1.0 - others).max(part * MIN_PART))
+    }
+
+    /// The part of the limit that can be spent: even shares of daemons that send nothing, and tokens that
+    /// wait at a borrower for its next request, can't. A bucket from its whole burst on uses all of the
+    /// limit in the first window, so what can't be spent has to be missing evenly.
+    fn usable(&self, terms: &Terms) -> f64 {
+        let borrowers = self.loans.len() as f64;
+        let tokens = f64::from(terms.lendable) + borrowers * (f64::from(terms.share) - IDLE_TOKENS);
+        (tokens / f64::from(terms.limit.max(1))).clamp(MIN_USABLE, 1.0)
+    }
+
+    /// The pace of a borrower with `part` of the demand, while more is asked for than the quota gives.
+    fn pace(&self, now: Moment, part: f64, terms: &Terms, setting: &Setting) -> Option<Pace> {
+        if !self.demand.is_over() {
+            return None;
+        }
+        let quota = &terms.quota;
+        let since = self.demand.since(now).min(setting.window);
+        let usable = match since < setting.window {
+            true => self.usable(terms),
+            false => 1.0,
+        };
+        let rate = quota.rate.per_second() * part * usable;
+        if rate * setting.window.as_secs_f64() < MIN_SHARE {
+            return Some(Pace::Slow);
+        }
+        Some(Pace::Share {
+            rate: (rate * 1_000.0) as u32,
+            burst: (f64::from(quota.burst) * part * usable * 1_000.0) as u32,
+            since_ms: since.as_millis() as u16,
+        })
+    }
+
+    fn grant(&mut self, now: Moment, item: &Item, terms: &Terms, credit: u32) -> u32 {
         let ceiling = self.ceiling(now, terms);
         // A level of whole tokens leaves some over, which go to those that ask first.
         let cap = self.level(now, ceiling).map_or(u32::MAX, |level| level + 1);
-        let free = ceiling.saturating_sub(self.used());
+        let free = ceiling.saturating_sub(self.used()).min(credit);
         let want = item.want.max(item.held).min(cap);
         if want > item.held {
             return item.held + free.min(want - item.held);
@@ -195,6 +300,13 @@
         self.level
     }
 
+    /// The time between asks at which all borrowers ask for twice the rate together.
+    fn slow_again(&self, quota: &Quota) -> Duration {
+        let rate = SLOW_ASKS * quota.rate.per_second();
+        let wait = self.loans.len() as f64 / rate.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(wait.min(RENEWAL.as_secs_f64())).max(MIN_AGAIN)
+    }
+
     /// When the next token comes free, at most one renewal from now.
     fn again(&self, now: Moment) -> Duration {
         let next = self.cooling.keys().next();
@@ -249,6 +361,8 @@
                         want: holding.out,
                         ends: now + LEASE,
                         frees,
+                        load: Load::new(now, 0),
+                        part: 0.0,
                     };
                     self.loans.insert(holding.borrower.clone(), loan);
                 }
--- a/crates/quota/src/purse.rs
+++ b/crates/quota/src/purse.rs
@@ -6,7 +6,8 @@
 use serde::Serialize;
 
 use crate::message::AGE_UNIT;
-use crate::{Age, Item, LEASE, Moment, RENEWAL, Reply};
+use crate::pacer::Pacer;
+use crate::{Age, Item, LEASE, Moment, Pace, RENEWAL, Reply};
 
 /// The inverse of the part of the tokens spent by which a borrower asks for more.
 const HEADROOM: u32 = 4;
@@ -18,6 +19,17 @@
 const PACE_PERIOD: Duration = Duration::from_secs(1);
 const MIN_PACE: u32 = 3;
 
+/// How long a pace counts after the ask that it answers. An allocator that is lost for longer can't
+/// tell that the demand has fallen.
+const PACE_LIFE: Duration = Duration::from_millis(2_500);
+
+/// The fewest unreported requests that are reported at once.
+const MIN_SURGE: u64 = 2;
+
+/// The time for whose requests a daemon under a pace keeps tokens. Ones that lie idle for longer are
+/// missing elsewhere, as the pace uses the whole limit in the first window.
+const PACED_AHEAD: Duration = Duration::from_millis(250);
+
 /// What a daemon has counted of a workspace.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Usage {
@@ -75,12 +87,22 @@
     again: Moment,
     /// What the ask under way says of this workspace.
     asked: Option<(u64, u32)>,
+    /// The totals of requests at the last answered ask, and at the one under way.
+    reported: u64,
+    asked_total: u64,
+    /// Spreads the first requests of daemons under a pace.
+    phase: f64,
+    pacer: Option<Pacer>,
+    /// Until then each request takes a token from the allocator, which keeps the pace.
+    slow_until: Moment,
+    /// Tokens that were lent for single requests and are not spent yet.
+    single: u32,
     admitted_total: u64,
     refused_total: u64,
 }
 
 impl Purse {
-    pub(crate) fn new(limit: u32, share: u32) -> Purse {
+    pub(crate) fn new(limit: u32, share: u32, phase: f64) -> Purse {
         Purse {
             at: Moment::START,
             limit,
@@ -96,6 +118,12 @@
             waiting: 0,
             again: Moment::START,
             asked: None,
+            reported: 0,
+            asked_total: 0,
+            phase,
+            pacer: None,
+            slow_until: Moment::START,
+            single: 0,
             admitted_total: 0,
             refused_total: 0,
         }
@@ -161,20 +189,44 @@
 
     /// Takes a token if one is free.
     pub(crate) fn take(&mut self, now: Moment) -> bool {
-        if self.spent.len() as u32 >= self.held + self.share {
+        if self.spent.len() as u32 >= self.held + self.share || !self.pace_left(now).is_zero() {
             return false;
         }
+        if now < self.slow_until {
+            if self.single == 0 {
+                return false;
+            }
+            self.single -= 1;
+        }
+        if let Some(pacer) = &mut self.pacer {
+            pacer.take();
+        }
         self.spent.push_back(now);
         self.admitted_total += 1;
         true
     }
 
+    /// How long the pace allows no request; zero if it allows one.
+    pub(crate) fn pace_left(&mut self, now: Moment) -> Duration {
+        let Some(pacer) = self.pacer.as_mut().filter(|pacer| pacer.counts(now)) else {
+            self.pacer = None;
+            return Duration::ZERO;
+        };
+        match pacer.has_credit(now) {
+            true => Duration::ZERO,
+            false => pacer.next(now),
+        }
+    }
+
     /// Frees the token that was spent at `at` by a request that has not run. It stays spent if it was
     /// given up since.
     pub(crate) fn refund(&mut self, at: Moment) {
         if let Ok(place) = self.spent.binary_search(&at) {
             self.spent.remove(place);
         }
+        if let Some(pacer) = &mut self.pacer {
+            pacer.refund();
+        }
         self.admitted_total = self.admitted_total.saturating_sub(1);
     }
 
@@ -212,10 +264,20 @@
         let arrived = self.spent.len() as u32 + self.refused() + self.waiting;
         let need = match arrived {
             0 | 1 => self.waiting,
+            _ if self.at < self.slow_until => self.waiting,
             _ => arrived
                 .saturating_add(arrived / HEADROOM)
                 .max(self.expected()),
         };
+        // The first daemons to see a sudden demand would otherwise get the tokens of a whole window, and
+        // others none.
+        let most = self.held + self.share + self.waiting + 1 + self.held / HEADROOM;
+        let need = need.min(most);
+        // More than the pace allows would lie idle here.
+        let need = match &self.pacer {
+            Some(pacer) if pacer.counts(self.at) => need.min(self.paced_need(pacer)),
+            _ => need,
+        };
         let want = need.saturating_sub(self.share);
         match self.waiting {
             0 => want.min(self.limit),
@@ -223,6 +285,19 @@
         }
     }
 
+    /// The tokens that are in use or needed soon.
+    fn paced_need(&self, pacer: &Pacer) -> u32 {
+        let start = (self.at + PACED_AHEAD).before(self.window);
+        let hot = self
+            .spent
+            .iter()
+            .rev()
+            .take_while(|spent| **spent > start)
+            .count();
+        let spent = self.spent.len() as u32;
+        spent.max(hot as u32 + pacer.admits(PACED_AHEAD))
+    }
+
     /// The requests of a window at the pace of the last second, where that is known well enough.
     fn expected(&self) -> u32 {
         let start = self.at.before(PACE_PERIOD);
@@ -264,7 +339,17 @@
 
     /// Whether an ask should be sent at once.
     pub(crate) fn is_urgent(&self, now: Moment) -> bool {
-        self.waiting > 0 && now >= self.again
+        (self.waiting > 0 && now >= self.again) || self.has_surge(now)
+    }
+
+    /// Whether more requests have come since the last report than are expected in a renewal. The
+    /// allocator has to hear of a sudden demand before the burst is spent.
+    pub(crate) fn has_surge(&self, now: Moment) -> bool {
+        let is_paced = self.pacer.is_some_and(|pacer| pacer.counts(now)) || now < self.slow_until;
+        let total = self.admitted_total + self.refused_total;
+        let unreported = total.saturating_sub(self.reported.max(self.asked_total));
+        let renewals = (self.window.as_millis() / RENEWAL.as_millis()).max(1) as u64;
+        !is_paced && unreported >= MIN_SURGE.max((self.spent.len() as u64).div_ceil(renewals))
     }
 
     /// Whether an ask has anything to say of this workspace.
@@ -279,8 +364,16 @@
 
     /// What ask `number` says. Tokens that are not needed are given up with it.
     pub(crate) fn item(&mut self, now: Moment, number: u64) -> (u32, u32, Vec<Age>) {
-        let want = self.want();
-        if want < self.held {
+        let mut want = self.want();
+        if now < self.slow_until {
+            // Spent ones, so that those lent for requests that still wait are kept.
+            let kept = self.single.min(self.held);
+            let hot = (self.held - kept).min(self.spent.len() as u32) as usize;
+            let given: Vec<Moment> = self.spent.drain(..hot).collect();
+            self.push_returned(given);
+            self.held = kept;
+            want = (kept + self.waiting).min(self.limit);
+        } else if want < self.held {
             self.give_up(self.held - want);
         }
         let mut returned: Vec<Age> = Vec::new();
@@ -294,6 +387,7 @@
             }
         }
         self.asked = Some((number, self.held));
+        self.asked_total = self.admitted_total + self.refused_total;
         (self.held, want.max(self.held), returned)
     }
 
@@ -309,6 +403,8 @@
         let Some((_, held)) = self.asked.take_if(|(asked, _)| *asked == number) else {
             return 0;
         };
+        self.reported = self.asked_total;
+        self.set_pace(now, sent, reply.pace);
         let is_answered = |named: u64| named <= number;
         self.returned
             .retain(|returned| !returned.named.is_some_and(is_answered));
@@ -323,7 +419,40 @@
         if self.held > most {
             self.give_up(self.held - most);
         }
-        self.held.saturating_sub(before)
+        let came = self.held.saturating_sub(before);
+        self.single = match now < self.slow_until {
+            true => (self.single + came).min(self.held),
+            false => 0,
+        };
+        came
+    }
+
+    fn set_pace(&mut self, now: Moment, sent: Moment, pace: Option<Pace>) {
+        let until = sent + PACE_LIFE;
+        self.slow_until = match pace {
+            Some(Pace::Slow) => until,
+            _ => Moment::START,
+        };
+        let Some(Pace::Share {
+            rate,
+            burst,
+            since_ms,
+        }) = pace
+        else {
+            self.pacer = None;
+            return;
+        };
+        let pace = (rate, burst);
+        let since = Duration::from_millis(u64::from(since_ms)) + now.since(sent);
+        match &mut self.pacer {
+            Some(pacer) => pacer.set(now, pace, until),
+            None => {
+                let start = now.before(since);
+                let spent = self.spent.iter().rev().take_while(|spent| **spent >= start);
+                let spent = spent.count();
+                self.pacer = Some(Pacer::new(now, pace, until, self.phase, since, spent));
+            }
+        }
     }
 
     pub(crate) fn usage(&self) -> Usage {
@@ -343,10 +472,12 @@
     /// Builds the item of an ask.
     pub(crate) fn ask(&mut self, now: Moment, number: u64, workspace: &unit::Workspace) -> Item {
         let (held, want, returned) = self.item(now, number);
+        let tried = self.asked_total.saturating_sub(self.reported);
         Item {
             workspace: workspace.clone(),
             held,
             want,
+            tried: u32::try_from(tried).unwrap_or(u32::MAX),
             returned,
         }
     }
