Teach the soak workspaces, keys, quotas and cut-off daemons

Cause: the randomized soak knew nothing of keys, quotas and daemons that only the store turns away. Change: types and drafts of the stand-in's fault, the soak's draws and its checks.

--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -106,6 +106,7 @@
         seed: 7,
         length: LENGTH,
         instances: 4,
+        workspaces: false,
         steps: (0..8).map(step).collect(),
     }
 }
--- a/crates/dialect/src/lib.rs
+++ b/crates/dialect/src/lib.rs
@@ -121,6 +121,10 @@
 /// Marks the answers of a target that leaves.
 pub const LEAVING: &str = "x-appleshore-leaving";
 
+/// Names the workspace of a request for its target. It is outside of the product's own prefix, whose
+/// headers daemons don't pass on.
+pub const WORKSPACE: &str = "x-workspace";
+
 impl Credential {
     fn read<'h>(&self, headers: &'h HeaderMap) -> Presented<'h> {
         let mut values = headers.get_all(&self.header).iter();
@@ -146,6 +150,11 @@
         Dialect {
             max_rate: Some(HeaderName::from_static(MAX_RATE)),
             leaving: Some(HeaderName::from_static(LEAVING)),
+            credential: Some(Credential {
+                header: http::header::AUTHORIZATION,
+                scheme: "Bearer",
+            }),
+            workspace: Some(HeaderName::from_static(WORKSPACE)),
             ..Dialect::default()
         }
     }
--- a/crates/mesh/src/log.rs
+++ b/crates/mesh/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use http::HeaderMap;
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
@@ -12,6 +13,8 @@
     pub path: String,
     /// When its head came.
     pub at: Instant,
+    /// The headers with which it came.
+    pub headers: HeaderMap,
     /// The limit on requests per second that its answer names. Daemons pass no header of their own
     /// prefix on, so callers don't see it.
     pub max_rate: Option<f64>,
@@ -37,10 +40,11 @@
 
 impl Log {
     /// Notes a run that begins now, and returns its place.
-    pub(crate) fn add(&self, path: &str) -> usize {
+    pub(crate) fn add(&self, path: &str, headers: &HeaderMap) -> usize {
         let run = Run {
             path: path.to_string(),
             at: Instant::now(),
+            headers: headers.clone(),
             max_rate: None,
             leaving: false,
         };
--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
 use tokio::net::UdpSocket;
@@ -19,7 +20,8 @@
 /// A relay before one address; it ends when it is dropped.
 pub struct Relay {
     address: SocketAddr,
-    pairs: Arc<Mutex<BTreeMap<SocketAddr, Pair>>>,
+    pairs: Pairs,
+    cut: Arc<AtomicBool>,
     task: JoinHandle<()>,
 }
 
@@ -41,11 +43,13 @@
     pub async fn start(to: SocketAddr) -> Relay {
         let front = local().await.expect("a port is free");
         let address = front.local_addr().expect("a bound socket has an address");
-        let pairs = Arc::default();
-        let task = tokio::spawn(run(Arc::new(front), to, Arc::clone(&pairs)));
+        let pairs = Pairs::default();
+        let cut = Arc::<AtomicBool>::default();
+        let task = tokio::spawn(run(Arc::new(front), to, pairs.clone(), cut.clone()));
         Relay {
             address,
             pairs,
+            cut,
             task,
         }
     }
@@ -71,6 +75,11 @@
             pair.silent = lose;
         }
     }
+
+    /// Loses all datagrams, those of new ports too, until it is switched off again.
+    pub fn cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
 }
 
 impl Drop for Relay {
@@ -85,7 +94,7 @@
     UdpSocket::bind((IpAddr::V4(Ipv4Addr::LOCALHOST), 0)).await
 }
 
-async fn run(front: Arc<UdpSocket>, to: SocketAddr, pairs: Pairs) {
+async fn run(front: Arc<UdpSocket>, to: SocketAddr, pairs: Pairs, cut: Arc<AtomicBool>) {
     // The set ends the ways back when this task is aborted.
     let mut back = JoinSet::new();
     let mut sockets: BTreeMap<SocketAddr, Arc<UdpSocket>> = BTreeMap::new();
@@ -100,26 +109,48 @@
                 let socket = Arc::new(local().await.expect("a port is free"));
                 socket.connect(to).await.expect("loopback connects");
                 pairs.lock().insert(from, Pair::new(from));
-                back.spawn(answer(socket.clone(), front.clone(), from, pairs.clone()));
+                back.spawn(answer(Way {
+                    socket: socket.clone(),
+                    front: front.clone(),
+                    from,
+                    pairs: pairs.clone(),
+                    cut: cut.clone(),
+                }));
                 sockets.insert(from, socket.clone());
                 socket
             }
         };
-        if pass(&pairs, from) {
+        if !cut.load(Ordering::SeqCst) && pass(&pairs, from) {
             // A datagram that can't be sent is lost, as on any network.
             drop(socket.send(&buffer[..length]).await);
         }
     }
 }
 
-async fn answer(socket: Arc<UdpSocket>, front: Arc<UdpSocket>, from: SocketAddr, pairs: Pairs) {
+/// The way back to one sender.
+struct Way {
+    socket: Arc<UdpSocket>,
+    front: Arc<UdpSocket>,
+    from: SocketAddr,
+    pairs: Pairs,
+    cut: Arc<AtomicBool>,
+}
+
+async fn answer(way: Way) {
+    let Way {
+        socket,
+        front,
+        from,
+        pairs,
+        cut,
+    } = way;
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
         // An error means that nobody listens behind the relay for now.
         let Ok(length) = socket.recv(&mut buffer).await else {
             continue;
         };
-        if pass(&pairs, from) {
+        if !cut.load(Ordering::SeqCst) && pass(&pairs, from) {
             drop(front.send_to(&buffer[..length], from).await);
         }
     }
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -210,7 +210,7 @@
 }
 
 async fn serve(state: Arc<State>, request: Request<Incoming>) -> io::Result<Response<Body>> {
-    let place = state.log.add(request.uri().path());
+    let place = state.log.add(request.uri().path(), request.headers());
     let mut response = run(&state, request).await?;
     let notices = *state.notices.lock();
     state.log.answer(place, notices.max_rate, notices.leaving);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::time::{Instant, sleep};
 
+use crate::customers::Customers;
 use crate::sent::{Kind, Sent};
 
 /// How often an order is sent at most when its caller does not know that it ran.
@@ -23,6 +24,8 @@
 #[derive(Clone)]
 pub(crate) struct Callers {
     pub(crate) entries: Arc<Vec<SocketAddr>>,
+    /// Those whose keys requests show; without any, requests show none.
+    pub(crate) customers: Option<Arc<Customers>>,
     pub(crate) sent: Arc<Mutex<Vec<Sent>>>,
     pub(crate) stop: Stop,
 }
@@ -38,28 +41,45 @@
             let id = format!("{name}-{number}");
             let entry = random.random_range(0..self.entries.len());
             let work = random.random_range(1..60);
-            match random.random_range(0..10) {
-                0..5 => {
-                    let path = format!("/sleep/{work}/read-{id}");
-                    self.send(&client, Kind::Read, entry, path, "").await;
+            let kind = match random.random_range(0..10) {
+                0..5 => Kind::Read,
+                5..8 => Kind::Book,
+                _ => Kind::Order,
+            };
+            let key = self.customers.as_ref();
+            let key = key.and_then(|customers| customers.draw(&mut random));
+            let path = match kind {
+                Kind::Read => format!("/sleep/{work}/read-{id}"),
+                Kind::Book | Kind::Order => format!("/sleep/{work}/book-{id}"),
+            };
+            match kind {
+                Kind::Order => self.order(&client, &mut random, &id, key).await,
+                Kind::Read | Kind::Book => {
+                    let ask = Ask {
+                        kind,
+                        entry,
+                        path,
+                        order: "",
+                        key,
+                    };
+                    self.send(&client, ask).await;
                 }
-                5..8 => {
-                    let path = format!("/sleep/{work}/book-{id}");
-                    self.send(&client, Kind::Book, entry, path, "").await;
-                }
-                _ => self.order(&client, &mut random, &id).await,
             }
             sleep(Duration::from_millis(random.random_range(1..25))).await;
         }
     }
 
     /// Sends an order, and again until its caller knows what became of it.
-    async fn order(&self, client: &Client, random: &mut Pcg64Mcg, id: &str) {
+    async fn order(&self, client: &Client, random: &mut Pcg64Mcg, id: &str, key: Option<String>) {
         for resend in 0..RESENDS {
-            let entry = random.random_range(0..self.entries.len());
-            let path = format!("/order/{id}/{resend}");
-            let known = self.send(client, Kind::Order, entry, path, id).await;
-            if known {
+            let ask = Ask {
+                kind: Kind::Order,
+                entry: random.random_range(0..self.entries.len()),
+                path: format!("/order/{id}/{resend}"),
+                order: id,
+                key: key.clone(),
+            };
+            if self.send(client, ask).await {
                 return;
             }
             sleep(Duration::from_millis(random.random_range(1..200))).await;
@@ -67,32 +87,42 @@
     }
 
     /// Whether the caller knows that the request ran.
-    async fn send(
-        &self,
-        client: &Client,
-        kind: Kind,
-        entry: usize,
-        path: String,
-        key: &str,
-    ) -> bool {
+    async fn send(&self, client: &Client, ask: Ask<'_>) -> bool {
+        let Ask {
+            kind,
+            entry,
+            path,
+            order,
+            key,
+        } = ask;
         let method = match kind {
             Kind::Read => Method::GET,
             Kind::Book | Kind::Order => Method::POST,
         };
-        let headers = [("idempotency-key", key)];
-        let headers = match kind {
-            Kind::Order => &headers[..],
-            Kind::Read | Kind::Book => &[],
-        };
+        let credential = key.as_ref().map(|key| format!("Bearer {key}"));
+        let mut headers = Vec::new();
+        if kind == Kind::Order {
+            headers.push(("idempotency-key", order));
+        }
+        if self.customers.is_some() {
+            // Whatever a caller says of its workspace does not count.
+            headers.push((dialect::WORKSPACE, "forged"));
+        }
+        headers.extend(
+            credential
+                .iter()
+                .map(|text| ("authorization", text.as_str())),
+        );
         let at = Instant::now();
         let answer = client
-            .send(self.entries[entry], method, &path, headers, "")
+            .send(self.entries[entry], method, &path, &headers, "")
             .await;
         let known = matches!(answer.outcome.as_str(), "ran" | "already-run");
         let sent = Sent {
             path,
             kind,
             entry,
+            key,
             at,
             ended: Instant::now(),
             status: answer.status,
@@ -105,3 +135,13 @@
         known
     }
 }
+
+/// A request to send.
+struct Ask<'a> {
+    kind: Kind,
+    entry: usize,
+    path: String,
+    /// The key that marks sends of the same order.
+    order: &'a str,
+    key: Option<String>,
+}
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -48,6 +48,16 @@
     Leave(String),
     /// A planned stop of this instance did not end by itself, or not well.
     Stop(usize),
+    /// A request ran that was sent to this daemon with a key that was no longer, or never, in force.
+    Revoked(String, usize),
+    /// So many requests of a workspace in one window, which may have this many.
+    Quota(String, usize, f64),
+    /// A request ran under these names of workspaces, in place of the one that holds its key.
+    Workspace(String, String),
+    /// A target was shown the key of a request.
+    Key(String),
+    /// A request that ran was answered with a status that says that it did not.
+    Status(String, u16),
 }
 
 impl fmt::Display for Broken {
@@ -72,6 +82,21 @@
             }
             Broken::Leave(path) => write!(f, "reached a target that leaves: {path}"),
             Broken::Stop(index) => write!(f, "desk-{index} did not end its planned stop"),
+            Broken::Revoked(path, entry) => {
+                write!(
+                    f,
+                    "ran with a key that is not in force: {path} at desk-{entry}"
+                )
+            }
+            Broken::Quota(workspace, count, allowed) => {
+                write!(
+                    f,
+                    "{count} requests of {workspace} in a window; allowed {allowed:.1}"
+                )
+            }
+            Broken::Workspace(path, named) => write!(f, "ran for workspace {named:?}: {path}"),
+            Broken::Key(path) => write!(f, "a target was shown the key: {path}"),
+            Broken::Status(path, status) => write!(f, "answered with {status}, and ran: {path}"),
         }
     }
 }
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -10,8 +10,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::check::Broken;
-use crate::node::Node;
-use crate::plan::Fault;
+use crate::customers::Customers;
+use crate::node::{Links, Node};
+use crate::plan::{Cut, Fault};
 use crate::proxy::Mode;
 use crate::run::Error;
 use crate::sent::{Trouble, Window};
@@ -24,7 +25,10 @@
 pub(crate) struct Fleet {
     /// Whoever has a node's turn does something with its process or target.
     pub(crate) nodes: Arc<Vec<Turn<Node>>>,
+    /// What stands before the links of each node.
+    pub(crate) links: Arc<Vec<Arc<Links>>>,
     pub(crate) platform: Platform,
+    pub(crate) customers: Option<Arc<Customers>>,
     pub(crate) windows: Arc<Mutex<Vec<Window>>>,
     pub(crate) broken: Arc<Mutex<Vec<Broken>>>,
     /// Planned stops kill.
@@ -102,15 +106,42 @@
                 Ok(true)
             }
             Fault::Rollback(age, away) => {
+                let history = self.customers.as_ref().map(|customers| &customers.history);
+                let newest = history.map(|history| history.lock().newest());
                 let copy = self.platform.snapshot();
+                let mark = history
+                    .zip(newest)
+                    .map(|(history, newest)| history.lock().mark(newest));
                 sleep(age).await;
                 self.platform.fault().down(true);
                 sleep(away).await;
+                let back = Instant::now();
                 self.platform.restore(copy);
+                if let Some((history, mark)) = history.zip(mark) {
+                    history.lock().restore(mark, back);
+                }
                 self.platform.fault().down(false);
                 self.note(Trouble::Other, from);
                 Ok(true)
             }
+            Fault::ReplaceKey(workspace) => {
+                Ok(self.change(|customers| customers.replace_key(workspace)))
+            }
+            Fault::Quota(workspace, rate, burst) => {
+                Ok(self.change(|customers| customers.change_quota(workspace, rate, burst)))
+            }
+            Fault::Hot(workspace, lasts) => {
+                self.change(|customers| customers.heat(Some(workspace)));
+                sleep(lasts).await;
+                Ok(self.change(|customers| customers.heat(None)))
+            }
+            Fault::Cut(cut, lasts) => {
+                self.cut(cut, true);
+                sleep(lasts).await;
+                self.cut(cut, false);
+                self.note(Trouble::Other, from);
+                Ok(true)
+            }
             Fault::KillAll(lasts) => {
                 let mut any = false;
                 let mut all = tokio::task::JoinSet::new();
@@ -126,6 +157,23 @@
         }
     }
 
+    /// Whether there are customers, who change.
+    fn change(&self, change: impl Fn(&Customers)) -> bool {
+        let customers = self.customers.as_ref();
+        customers.inspect(|customers| change(customers)).is_some()
+    }
+
+    /// Cuts daemons off, or lets them come back.
+    fn cut(&self, cut: Cut, begins: bool) {
+        for index in (0..self.nodes.len()).filter(|index| cut.daemons >> index & 1 == 1) {
+            let fault = self.platform.fault_of(&format!("desk-{index}"));
+            fault.turn_away(begins.then_some(cut.away));
+        }
+        if cut.links {
+            self.links.iter().for_each(|links| links.cut(begins));
+        }
+    }
+
     /// Whether the node has a target, which names this limit from now on.
     async fn limit(&self, index: usize, max_rate: Option<f64>) -> bool {
         let node = self.nodes[index].lock().await;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod caller;
 pub mod check;
+mod customers;
 mod fleet;
 mod node;
 pub mod notice;
@@ -17,6 +18,7 @@
 mod rules;
 mod run;
 mod sent;
+pub mod workspaces;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -25,7 +27,7 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
-pub use plan::{Fault, Plan, Step};
+pub use plan::{Cut, Fault, Plan, Step};
 pub use proxy::{Mode, Proxy};
 pub use report::Report;
 pub use run::{Error, Program, run};
@@ -38,6 +40,12 @@
     Drain,
     /// The proxy before a target hands each request over twice.
     Once,
+    /// The settings have no time for removed keys, so that daemons that are cut off serve on.
+    Revoke,
+    /// The settings have no quota, so that requests are not counted.
+    Quota,
+    /// The rules have no workspaces, so that keys and names are passed on as callers send them.
+    Workspaces,
 }
 
 /// What to run.
@@ -76,6 +84,9 @@
     /// Has targets limit their requests and leave.
     #[arg(long)]
     pub notices: bool,
+    /// Has requests show keys of workspaces, whose keys and quotas change, and cuts daemons off.
+    #[arg(long)]
+    pub workspaces: bool,
 }
 
 /// Runs what the command line asks for and prints each report.
@@ -122,6 +133,9 @@
         if options.notices {
             plan = plan.with_notices();
         }
+        if options.workspaces {
+            plan = plan.with_workspaces();
+        }
         runs.spawn(async move {
             let _turn = turns.acquire().await;
             run(&plan, &program).await
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
+use std::sync::Arc;
 use std::time::Duration;
 
 use mesh::{Address, Block, Log, Relay, Target};
@@ -11,7 +12,9 @@
 use tokio::process::{Child, Command};
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::Safeguard;
 use crate::proxy::{Mode, Proxy};
+use crate::rules::{OVERAGE, REVOKE, SLACK, WINDOW};
 use crate::run::Error;
 
 /// How long a stop may take: 6 s by the settings, 2 s each for its word before and after, and 2 s
@@ -37,7 +40,7 @@
     logs: Vec<Log>,
     pub(crate) way: Proxy,
     pub(crate) store: Proxy,
-    pub(crate) links: Links,
+    pub(crate) links: Arc<Links>,
 }
 
 /// What stands before the address where a daemon takes links.
@@ -73,6 +76,14 @@
             Links::Quic(relay) => relay.lose(mode != Mode::Pass),
         }
     }
+
+    /// Cuts all links to the daemon, new ones too, or lets them pass again.
+    pub(crate) fn cut(&self, cut: bool) {
+        match self {
+            Links::Tcp(proxy) => proxy.set(if cut { Mode::Silent } else { Mode::Pass }),
+            Links::Quic(relay) => relay.cut(cut),
+        }
+    }
 }
 
 /// What a node's settings differ in.
@@ -83,7 +94,8 @@
     pub(crate) log: Option<File>,
     pub(crate) directory: &'a Path,
     pub(crate) tcp: bool,
-    pub(crate) twice: bool,
+    pub(crate) without: Option<Safeguard>,
+    pub(crate) workspaces: bool,
 }
 
 impl Node {
@@ -91,7 +103,8 @@
     pub(crate) async fn open(place: Place<'_>) -> Result<Node, Error> {
         let (index, block) = (place.index, place.block);
         let target = block.of(index, Address::Target);
-        let way = Proxy::start(block.of(WAY + index, Address::Target), target, place.twice).await;
+        let twice = place.without == Some(Safeguard::Once);
+        let way = Proxy::start(block.of(WAY + index, Address::Target), target, twice).await;
         let store = block.of(0, Address::Store);
         let store = Proxy::start(block.of(STORE + index, Address::Store), store, false).await;
         let links = Links::start(&place).await?;
@@ -109,7 +122,7 @@
             logs: Vec::new(),
             way: way.map_err(Error::Io)?,
             store: store.map_err(Error::Io)?,
-            links,
+            links: Arc::new(links),
         };
         node.start_target().await;
         Ok(node)
@@ -207,17 +220,37 @@
     }
 }
 
+/// The settings that requests of workspaces need, each with a comma before it.
+fn of_workspaces(place: &Place<'_>) -> String {
+    let [revoke, window] = [REVOKE, WINDOW].map(unit::Span);
+    let revoke = format!(r#", "revoke": "{revoke}""#);
+    let quota = format!(
+        r#", "quota": {{ "window": "{window}", "overage": "{OVERAGE}", "slack": "{SLACK}" }}"#
+    );
+    let fields = [(Safeguard::Revoke, revoke), (Safeguard::Quota, quota)];
+    let kept = fields.into_iter();
+    let kept = kept.filter(|(safeguard, _)| place.workspaces && place.without != Some(*safeguard));
+    kept.map(|(_, field)| field).collect()
+}
+
 fn setting(place: &Place<'_>, announced: SocketAddr) -> String {
     let (index, block) = (place.index, place.block);
     let address = |what| block.of(index, what);
     let links = if place.tcp { "tcp" } else { "quic" };
+    // Watchers are those of zones: with a second one there are others to read for the first.
+    let zone = if place.workspaces && index % 2 == 1 {
+        "giadinh"
+    } else {
+        "longbien"
+    };
+    let more = of_workspaces(place);
     let level = if place.log.is_some() { "debug" } else { "off" };
     format!(
         r#"{{
-    "instance": "desk-{index}", "zone": "longbien", "service": "desk",
+    "instance": "desk-{index}", "zone": "{zone}", "service": "desk",
     "callers": "{}", "outbound": "{}", "link": "{}", "operator": "{}",
     "link_announced": "{announced}", "target": "{}", "slots": 16, "store": ["{}"],
-    "links": "{links}", "log": "{level}", "threads": 1, "limits": {{ "drain": "6s" }}
+    "links": "{links}", "log": "{level}", "threads": 1, "limits": {{ "drain": "6s" }}{more}
 }}"#,
         address(Address::Callers),
         address(Address::Outbound),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,7 +5,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use standin::Away;
+
 use crate::Mode;
+use crate::customers::WORKSPACES;
 
 /// The mean pause between two faults; several overlap, as each lasts up to some seconds.
 const MEAN_PAUSE: f64 = 0.9;
@@ -15,6 +18,16 @@
 const ROLLBACKS: u64 = 0x5e_70e4;
 /// The same for what targets say of themselves.
 const NOTICES: u64 = 0x11_3a17;
+/// The same for workspaces and what is cut off from them.
+const TENANTS: u64 = 0x3a_9c0d;
+/// How long daemons are cut off or frozen, in seconds: a removed key is refused after 5.
+const CUT: std::ops::Range<f64> = 2.0..9.0;
+const FROZEN: std::ops::Range<f64> = 2.0..8.0;
+/// How long a workspace sends most requests, in seconds.
+const HOT: std::ops::Range<f64> = 2.0..6.0;
+/// Quotas: requests a second, and what a window may hold beyond that.
+const RATE: std::ops::Range<f64> = 1.0..60.0;
+const BURST: std::ops::Range<u32> = 0..40;
 /// A target's limit, in requests per second.
 const MAX_RATE: std::ops::Range<f64> = 1.0..40.0;
 /// How long a target limits its requests, and how long it says that it leaves, in seconds.
@@ -59,6 +72,25 @@
     Limit(usize, f64, Duration),
     /// The target says for the time that it leaves, ends, and lives again.
     Leave(usize, Duration),
+    /// The rules have a new key of this workspace in place of an old one.
+    ReplaceKey(usize),
+    /// The rules have another quota of this workspace.
+    Quota(usize, f64, u32),
+    /// Most requests are those of this workspace for the time.
+    Hot(usize, Duration),
+    /// The store turns daemons away for the time, and perhaps the ways between all daemons are cut.
+    Cut(Cut, Duration),
+}
+
+/// Which daemons are cut off from the store, and how.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cut {
+    /// A bit for each daemon that is turned away.
+    pub daemons: u32,
+    /// How it is turned away.
+    pub away: Away,
+    /// No daemon reaches another either.
+    pub links: bool,
 }
 
 impl Fault {
@@ -78,6 +110,11 @@
             Fault::Rollback(..) => "store rolls back",
             Fault::Limit(..) => "target limits its requests",
             Fault::Leave(..) => "target leaves",
+            Fault::ReplaceKey(..) => "key replaced",
+            Fault::Quota(..) => "quota changed",
+            Fault::Hot(..) => "hot workspace",
+            Fault::Cut(cut, _) if cut.links => "cut off from store and peers",
+            Fault::Cut(..) => "turned away by the store",
         }
     }
 }
@@ -100,6 +137,8 @@
     pub length: Duration,
     /// How many daemons there are.
     pub instances: usize,
+    /// Requests show the keys of workspaces.
+    pub workspaces: bool,
     /// The faults, in the order of their times.
     pub steps: Vec<Step>,
 }
@@ -113,6 +152,7 @@
             seed,
             length,
             instances,
+            workspaces: false,
             steps,
         }
     }
@@ -152,6 +192,18 @@
         self
     }
 
+    /// Has requests show keys of workspaces, and adds changes of these and daemons that are cut off or
+    /// frozen; the rest of the schedule stays as it is.
+    pub fn with_workspaces(mut self) -> Plan {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ TENANTS);
+        let (length, instances) = (self.length, self.instances);
+        let tenants = steps(&mut random, length, |random| tenants(random, instances));
+        self.steps.extend(tenants);
+        self.steps.sort_by_key(|step| step.at);
+        self.workspaces = true;
+        self
+    }
+
     /// Whether links are carried by TCP: every other seed.
     pub fn tcp(&self) -> bool {
         self.seed % 2 == 1
@@ -201,6 +253,35 @@
     }
 }
 
+fn tenants(random: &mut Pcg64Mcg, instances: usize) -> Fault {
+    let workspace = random.random_range(1..WORKSPACES);
+    let (rate, burst) = (random.random_range(RATE), random.random_range(BURST));
+    let [cut, frozen, hot] =
+        [CUT, FROZEN, HOT].map(|range| Duration::from_secs_f64(random.random_range(range)));
+    let which = random.random_range(0..instances);
+    let away = match random.random_range(0..3) {
+        0 => Away::Refuse,
+        1 => Away::Reset,
+        _ => Away::Silence,
+    };
+    let daemons = 1 << which | random.random_range(0..1 << instances);
+    match random.random_range(0..16) {
+        0..5 => Fault::ReplaceKey(workspace),
+        5..9 => Fault::Quota(workspace, rate.round(), burst),
+        9..11 => Fault::Hot(workspace, hot),
+        11..13 => Fault::Pause(which, frozen),
+        kind => {
+            let links = kind > 13;
+            let cut_off = Cut {
+                daemons,
+                away,
+                links,
+            };
+            Fault::Cut(cut_off, cut)
+        }
+    }
+}
+
 fn fault(random: &mut Pcg64Mcg, instances: usize) -> Fault {
     let which = random.random_range(0..instances);
     let lasts = Duration::from_secs_f64(random.random_range(LASTS));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -22,12 +22,14 @@
 
 use crate::caller::{Callers, Stop};
 use crate::check::{Broken, check};
+use crate::customers::{Customers, STEADY_KEY};
 use crate::fleet::Fleet;
 use crate::node::{Node, Place};
 use crate::notice::{Life, check_notices};
 use crate::plan::Plan;
 use crate::report::Report;
 use crate::sent::Sent;
+use crate::workspaces::check_workspaces;
 use crate::{Safeguard, rules};
 
 /// Callers of a run.
@@ -83,7 +85,13 @@
     let listener = TcpListener::bind(block.of(0, Address::Store)).await;
     let listener = listener.map_err(Error::Io)?;
     let _served = serve(platform.clone(), listener).map_err(Error::Io)?;
-    put(&platform, 1).await;
+    let customers = plan.workspaces.then(|| Arc::new(Customers::new()));
+    let operator = Operator {
+        platform: platform.clone(),
+        customers: customers.clone(),
+        without: program.without,
+    };
+    operator.put(1).await;
     let directory = tempfile::tempdir().map_err(Error::Io)?;
     let mut nodes = Vec::new();
     for index in 0..plan.instances {
@@ -94,7 +102,8 @@
             log: program.log(plan.seed, index).map_err(Error::Io)?,
             directory: directory.path(),
             tcp: plan.tcp(),
-            twice: program.without == Some(Safeguard::Once),
+            without: program.without,
+            workspaces: plan.workspaces,
         };
         let mut node = Node::open(place).await?;
         node.start().await?;
@@ -102,7 +111,10 @@
     }
     let entries: Vec<_> = nodes.iter().map(Node::callers).collect();
     let operators: Vec<_> = nodes.iter().map(Node::operator).collect();
+    let links = nodes.iter().map(|node| node.links.clone()).collect();
     let fleet = Fleet {
+        links: Arc::new(links),
+        customers: customers.clone(),
         nodes: Arc::new(nodes.into_iter().map(Turn::new).collect()),
         platform: platform.clone(),
         windows: Arc::default(),
@@ -117,6 +129,7 @@
     let (over, stop) = watch::channel(false);
     let callers = Callers {
         entries: Arc::new(entries.clone()),
+        customers: customers.clone(),
         sent: Arc::new(Mutex::default()),
         stop: stop.clone(),
     };
@@ -124,7 +137,7 @@
     for name in 0..CALLERS {
         tasks.spawn(callers.clone().call(name, plan.seed));
     }
-    let editor = tokio::spawn(edit(platform.clone(), stop.clone()));
+    let editor = tokio::spawn(edit(operator.clone(), stop.clone()));
     for (index, operator) in operators.iter().enumerate() {
         tasks.spawn(look(fleet.clone(), index, *operator, stop.clone()));
     }
@@ -134,13 +147,13 @@
     let versions = editor.await.expect("no panic");
     while tasks.join_next().await.is_some() {}
     let last = versions + 1;
-    put(&platform, last).await;
+    operator.put(last).await;
     sleep(SPREAD).await;
     broken.extend(newest(&platform, &client, &operators).await);
     let sent = callers.sent.lock().clone();
     broken.extend(fleet.broken.lock().drain(..));
     let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    let mut lives = Vec::new();
+    let (mut lives, mut all) = (Vec::new(), Vec::new());
     for node in fleet.nodes.iter() {
         let node = node.lock().await;
         lives.extend(node.logs().iter().map(|log| Life {
@@ -149,12 +162,17 @@
             limits: log.limits(),
         }));
         for run in node.logs().iter().flat_map(mesh::Log::runs) {
-            *runs.entry(run.path).or_default() += 1;
+            *runs.entry(run.path.clone()).or_default() += 1;
+            all.push(run);
         }
     }
     let windows = fleet.windows.lock().clone();
     broken.extend(check(&sent, &runs, &windows));
     broken.extend(check_notices(&sent, &lives, &windows));
+    if let Some(customers) = customers {
+        let history = customers.history.lock().clone();
+        broken.extend(check_workspaces(&sent, &all, &history, rules::bounds()));
+    }
     for node in fleet.nodes.iter() {
         node.lock().await.kill().await?;
     }
@@ -207,11 +225,14 @@
 async fn recovers(client: &Client, entries: &[std::net::SocketAddr]) -> Vec<Broken> {
     let until = Instant::now() + RECOVER;
     let mut broken = Vec::new();
+    // Without workspaces nobody looks at it.
+    let key = format!("Bearer {STEADY_KEY}");
+    let key = [("authorization", key.as_str())];
     for (index, entry) in entries.iter().enumerate() {
         let (mut good, mut last) = (0, String::new());
         while good < 10 && (good > 0 || Instant::now() < until) {
             let answer = client
-                .send(*entry, Method::GET, "/echo/well", &[], "")
+                .send(*entry, Method::GET, "/echo/well", &key, "")
                 .await;
             good = if answer.status == 200 { good + 1 } else { 0 };
             if answer.status != 200 {
@@ -226,19 +247,40 @@
     broken
 }
 
-async fn put(platform: &Platform, number: u64) {
-    let store = platform.store_named("operator");
-    // With the store in trouble this version does not come, and the next one does.
-    let rules = Bytes::from(rules::text(number));
-    drop(store.put("rules", rules, Condition::Any).await);
+/// Who writes the rules.
+#[derive(Clone)]
+struct Operator {
+    platform: Platform,
+    customers: Option<Arc<Customers>>,
+    without: Option<Safeguard>,
+}
+
+impl Operator {
+    /// Writes version `number` of the rules. With the store in trouble it does not come, and the next
+    /// one does.
+    async fn put(&self, number: u64) {
+        let members = self.customers.as_ref().map(|customers| customers.members());
+        let place = self.customers.as_ref().zip(members.clone());
+        let place = place.map(|(customers, members)| {
+            let mut history = customers.history.lock();
+            (customers, history.begin(members, Instant::now()))
+        });
+        let members = members.filter(|_| self.without != Some(Safeguard::Workspaces));
+        let rules = Bytes::from(rules::text(number, members.as_ref()));
+        let store = self.platform.store_named("operator");
+        let written = store.put("rules", rules, Condition::Any).await;
+        if let (Some((customers, place)), Ok(_)) = (place, written) {
+            customers.history.lock().acknowledge(place, Instant::now());
+        }
+    }
 }
 
 /// Writes versions of the rules until the run is over, and says the number of the last.
-async fn edit(platform: Platform, stop: Stop) -> u64 {
+async fn edit(operator: Operator, stop: Stop) -> u64 {
     let mut number = 1;
     while !*stop.borrow() {
         number += 1;
-        put(&platform, number).await;
+        operator.put(number).await;
         sleep(EDIT).await;
     }
     number
--- a/crates/soak/src/sent.rs
+++ b/crates/soak/src/sent.rs
@@ -24,6 +24,8 @@
     pub kind: Kind,
     /// Which daemon it was sent to.
     pub entry: usize,
+    /// The key that it showed.
+    pub key: Option<String>,
     /// When it was sent.
     pub at: Instant,
     /// When its answer, or the connection, came to its end.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -13,6 +13,7 @@
         path: path.to_string(),
         kind,
         entry: 0,
+        key: None,
         at,
         ended: at + Duration::from_millis(20),
         status: 200,
--- a/crates/soak/tests/notice.rs
+++ b/crates/soak/tests/notice.rs
@@ -19,6 +19,7 @@
         path: format!("/a{number}"),
         kind: Kind::Read,
         entry: 0,
+        key: None,
         at,
         ended: at + ms(20),
         status: 200,
@@ -31,6 +32,7 @@
     let run = |sent: &Sent| Run {
         path: sent.path.clone(),
         at: sent.at,
+        headers: http::HeaderMap::new(),
         max_rate: Some(max_rate),
         leaving: false,
     };
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -16,6 +16,18 @@
 pub struct Fault {
     state: Arc<Mutex<State>>,
     held: Arc<watch::Sender<bool>>,
+    away: Arc<watch::Sender<Option<Away>>>,
+}
+
+/// How the platform treats a client that it turns away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Away {
+    /// Calls are refused as not done.
+    Refuse,
+    /// Calls don't take effect, and their connections are closed without an answer.
+    Reset,
+    /// Calls don't take effect and are never answered.
+    Silence,
 }
 
 #[derive(Debug)]
@@ -58,6 +70,7 @@
         Fault {
             state: Arc::new(Mutex::new(state)),
             held: Arc::new(watch::Sender::new(false)),
+            away: Arc::new(watch::Sender::new(None)),
         }
     }
 
@@ -78,6 +91,12 @@
         self.held.send_replace(held);
     }
 
+    /// Turns clients away, also those whose watches wait, until `None` is set. Writes that have arrived
+    /// before take effect and are answered.
+    pub fn turn_away(&self, away: Option<Away>) {
+        self.away.send_replace(away);
+    }
+
     /// The next `count` writes take effect, and their answers are cut off.
     pub fn lose_next(&self, count: u32) {
         self.state.lock().lose_next = count;
@@ -137,6 +156,28 @@
         taken.map_err(|_| Kind::NotWritten("above the rate".to_string()))
     }
 
+    /// Waits until calls are turned away, and says how; silence has no end for a call that meets it.
+    pub(crate) async fn turned_away(&self) -> Kind {
+        let mut away = self.away.subscribe();
+        // The sender lives as long as this fault, so that the wait can't fail.
+        let turned = away.wait_for(Option::is_some).await;
+        let turned = turned.ok().and_then(|away| *away);
+        match turned {
+            Some(Away::Refuse) => Kind::NotWritten("down".to_string()),
+            Some(Away::Reset) => Kind::Lost("turned away".to_string()),
+            Some(Away::Silence) | None => std::future::pending().await,
+        }
+    }
+
+    /// Lets a call pass unless it is turned away.
+    pub(crate) async fn turn(&self) -> Result<(), Kind> {
+        let turned = self.away.borrow().is_some();
+        if turned {
+            return Err(self.turned_away().await);
+        }
+        Ok(())
+    }
+
     /// Waits while calls are held.
     pub(crate) async fn pass(&self) {
         let mut held = self.held.subscribe();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -27,6 +27,6 @@
 mod platform;
 mod server;
 
-pub use fault::Fault;
+pub use fault::{Away, Fault};
 pub use platform::{Builder, Platform, Snapshot};
 pub use server::{Handle, serve};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -255,7 +255,14 @@
         loop {
             let change = self.memory(|memory| memory.since(prefix, since))?;
             let empty = change.changed.is_empty() && change.deleted.is_empty();
-            let over = empty && timeout_at(until, moved.changed()).await.is_err();
+            let [whole, own] = self.faults.each_ref().map(Fault::turned_away);
+            let over = tokio::select! {
+                biased;
+                kind = whole => return Err(kind),
+                kind = own => return Err(kind),
+                moved = timeout_at(until, moved.changed()), if empty => moved.is_err(),
+                () = std::future::ready(()), if !empty => false,
+            };
             if self.faults.iter().any(Fault::watches_dropped) {
                 std::future::pending::<()>().await;
             }
@@ -277,6 +284,8 @@
             let [before, _] = fault.halves();
             sleep(before).await;
             fault.pass().await;
+            let turned = fault.turn().await;
+            turned.inspect_err(|_| self.counts(|count| count.refused += 1))?;
         }
         Ok(())
     }
