--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -32,6 +32,7 @@
 pub use report::Report;
 pub use run::{Error, Program, run};
 pub use sent::{Kind, Sent, Trouble, Window};
+pub use standin::Away;
 
 /// A safeguard that the soak itself takes out, to see that its checks notice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
@@ -84,7 +85,8 @@
     /// Has targets limit their requests and leave.
     #[arg(long)]
     pub notices: bool,
-    /// Has requests show keys of workspaces, whose keys and quotas change, and cuts daemons off.
+    /// Has requests show keys of workspaces, whose keys and quotas change, and cuts daemons off, with
+    /// fewer of the other faults.
     #[arg(long)]
     pub workspaces: bool,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -20,8 +20,13 @@
 const NOTICES: u64 = 0x11_3a17;
 /// The same for workspaces and what is cut off from them.
 const TENANTS: u64 = 0x3a_9c0d;
+/// Beside those of workspaces one in so many of the other faults is kept: daemons that end every other
+/// second never outlive the time for removed keys, and allocators never lend.
+const KEPT: usize = 3;
 /// How long daemons are cut off or frozen, in seconds: a removed key is refused after 5.
-const CUT: std::ops::Range<f64> = 2.0..9.0;
+const CUT: std::ops::Range<f64> = 4.0..12.0;
+/// How long after the begin of a cut a key is replaced, in seconds.
+const REPLACED: std::ops::Range<f64> = 0.1..2.0;
 const FROZEN: std::ops::Range<f64> = 2.0..8.0;
 /// How long a workspace sends most requests, in seconds.
 const HOT: std::ops::Range<f64> = 2.0..6.0;
@@ -192,12 +197,22 @@
         self
     }
 
-    /// Has requests show keys of workspaces, and adds changes of these and daemons that are cut off or
-    /// frozen; the rest of the schedule stays as it is.
+    /// Has requests show keys of workspaces, adds changes of these and daemons that are cut off or frozen,
+    /// and keeps one in three of the faults so far. While daemons are cut off a key is replaced.
     pub fn with_workspaces(mut self) -> Plan {
         let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ TENANTS);
         let (length, instances) = (self.length, self.instances);
-        let tenants = steps(&mut random, length, |random| tenants(random, instances));
+        let mut tenants = steps(&mut random, length, |random| tenants(random, instances));
+        let cuts = tenants
+            .iter()
+            .filter(|step| matches!(step.fault, Fault::Cut(..)));
+        let replaced = cuts.map(|cut| Step {
+            at: cut.at + Duration::from_secs_f64(random.random_range(REPLACED)),
+            fault: Fault::ReplaceKey(random.random_range(1..WORKSPACES)),
+        });
+        let replaced: Vec<Step> = replaced.collect();
+        tenants.extend(replaced);
+        self.steps = self.steps.into_iter().step_by(KEPT).collect();
         self.steps.extend(tenants);
         self.steps.sort_by_key(|step| step.at);
         self.workspaces = true;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -167,12 +167,12 @@
         }
     }
     let windows = fleet.windows.lock().clone();
-    broken.extend(check(&sent, &runs, &windows));
-    broken.extend(check_notices(&sent, &lives, &windows));
     if let Some(customers) = customers {
         let history = customers.history.lock().clone();
         broken.extend(check_workspaces(&sent, &all, &history, rules::bounds()));
     }
+    broken.extend(check(&sent, &runs, &windows));
+    broken.extend(check_notices(&sent, &lives, &windows));
     for node in fleet.nodes.iter() {
         node.lock().await.kill().await?;
     }
--- a/crates/standin/tests/fault.rs
+++ b/crates/standin/tests/fault.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use standin::Platform;
+use standin::{Away, Platform};
 use store::{Condition, Kind};
 use tokio::time::{Instant, sleep};
-use unit::Rate;
+use unit::{Rate, Version};
 
 fn text(text: &'static str) -> Bytes {
     Bytes::from(text)
@@ -71,3 +71,35 @@
     store.put("a", text("3"), Condition::Any).await.unwrap();
     assert_eq!(platform.count().refused, 2);
 }
+
+// A platform that only some daemons can use must look like that to those that wait too, and go on serving
+// the others.
+#[tokio::test(start_paused = true)]
+async fn clients_are_turned_away_by_themselves() {
+    let limit = Duration::from_millis(100);
+    let platform = Platform::builder().timeout(limit).open();
+    let (away, free) = (platform.store_named("away"), platform.store_named("free"));
+    let fault = platform.fault_of("away");
+    for (how, written) in [
+        (Away::Refuse, false),
+        (Away::Reset, true),
+        (Away::Silence, true),
+    ] {
+        fault.turn_away(None);
+        let waiting = tokio::spawn({
+            let away = platform.store_named("away");
+            async move { away.watch("a", Version::NONE, Duration::from_secs(5)).await }
+        });
+        sleep(Duration::from_millis(10)).await;
+        fault.turn_away(Some(how));
+        // A watch that is silenced hears nothing of the write below, and ends by its time-out.
+        free.put("b", text("1"), Condition::Any).await.unwrap();
+        let put = away.put("a", text("1"), Condition::Any).await;
+        let error = put.unwrap_err();
+        assert_eq!(error.may_have_written(), written, "{how:?}");
+        assert!(waiting.await.unwrap().is_err(), "{how:?}");
+        assert_eq!(free.get("a").await.unwrap(), None, "{how:?}");
+    }
+    fault.turn_away(None);
+    assert!(away.get("b").await.unwrap().is_some());
+}
