Cut daemons off from their peers and not from themselves

Cause: a daemon reaches its own gate by the address that it announces, so that a cut of all links cut each daemon off from its own target too, and a cut-off daemon that served on was never noticed. Change: relay and proxy let a daemon's own links pass; a second workspace without a quota has keys that change.

--- a/crates/mesh/src/relay.rs
+++ b/crates/mesh/src/relay.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    /// Loses all datagrams, those of new ports too, until it is switched off again.
+    /// Loses all datagrams, those of new ports too, until it is switched off again. Those from the address
+    /// that the relay leads to pass: a daemon reaches itself.
     pub fn cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
     }
@@ -115,12 +116,14 @@
                     from,
                     pairs: pairs.clone(),
                     cut: cut.clone(),
+                    is_own: from.ip() == to.ip(),
                 }));
                 sockets.insert(from, socket.clone());
                 socket
             }
         };
-        if !cut.load(Ordering::SeqCst) && pass(&pairs, from) {
+        let is_cut = cut.load(Ordering::SeqCst) && from.ip() != to.ip();
+        if !is_cut && pass(&pairs, from) {
             // A datagram that can't be sent is lost, as on any network.
             drop(socket.send(&buffer[..length]).await);
         }
@@ -134,6 +137,7 @@
     from: SocketAddr,
     pairs: Pairs,
     cut: Arc<AtomicBool>,
+    is_own: bool,
 }
 
 async fn answer(way: Way) {
@@ -143,6 +147,7 @@
         from,
         pairs,
         cut,
+        is_own,
     } = way;
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
@@ -150,7 +155,7 @@
         let Ok(length) = socket.recv(&mut buffer).await else {
             continue;
         };
-        if !cut.load(Ordering::SeqCst) && pass(&pairs, from) {
+        if (is_own || !cut.load(Ordering::SeqCst)) && pass(&pairs, from) {
             drop(front.send_to(&buffer[..length], from).await);
         }
     }
--- a/crates/soak/src/customers.rs
+++ b/crates/soak/src/customers.rs
@@ -10,14 +10,16 @@
 
 use crate::workspaces::{History, Member, Members};
 
-/// Workspaces of a run. The first has no quota and keeps its keys.
-pub(crate) const WORKSPACES: usize = 4;
+/// Workspaces of a run. The first two have no quota, and the first keeps its keys.
+pub(crate) const WORKSPACES: usize = 5;
+/// Those before this one have no quota.
+pub(crate) const FIRST_QUOTA: usize = 2;
 /// The key of the first workspace that nobody takes away.
 pub(crate) const STEADY_KEY: &str = "key-w0-0";
 /// Keys that each workspace has at once.
 const KEYS: usize = 3;
-/// The quotas at the start, of the second workspace and those behind it.
-const QUOTAS: [(f64, u32); WORKSPACES - 1] = [(40.0, 20), (10.0, 5), (3.0, 2)];
+/// The quotas at the start.
+const QUOTAS: [(f64, u32); WORKSPACES - FIRST_QUOTA] = [(40.0, 20), (10.0, 5), (3.0, 2)];
 /// Of the requests, this share is sent by the hot workspace, if there is one.
 const HOT_SHARE: f64 = 0.7;
 /// Of the requests, these shares show a key that was taken away, one that never was any, and none.
@@ -38,7 +40,9 @@
 impl Customers {
     pub(crate) fn new() -> Customers {
         let members = (0..WORKSPACES).map(|number| {
-            let quota = number.checked_sub(1).map(|place| quota(QUOTAS[place]));
+            let quota = number
+                .checked_sub(FIRST_QUOTA)
+                .map(|place| quota(QUOTAS[place]));
             let keys = (0..KEYS)
                 .map(|key| format!("key-w{number}-{key}"))
                 .collect();
--- a/crates/soak/src/node.rs
+++ b/crates/soak/src/node.rs
@@ -56,7 +56,7 @@
             return Ok(Links::Quic(Relay::start(to).await));
         }
         let at = place.block.of(LINKS + place.index, Address::Link);
-        let proxy = Proxy::start(at, to, false).await;
+        let proxy = Proxy::of_daemon(at, to, &format!("desk-{}", place.index)).await;
         proxy.map(Links::Tcp).map_err(Error::Io)
     }
 
@@ -77,10 +77,11 @@
         }
     }
 
-    /// Cuts all links to the daemon, new ones too, or lets them pass again.
+    /// Cuts all links of others to the daemon, new ones too, or lets them pass again. A daemon reaches its
+    /// own gate by the address that it has announced.
     pub(crate) fn cut(&self, cut: bool) {
         match self {
-            Links::Tcp(proxy) => proxy.set(if cut { Mode::Silent } else { Mode::Pass }),
+            Links::Tcp(proxy) => proxy.set(if cut { Mode::Own } else { Mode::Pass }),
             Links::Quic(relay) => relay.cut(cut),
         }
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,7 +8,7 @@
 use standin::Away;
 
 use crate::Mode;
-use crate::customers::WORKSPACES;
+use crate::customers::{FIRST_QUOTA, WORKSPACES};
 
 /// The mean pause between two faults; several overlap, as each lasts up to some seconds.
 const MEAN_PAUSE: f64 = 0.9;
@@ -270,6 +270,7 @@
 
 fn tenants(random: &mut Pcg64Mcg, instances: usize) -> Fault {
     let workspace = random.random_range(1..WORKSPACES);
+    let limited = random.random_range(FIRST_QUOTA..WORKSPACES);
     let (rate, burst) = (random.random_range(RATE), random.random_range(BURST));
     let [cut, frozen, hot] =
         [CUT, FROZEN, HOT].map(|range| Duration::from_secs_f64(random.random_range(range)));
@@ -282,7 +283,7 @@
     let daemons = 1 << which | random.random_range(0..1 << instances);
     match random.random_range(0..16) {
         0..5 => Fault::ReplaceKey(workspace),
-        5..9 => Fault::Quota(workspace, rate.round(), burst),
+        5..9 => Fault::Quota(limited, rate.round(), burst),
         9..11 => Fault::Hot(workspace, hot),
         11..13 => Fault::Pause(which, frozen),
         kind => {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -26,6 +27,8 @@
     Silent,
     /// Passes on what is sent to the server, and nothing of what it answers.
     Mute,
+    /// Passes on only what the server sends to itself and is answered.
+    Own,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -48,9 +51,32 @@
     ///
     /// If `at` is taken.
     pub async fn start(at: SocketAddr, to: SocketAddr, twice: bool) -> io::Result<Proxy> {
+        let ends = Ends {
+            to,
+            twice,
+            own: None,
+        };
+        Proxy::between(at, ends).await
+    }
+
+    /// The same, where the server itself is told from other clients by a name in the first bytes.
+    ///
+    /// # Errors
+    ///
+    /// If `at` is taken.
+    pub async fn of_daemon(at: SocketAddr, to: SocketAddr, own: &str) -> io::Result<Proxy> {
+        let ends = Ends {
+            to,
+            twice: false,
+            own: Some(own.into()),
+        };
+        Proxy::between(at, ends).await
+    }
+
+    async fn between(at: SocketAddr, ends: Ends) -> io::Result<Proxy> {
         let listener = TcpListener::bind(at).await?;
         let (mode, seen) = watch::channel(Mode::Pass);
-        let task = tokio::spawn(accept(listener, to, twice, seen));
+        let task = tokio::spawn(accept(listener, ends, seen));
         Ok(Proxy { mode, task })
     }
 
@@ -60,31 +86,40 @@
     }
 }
 
+/// Where a proxy leads to.
+#[derive(Clone)]
+struct Ends {
+    to: SocketAddr,
+    /// The server gets all bytes on a second connection too.
+    twice: bool,
+    /// The name of the server among its clients.
+    own: Option<Arc<str>>,
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
-async fn accept(listener: TcpListener, to: SocketAddr, twice: bool, mode: watch::Receiver<Mode>) {
+async fn accept(listener: TcpListener, ends: Ends, mode: watch::Receiver<Mode>) {
     let mut pairs = JoinSet::new();
     loop {
         let Ok((client, _)) = listener.accept().await else {
             continue;
         };
         while pairs.try_join_next().is_some() {}
-        let mode = mode.clone();
+        let (ends, mode) = (ends.clone(), mode.clone());
         pairs.spawn(async move {
             // A connection that ends in an error ends for its client too, which is all there is.
-            drop(pair(client, to, twice, mode).await);
+            drop(pair(client, ends, mode).await);
         });
     }
 }
 
 async fn pair(
     client: TcpStream,
-    to: SocketAddr,
-    twice: bool,
+    Ends { to, twice, own }: Ends,
     mut mode: watch::Receiver<Mode>,
 ) -> io::Result<()> {
     if *mode.borrow() == Mode::Reset {
@@ -99,10 +134,29 @@
         true => Some(copier(TcpStream::connect(to).await?)),
         false => None,
     };
+    let is_own = match own {
+        Some(own) => tokio::select! {
+            first = begins_with(&client, own.as_bytes()) => first?,
+            _ = mode.wait_for(|mode| *mode == Mode::Reset) => return Ok(()),
+        },
+        None => false,
+    };
     let (from_client, to_client) = client.into_split();
     let (from_server, to_server) = server.into_split();
-    let there = carry(Way::There, from_client, to_server, mode.clone(), second);
-    let back = carry(Way::Back, from_server, to_client, mode.clone(), None);
+    let there = carry(
+        (Way::There, is_own),
+        from_client,
+        to_server,
+        mode.clone(),
+        second,
+    );
+    let back = carry(
+        (Way::Back, is_own),
+        from_server,
+        to_client,
+        mode.clone(),
+        None,
+    );
     tokio::select! {
         ended = there => ended,
         ended = back => ended,
@@ -110,6 +164,13 @@
     }
 }
 
+/// Whether the first bytes of a connection hold `name`.
+async fn begins_with(client: &TcpStream, name: &[u8]) -> io::Result<bool> {
+    let mut first = vec![0; CHUNK];
+    let count = client.peek(&mut first).await?;
+    Ok(first[..count].windows(name.len()).any(|part| part == name))
+}
+
 /// Writes what it is given to the server, and reads off its answers.
 fn copier(server: TcpStream) -> OwnedWriteHalf {
     let (mut answers, requests) = server.into_split();
@@ -121,7 +182,7 @@
 }
 
 async fn carry(
-    way: Way,
+    (way, is_own): (Way, bool),
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut mode: watch::Receiver<Mode>,
@@ -136,6 +197,7 @@
         let held = |mode: &Mode| match mode {
             Mode::Silent => true,
             Mode::Mute => way == Way::Back,
+            Mode::Own => !is_own,
             _ => false,
         };
         // The sender of the modes lives as long as the proxy.
