--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -137,6 +137,22 @@
     assert!(report.injected.contains_key("key replaced"), "{report}");
 }
 
+/// Callers' connections are older than the time for a head when the daemon wakes, and requests wait in
+/// them. The daemon closed them unread.
+#[test]
+fn requests_that_wait_for_a_frozen_daemon_are_answered() {
+    let freeze = Step {
+        at: Duration::from_millis(300),
+        fault: Fault::Pause(1, Duration::from_millis(10_500)),
+    };
+    let plan = Plan {
+        steps: vec![freeze],
+        ..stops()
+    };
+    let report = play(&plan, None);
+    assert!(report.broken.is_empty(), "{report}");
+}
+
 /// A daemon that is cut off from store and peers while keys are replaced, and nothing else.
 fn cut_off() -> Plan {
     let at = Duration::from_millis;
