Let regions count where the roster has targets in several

Callers of a deployment whose settings name the region of each zone, but no delay between regions, had half of their requests served in other regions: placement was switched on by placement.region_delay only. A service now counts regions while it has a target in another region than the entry's, with the delay measured on links and 8 ms (pick::region::REGION_DELAY) assumed before. The setting overrides the assumed delay. Where all targets are in the own region nothing is counted, and no request takes a lock or allocates for it.

The test of whole daemons in two regions now runs without the setting; that of pick covers the change from one region to two and back, and the digest of choices in one region is unchanged. Both fail if regions never count; the latter also if they always do.

--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use dialect::Dialect;
+use pick::region::{Home, REGION_DELAY};
 use pick::retry;
 use setting::Setting;
 
@@ -34,7 +35,7 @@
     /// How targets are chosen.
     pub choice: pick::Setting,
     /// The region and the costs of leaving it; `None` where regions are ignored.
-    pub home: Option<pick::region::Home>,
+    pub home: Option<Home>,
     /// Callers and the own target use one port, where the target is known by its address.
     pub one_port: bool,
 }
@@ -76,8 +77,8 @@
             ..Profile::default()
         };
         profile.choice.by_class = setting.placement.uneven;
-        let home = |delay| pick::region::Home::new(setting.region.clone(), delay);
-        profile.home = setting.placement.region_delay.map(home);
+        let delay = setting.placement.region_delay.unwrap_or(REGION_DELAY);
+        profile.home = Some(Home::new(setting.region.clone(), delay));
         profile.retry.share = setting.retry.share;
         if let Some(saved) = setting.retry.saved {
             profile.retry.share *= RETRY_PART;
--- a/crates/appleshore/tests/regions.rs
+++ b/crates/appleshore/tests/regions.rs
@@ -12,16 +12,13 @@
     { "name": "rest", "then": { "service": "desk", "timeout": "5s" } }
 ] }"#;
 
-/// Two daemons in region `west` and two in `east`.
+/// Two daemons in region `west` and two in `east`. No setting says how far apart they are.
 async fn mesh() -> Mesh {
     let builder = Mesh::builder().instances(4).rules(RULES);
     let builder = builder
         .zones(&["w1", "w2", "e1", "e2"])
         .regions(&["west", "west", "east", "east"]);
-    builder
-        .settings(r#""placement": { "region_delay": "8ms", "uneven": true }"#)
-        .start()
-        .await
+    builder.start().await
 }
 
 fn runs(mesh: &Mesh, path: &str) -> Vec<u64> {
--- a/crates/entry/src/builder.rs
+++ b/crates/entry/src/builder.rs
@@ -165,7 +165,8 @@
         self
     }
 
-    /// Sets the region of this instance and the costs of leaving it. Without it regions are ignored.
+    /// Sets the region of this instance and the costs of leaving it, which count for services with
+    /// targets in other regions. Without it regions are ignored.
     pub fn home(mut self, home: pick::region::Home) -> Builder {
         self.home = Some(home);
         self
--- a/crates/pick/src/builder.rs
+++ b/crates/pick/src/builder.rs
@@ -49,7 +49,8 @@
         self
     }
 
-    /// Sets the region of the entry and the costs of leaving it. Without it regions are ignored.
+    /// Sets the region of the entry and the costs of leaving it, which count while the service has
+    /// targets in other regions. Without it regions are ignored.
     pub fn home(mut self, home: Home) -> Builder {
         self.home = Some(home);
         self
--- a/crates/pick/src/home.rs
+++ b/crates/pick/src/home.rs
@@ -21,9 +21,16 @@
 }
 
 impl Pick {
-    /// Whether the choice takes account of regions.
+    /// Whether the choice takes account of regions: the entry knows its own, and the service has a
+    /// target in another.
     pub(crate) fn is_regional(&self) -> bool {
-        self.home.is_some()
+        self.regional
+    }
+
+    /// Whether any of `targets` is in another region than the entry, if it knows its own.
+    pub(crate) fn has_target_abroad(&self, targets: &[Target]) -> bool {
+        let mut regions = targets.iter().map(|target| &target.region);
+        regions.any(|region| !self.is_home(region))
     }
 
     /// Where the entry is: its zone, and its region unless regions are ignored.
@@ -92,7 +99,7 @@
         let count = self.traffic.count(region);
         count.requests += 1;
         count.bytes += moved.bytes;
-        if moved.complete && self.home.is_some() {
+        if moved.complete && self.regional {
             self.volumes.record(now, moved.class, moved.bytes);
         }
     }
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -50,6 +50,8 @@
     pub(crate) records: Vec<Record>,
     pub(crate) mean: Mean,
     pub(crate) home: Option<Home>,
+    /// Whether the service has a target in another region than the entry's.
+    pub(crate) regional: bool,
     /// Bytes by class of work.
     pub(crate) volumes: volume::Table,
     /// Service times by class of work.
@@ -88,6 +90,7 @@
             records: Vec::new(),
             mean: Mean::default(),
             home: builder.home,
+            regional: false,
             volumes: volume::Table::default(),
             work: work::Table::new(SERVICE_CLASSES),
             traffic: traffic::Table::default(),
@@ -106,6 +109,7 @@
     pub fn set_targets(&mut self, _now: Instant, targets: &[Target]) {
         let first = self.known == 0;
         self.known = targets.len();
+        self.regional = self.has_target_abroad(targets);
         let open = targets.iter().filter(|target| !target.evacuated);
         let open: Vec<Target> = open.cloned().collect();
         self.evacuated = targets.len() - open.len();
--- a/crates/pick/src/region.rs
+++ b/crates/pick/src/region.rs
@@ -2,9 +2,15 @@
 
 use std::time::Duration;
 
+/// One-way network delay to another region that is assumed until a link there has measured it.
+///
+/// Between regions of one continent it is 5 to 40 ms. An assumption at the lower end lets the first
+/// calls measure it.
+pub const REGION_DELAY: Duration = Duration::from_millis(8);
+
 /// The region of an entry, and what leaving it costs.
 ///
-/// Without it an entry ignores regions.
+/// It counts while the service has a target in another region. Without it an entry ignores regions.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Home {
     /// The region of the entry.
--- a/crates/pick/src/shared.rs
+++ b/crates/pick/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -16,8 +17,9 @@
 #[derive(Debug, Clone)]
 pub struct Shared {
     pick: Arc<Mutex<Pick>>,
-    /// Whether the choice takes account of regions.
-    regional: bool,
+    /// Whether the choice takes account of regions. Where it does not, requests skip the work for
+    /// them without a lock.
+    regional: Arc<AtomicBool>,
 }
 
 /// A call in flight. Dropped without [`Guard::end`], it counts as cancelled.
@@ -44,7 +46,7 @@
 impl From<Pick> for Shared {
     fn from(pick: Pick) -> Shared {
         Shared {
-            regional: pick.is_regional(),
+            regional: Arc::new(AtomicBool::new(pick.is_regional())),
             pick: Arc::new(Mutex::new(pick)),
         }
     }
@@ -53,7 +55,9 @@
 impl Shared {
     /// See [`Pick::set_targets`].
     pub fn set_targets(&self, now: Instant, targets: &[Target]) {
-        self.pick.lock().set_targets(now, targets);
+        let mut pick = self.pick.lock();
+        pick.set_targets(now, targets);
+        self.regional.store(pick.is_regional(), Ordering::Relaxed);
     }
 
     /// See [`Pick::is_evacuated`].
@@ -108,7 +112,7 @@
 
     /// See [`Pick::measure_round_trip`].
     pub fn measure_round_trip(&self, instance: &Instance, round_trip: Duration) {
-        if !self.regional {
+        if !self.is_regional() {
             return;
         }
         self.pick.lock().measure_round_trip(instance, round_trip);
@@ -122,7 +126,7 @@
     /// Begins to count the bytes of a call of `class` to `instance`.
     pub fn transfer(&self, instance: &Instance, class: u32) -> Transfer {
         let region = self
-            .regional
+            .is_regional()
             .then(|| self.pick.lock().region_of(instance))
             .flatten();
         Transfer::new(self.pick.clone(), region, class)
@@ -148,6 +152,10 @@
         self.pick.lock().dump(now)
     }
 
+    fn is_regional(&self) -> bool {
+        self.regional.load(Ordering::Relaxed)
+    }
+
     fn guard(&self, pick: &mut Pick, began: Instant, instance: &Instance) -> Guard {
         let basis = pick.basis(began, instance);
         pick.begin(began, instance);
--- a/crates/pick/tests/decisions/region.rs
+++ b/crates/pick/tests/decisions/region.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use pick::region::Home;
-use pick::{Moved, Need, Pick, Setting, Target, subset};
+use pick::region::{Home, REGION_DELAY};
+use pick::{Moved, Need, Pick, Setting, Shared, Target, subset};
 use tokio::time::Instant;
 use unit::{Digest, Report, Urgency, Zone};
 
@@ -171,6 +171,36 @@
     assert!(counts[0] > 0.03, "{counts:?}");
 }
 
+#[test]
+fn regions_count_from_the_first_target_of_another_one_on() {
+    // Daemons whose settings name only their own region sent half of their requests to others. In a
+    // deployment of one region, counting bytes costs each request an allocation for nothing.
+    let now = Instant::now();
+    let zone: Zone = "a".parse().expect("a zone");
+    let home = Home::new("r".to_string(), REGION_DELAY);
+    let pick: Shared = Pick::builder(zone).seed(2).home(home).build().into();
+    let calls = |pick: &Shared| {
+        let mut transfer = pick.transfer(&name(0), CHECK);
+        transfer.add(1_500);
+        transfer.complete();
+        drop(transfer);
+        pick.traffic().get("r").map_or(0, |count| count.requests)
+    };
+    let mut targets: Vec<Target> = (0..3).map(|i| target(i, "a")).collect();
+    pick.set_targets(now, &targets);
+    assert_eq!(calls(&pick), 0);
+    targets.extend((3..6).map(|i| abroad(i, "s")));
+    pick.set_targets(now, &targets);
+    assert_eq!(calls(&pick), 1);
+    let there = |pick: &Shared| pick.dump(now).targets[3].round_trip_us;
+    assert_eq!(there(&pick), 2 * REGION_DELAY.as_micros() as u64);
+    pick.measure_round_trip(&name(3), Duration::from_millis(40));
+    assert_eq!(there(&pick), 40_000);
+    targets.truncate(3);
+    pick.set_targets(now, &targets);
+    assert_eq!(calls(&pick), 1);
+}
+
 #[test]
 fn a_measured_round_trip_replaces_the_configured_one() {
     // A way that is longer than configured would get requests that are late when they arrive.
--- a/crates/setting/src/placement.rs
+++ b/crates/setting/src/placement.rs
@@ -12,8 +12,8 @@
 /// How a daemon chooses among targets of several regions and of unlike speed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Placement {
-    /// One-way network delay between regions, used until links have measured it. If it is not
-    /// given, regions are ignored.
+    /// One-way network delay between regions, used until links have measured it, instead of the
+    /// usual one.
     pub region_delay: Option<Duration>,
     /// Whether service times are learned by class of work and target, and a slot of the target is
     /// kept for short nested calls; `false` by default.
