--- a/crates/appleshore/src/quota.rs
+++ b/crates/appleshore/src/quota.rs
@@ -41,7 +41,11 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Reply {
     Answer(Answer),
-    Lends(bool),
+    Lends {
+        lends: bool,
+        /// Whether no takeover of it can use the margin any more.
+        is_clear: bool,
+    },
     /// The number of workspaces whose records were taken.
     Taken(u32),
 }
--- a/crates/appleshore/src/quota/borrowing.rs
+++ b/crates/appleshore/src/quota/borrowing.rs
@@ -141,15 +141,15 @@
         }
     }
 
-    /// Asks whether an allocator lends.
-    pub(super) async fn probe(&self, member: &Member) -> bool {
+    /// Asks whether an allocator lends, and whether no takeover of it can use the margin any more.
+    pub(super) async fn probe(&self, member: &Member) -> (bool, bool) {
         if member.instance == self.me {
             return self.lends();
         }
-        matches!(
-            self.exchange(member, &Message::Probe).await,
-            Ok(Reply::Lends(true))
-        )
+        match self.exchange(member, &Message::Probe).await {
+            Ok(Reply::Lends { lends, is_clear }) => (lends, is_clear),
+            _ => (false, false),
+        }
     }
 
     pub(super) async fn exchange(
--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -24,7 +24,10 @@
         let message: Message = codec::unpack(payload)?;
         let reply = match message {
             Message::Ask(ask) => Reply::Answer(self.lend(from, &ask, payload.len())),
-            Message::Probe => Reply::Lends(self.lends()),
+            Message::Probe => {
+                let (lends, is_clear) = self.lends();
+                Reply::Lends { lends, is_clear }
+            }
             Message::Transfer(transfer) => {
                 let now = self.now();
                 let mut lender = self.lender.lock();
@@ -37,12 +40,13 @@
         codec::pack(&reply)
     }
 
-    /// Whether this daemon may lend.
-    pub(super) fn lends(&self) -> bool {
+    /// Whether this daemon may lend, and whether no takeover of it can use the margin any more.
+    pub(super) fn lends(&self) -> (bool, bool) {
         let now = self.now();
         let mut lender = self.lender.lock();
         self.confirm(now, &mut lender);
-        lender.has_authority(now)
+        let is_clear = lender.is_clear(now, |workspace| (self.parts.quotas)(workspace));
+        (lender.has_authority(now), is_clear)
     }
 
     pub(super) fn lend(&self, from: &Instance, ask: &Ask, bytes: usize) -> Answer {
@@ -70,10 +74,11 @@
         {
             let is_allocator = list.allocators.contains(lender.me());
             log::info!(
-                "quota: list={} version={} settled={} fleet={} allocators={} allocator={is_allocator} age_ms={}.",
+                "quota: list={} version={} settled={} follows_settled={} fleet={} allocators={} allocator={is_allocator} age_ms={}.",
                 list.number,
                 listed.version,
                 list.settled,
+                list.follows_settled,
                 list.fleet,
                 list.allocators.len(),
                 listed.age.as_millis(),
--- a/crates/appleshore/src/quota/listing.rs
+++ b/crates/appleshore/src/quota/listing.rs
@@ -76,8 +76,9 @@
             .unwrap_or_default()
             .iter()
             .map(|member| async move {
-                let lends = self.probe(member).await;
-                self.review.lock().probed(self.now(), member, lends);
+                let (lends, is_clear) = self.probe(member).await;
+                let mut review = self.review.lock();
+                review.probed(self.now(), member, lends, is_clear);
             });
         futures_util::future::join_all(probes).await;
     }
--- a/crates/appleshore/src/quota/report.rs
+++ b/crates/appleshore/src/quota/report.rs
@@ -101,7 +101,7 @@
     pub(crate) fn state(&self) -> State {
         let now = self.now();
         let usage = self.borrower.lock().usage(now);
-        let lends = self.lends();
+        let (lends, _) = self.lends();
         let (list, pools) = {
             let lender = self.lender.lock();
             let list = lender.list().map(|(_, list)| list.clone());
--- a/crates/quota/src/borrower.rs
+++ b/crates/quota/src/borrower.rs
@@ -38,6 +38,8 @@
     contacts: BTreeMap<Member, Contact>,
     limits: BTreeMap<Workspace, u32>,
     number: u64,
+    /// The number of the last ask before the list.
+    listed: u64,
 }
 
 impl Borrower {
@@ -52,6 +54,7 @@
             contacts: BTreeMap::new(),
             limits: BTreeMap::new(),
             number: 0,
+            listed: 0,
         }
     }
 
@@ -66,6 +69,11 @@
         }
         self.contacts
             .retain(|member, _| list.allocators.contains(member));
+        // The allocators of the list may not know what their predecessors have been told.
+        for purse in self.purses.values_mut() {
+            purse.tell_again();
+        }
+        self.listed = self.number;
         self.list = Some((version, list.clone()));
     }
 
@@ -174,9 +182,10 @@
 
     /// The asks that should be sent now, each with the allocator that it goes to.
     pub fn asks(&mut self, now: Moment) -> Vec<(Member, Ask)> {
-        let Some((_, list)) = &self.list else {
+        let Some((version, list)) = &self.list else {
             return Vec::new();
         };
+        let version = *version;
         let mut due: BTreeMap<Member, Vec<Workspace>> = BTreeMap::new();
         let mut urgent = Vec::new();
         for (workspace, purse) in &self.purses {
@@ -189,12 +198,17 @@
                 }
             }
         }
+        for member in &list.allocators {
+            due.entry(member.clone()).or_default();
+        }
         due.retain(|member, workspaces| {
             let contact = self.contacts.entry(member.clone()).or_default();
             let (last, renewal) = (contact.last_sent(), contact.renewal());
             let purses = workspaces.iter().filter_map(|name| self.purses.get(name));
             let mut renewals = purses.filter_map(|purse| purse.renew_at(last, renewal));
-            let is_due = urgent.contains(member) || renewals.any(|at| now >= at);
+            let is_due = urgent.contains(member)
+                || renewals.any(|at| now >= at)
+                || contact.has_report(now, version);
             is_due && now >= contact.free_at()
         });
         due.into_iter()
@@ -218,6 +232,11 @@
         let ask = Ask {
             incarnation: self.incarnation,
             number,
+            list: self
+                .list
+                .as_ref()
+                .map_or(Version::NONE, |(version, _)| *version),
+            age_ms: u32::try_from(now.0.as_millis()).unwrap_or(u32::MAX),
             items,
         };
         (member, ask)
@@ -225,7 +244,12 @@
 
     /// When [`Borrower::asks`] may have something next; `None` if nothing is open.
     pub fn next_ask(&self, now: Moment) -> Option<Moment> {
-        let (_, list) = self.list.as_ref()?;
+        let (version, list) = self.list.as_ref()?;
+        let reports = list.allocators.iter().filter_map(|member| {
+            let contact = self.contacts.get(member);
+            let is_due = contact.is_none_or(|contact| contact.has_report(now, *version));
+            is_due.then(|| contact.map_or(now, |contact| contact.free_at().max(now)))
+        });
         let purses = self.purses.iter().filter(|(_, purse)| purse.has_news());
         let next = purses.filter_map(|(workspace, purse)| {
             let contact = self.contacts.get(list.allocator(workspace)?);
@@ -240,7 +264,7 @@
             };
             Some(wished.max(contact.free_at()).max(now))
         });
-        next.min()
+        next.chain(reports).min()
     }
 
     /// Whether an ask about a workspace should be sent before the next renewal.
@@ -270,6 +294,13 @@
         if !answer.lending {
             return 0;
         }
+        if let Some((version, _)) = self
+            .list
+            .as_ref()
+            .filter(|_| answer.heard && number > self.listed)
+        {
+            contact.set_reported(*version);
+        }
         contact.set_renewal(Duration::from_millis(u64::from(answer.renew_ms)));
         let mut came = 0;
         for reply in &answer.replies {
--- a/crates/quota/src/contact.rs
+++ b/crates/quota/src/contact.rs
@@ -3,6 +3,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use unit::Version;
+
 use crate::{Moment, RENEWAL};
 
 /// The most asks that an allocator gets from one daemon in [`RATE_PERIOD`].
@@ -12,6 +14,9 @@
 /// How long an ask may go without an answer. Another one is sent then, and the answer is ignored.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The time between two reports by a new list while its allocator does not know the list yet.
+const REPORT_RETRY: Duration = Duration::from_millis(400);
+
 /// What a borrower remembers of one allocator.
 #[derive(Debug, Default)]
 pub(crate) struct Contact {
@@ -19,6 +24,8 @@
     pub(crate) open: Option<(u64, Moment)>,
     sent: VecDeque<Moment>,
     renewal: Option<Duration>,
+    /// The list by which an ask was answered last.
+    reported: Option<Version>,
 }
 
 impl Contact {
@@ -62,6 +69,16 @@
         Some(sent)
     }
 
+    pub(crate) fn set_reported(&mut self, list: Version) {
+        self.reported = Some(list);
+    }
+
+    /// Whether the allocator has to be told what is held here by a new list.
+    pub(crate) fn has_report(&self, now: Moment, list: Version) -> bool {
+        let is_new = self.sent.is_empty() || now.since(self.last_sent()) >= REPORT_RETRY;
+        self.reported != Some(list) && is_new
+    }
+
     pub(crate) fn set_renewal(&mut self, renewal: Duration) {
         self.renewal = Some(renewal);
     }
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -1,6 +1,6 @@
 //! The allocator of some workspaces.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use unit::{Incarnation, Instance, Rate, Version, Workspace};
@@ -23,10 +23,21 @@
     version: Version,
     list: List,
     learned: Moment,
-    /// Whether the list was written at most [`AUTHORITY`] before.
-    is_fresh: bool,
     /// Whether no allocator has lent before.
     is_first: bool,
+    /// The daemons that have told what they hold by this list or a later one.
+    heard: BTreeSet<Instance>,
+    /// When what former processes of these daemons have spent has left the window.
+    cold: Moment,
+}
+
+impl Known {
+    /// Whether all that may hold loans by former lists have told what they hold.
+    fn has_heard_all(&self) -> bool {
+        let mut daemons = self.list.daemons.iter().chain(&self.list.leaving);
+        let is_named = self.list.complete && !self.list.daemons.is_empty();
+        is_named && daemons.all(|daemon| self.heard.contains(daemon))
+    }
 }
 
 /// The last confirmation of the list.
@@ -96,8 +107,7 @@
             }
             return false;
         };
-        let is_fresh = before.is_some_and(|before| now.since(before.began) <= AUTHORITY);
-        self.learn(now, version, list, is_fresh);
+        self.learn(now, version, list);
         true
     }
 
@@ -106,7 +116,7 @@
         self.pools.clear();
     }
 
-    fn learn(&mut self, now: Moment, version: Version, list: &List, is_fresh: bool) {
+    fn learn(&mut self, now: Moment, version: Version, list: &List) {
         let follows = self.lists.back().is_some_and(|last| {
             last.version.era == version.era && last.list.number + 1 == list.number
         });
@@ -119,8 +129,9 @@
             version,
             list: list.clone(),
             learned: now,
-            is_fresh,
             is_first,
+            heard: BTreeSet::new(),
+            cold: now,
         });
         let me = &self.me;
         self.pools
@@ -161,18 +172,51 @@
     fn takeover(&self, workspace: &Workspace) -> Option<Takeover> {
         let mine = |known: &&Known| known.list.allocator(workspace) == Some(&self.me);
         let since = self.lists.iter().rev().take_while(mine).last()?;
-        // A later era begins with a list from an older copy, whose mark is of another time.
-        let is_restored = since.version.era.0 > 0
-            && self
-                .lists
-                .front()
-                .is_some_and(|first| first.version == since.version);
+        let is_known = since.list.is_of_era(since.version);
+        let mut until = since.learned + self.setting.takeover_wait();
+        if is_known && since.has_heard_all() {
+            until = until.min(since.cold);
+        }
         (!since.is_first).then(|| Takeover {
-            until: since.learned + self.setting.takeover_wait(),
-            margin: since.list.settled && !is_restored && since.is_fresh,
+            until,
+            // Under a settled list nothing of the margin is ever in use.
+            margin: is_known && since.list.follows_settled && !since.list.settled,
         })
     }
 
+    /// Counts a daemon that has told all that it holds by the list of `ask`, if the list is known.
+    fn hear(&mut self, now: Moment, from: &Instance, ask: &Ask) -> bool {
+        let age = Duration::from_millis(u64::from(ask.age_ms));
+        let cold = now + self.setting.window.saturating_sub(age);
+        let is_present = self
+            .lists
+            .back()
+            .is_some_and(|last| ask.list <= last.version);
+        let lists = self
+            .lists
+            .iter_mut()
+            .filter(|known| known.version <= ask.list);
+        for known in lists.filter(|_| is_present) {
+            if known.heard.insert(from.clone()) {
+                known.cold = known.cold.max(cold);
+            }
+        }
+        is_present
+    }
+
+    /// Whether no takeover under the list can use the margin any more.
+    pub fn is_clear(&self, now: Moment, quota: impl Fn(&Workspace) -> Option<Quota>) -> bool {
+        let Some(last) = self.lists.back().filter(|_| self.has_authority(now)) else {
+            return false;
+        };
+        let has_waited = now.since(last.learned) >= self.setting.takeover_wait();
+        has_waited
+            && self.pools.iter().all(|(workspace, pool)| {
+                let limit = quota(workspace).map_or(0, |quota| self.setting.limit(&quota));
+                pool.is_within(self.setting.lendable(limit, last.list.fleet))
+            })
+    }
+
     /// Answers an ask of `from`. `quota` gives the quota of a workspace by the configuration in force.
     pub fn ask(
         &mut self,
@@ -183,6 +227,7 @@
     ) -> Answer {
         let mut answer = Answer {
             lending: self.has_authority(now),
+            heard: false,
             renew_ms: self.renewal(now).as_millis() as u16,
             replies: Vec::new(),
         };
@@ -191,6 +236,11 @@
             incarnation: ask.incarnation,
         };
         let last = self.asked.get(&borrower);
+        let may_borrow = self.list().is_some_and(|(_, list)| list.may_borrow(from));
+        if !may_borrow {
+            answer.lending = false;
+            return answer;
+        }
         // An ask that was overtaken describes a former state of the borrower.
         if !answer.lending || last.is_some_and(|(number, _)| ask.number <= *number) {
             return answer;
@@ -219,9 +269,11 @@
             let takeover = self.takeover(&item.workspace);
             let pool = self.pools.entry(item.workspace.clone());
             let pool = pool.or_insert_with(|| Pool::new(takeover));
+            pool.set_takeover(now, takeover);
             let reply = pool.ask(now, &borrower, item, &terms, &self.setting);
             answer.replies.push(reply);
         }
+        answer.heard = self.hear(now, from, ask);
         answer
     }
 
@@ -278,6 +330,7 @@
         }
         for (workspace, pool) in &mut self.pools {
             pool.expire(now);
+            pool.set_takeover(now, None);
             let Some(member) = list.allocator(workspace).filter(|_| !pool.takes_over(now)) else {
                 continue;
             };
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -1,7 +1,7 @@
 //! What borrowers and allocators tell each other.
 
 use serde::{Deserialize, Serialize};
-use unit::{Incarnation, Workspace};
+use unit::{Incarnation, Version, Workspace};
 
 use crate::Member;
 
@@ -12,6 +12,11 @@
     pub incarnation: Incarnation,
     /// Rises with each ask of this life.
     pub number: u64,
+    /// The version of the list by which the borrower asks. It takes no tokens of allocators of former
+    /// lists any more.
+    pub list: Version,
+    /// How long the borrower's process has run, in milliseconds.
+    pub age_ms: u32,
     /// The workspaces that are asked for.
     pub items: Vec<Item>,
 }
@@ -27,8 +32,8 @@
     pub want: u32,
     /// The requests that came since the last answered ask, refused ones too.
     pub tried: u32,
-    /// The tokens that it has given up since the last answered ask and that were spent within the
-    /// window.
+    /// The tokens that it has given up since the last answered ask, or of the whole window in the first
+    /// ask by a list, and that were spent within the window.
     pub returned: Vec<Age>,
 }
 
@@ -46,6 +51,8 @@
 pub struct Answer {
     /// Whether the allocator may lend at present. If not, there are no replies and nothing is renewed.
     pub lending: bool,
+    /// Whether the allocator knows the list by which it was asked, and has noted what the borrower holds.
+    pub heard: bool,
     /// The time after which the borrower should renew, in milliseconds.
     pub renew_ms: u16,
     /// One reply for each workspace of which this daemon is the allocator.
--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -80,6 +80,8 @@
     loans: BTreeMap<Member, Loan>,
     /// Returned tokens by the moment at which they may be lent again.
     cooling: BTreeMap<Moment, u32>,
+    /// Tokens that were returned to the predecessor, likewise. They count once the takeover has ended.
+    foreign: BTreeMap<Moment, u32>,
     level: Option<u32>,
     level_at: Option<Moment>,
     demand: Demand,
@@ -92,6 +94,7 @@
             adopted: 0,
             loans: BTreeMap::new(),
             cooling: BTreeMap::new(),
+            foreign: BTreeMap::new(),
             level: None,
             level_at: None,
             demand: Demand::new(),
@@ -103,6 +106,24 @@
         self.lent() + self.cooling()
     }
 
+    /// Ends the takeover earlier, if all loans of the predecessor are known. Tokens that were returned to
+    /// the predecessor count from then on.
+    pub(crate) fn set_takeover(&mut self, now: Moment, takeover: Option<Takeover>) {
+        if let (Some(old), Some(new)) = (&mut self.takeover, takeover) {
+            old.until = old.until.min(new.until);
+        }
+        if !self.takes_over(now) {
+            for (free, count) in std::mem::take(&mut self.foreign) {
+                self.cool(free, count);
+            }
+        }
+    }
+
+    /// Whether no more is lent or cooling than the allocator lends without the margin.
+    pub(crate) fn is_within(&self, lendable: u32) -> bool {
+        self.used() <= lendable
+    }
+
     /// Tokens that borrowers may hold.
     pub(crate) fn lent(&self) -> u32 {
         self.loans.values().map(|loan| loan.out).sum()
@@ -132,6 +153,7 @@
     pub(crate) fn expire(&mut self, now: Moment) {
         self.loans.retain(|_, loan| now < loan.frees);
         self.cooling.retain(|free, _| now < *free);
+        self.foreign.retain(|free, _| now < *free);
     }
 
     fn cool(&mut self, until: Moment, count: u32) {
@@ -143,6 +165,7 @@
     /// Tokens that the borrower no longer holds. The most recently spent ones that it names are taken
     /// for these, as it may name some that were returned before.
     fn take_back(&mut self, now: Moment, mut freed: u32, returned: &[Age], window: Duration) {
+        let takes_over = self.takes_over(now);
         let mut ages = returned.to_vec();
         ages.sort_by_key(|age| age.age);
         for age in ages {
@@ -151,6 +174,9 @@
             let left = window.saturating_sub(AGE_UNIT * u32::from(age.age));
             if !left.is_zero() {
                 self.cool(now + left, count);
+                if takes_over && age.count > count {
+                    *self.foreign.entry(now + left).or_default() += age.count - count;
+                }
             }
         }
     }
@@ -368,6 +394,8 @@
                 }
             }
         }
+        // The records tell what was returned to the predecessor.
+        self.foreign.clear();
         self.takeover = None;
     }
 }
--- a/crates/quota/src/purse.rs
+++ b/crates/quota/src/purse.rs
@@ -54,6 +54,8 @@
     spent: Moment,
     /// The number of the first ask that named it.
     named: Option<u64>,
+    /// Whether the allocator has been told.
+    is_told: bool,
 }
 
 /// The tokens of one workspace.
@@ -181,9 +183,11 @@
     }
 
     fn push_returned(&mut self, spent: impl IntoIterator<Item = Moment>) {
-        let returned = spent
-            .into_iter()
-            .map(|spent| Returned { spent, named: None });
+        let returned = spent.into_iter().map(|spent| Returned {
+            spent,
+            named: None,
+            is_told: false,
+        });
         self.returned.extend(returned);
     }
 
@@ -329,7 +333,7 @@
         }
         let regular = last + renewal;
         let is_cold = (self.spent.len() as u32) < self.held + self.share;
-        if self.want() > 0 || !self.returned.is_empty() || is_cold {
+        if self.want() > 0 || self.has_untold() || is_cold {
             return Some(regular);
         }
         let hot = self.spent.front().map(|spent| *spent + self.window);
@@ -352,14 +356,28 @@
         !is_paced && unreported >= MIN_SURGE.max((self.spent.len() as u64).div_ceil(renewals))
     }
 
+    fn has_untold(&self) -> bool {
+        self.returned.iter().any(|returned| !returned.is_told)
+    }
+
+    /// Names all returned tokens of the window again, and ignores an answer under way.
+    pub(crate) fn tell_again(&mut self) {
+        self.asked = None;
+        for returned in &mut self.returned {
+            returned.named = None;
+            returned.is_told = false;
+        }
+    }
+
     /// Whether an ask has anything to say of this workspace.
     pub(crate) fn has_news(&self) -> bool {
-        self.held > 0 || !self.returned.is_empty() || self.want() > 0
+        self.held > 0 || self.has_untold() || self.want() > 0
     }
 
     /// Whether nothing would be lost with this purse but its totals.
     pub(crate) fn is_idle(&self) -> bool {
-        !self.has_news() && self.spent.is_empty() && self.refused.is_empty()
+        let is_unused = self.spent.is_empty() && self.refused.is_empty();
+        !self.has_news() && is_unused && self.returned.is_empty()
     }
 
     /// What ask `number` says. Tokens that are not needed are given up with it.
@@ -377,7 +395,7 @@
             self.give_up(self.held - want);
         }
         let mut returned: Vec<Age> = Vec::new();
-        for entry in &mut self.returned {
+        for entry in self.returned.iter_mut().filter(|entry| !entry.is_told) {
             entry.named.get_or_insert(number);
             let age = now.since(entry.spent).as_millis() / AGE_UNIT.as_millis();
             let age = u16::try_from(age).unwrap_or(u16::MAX);
@@ -405,9 +423,9 @@
         };
         self.reported = self.asked_total;
         self.set_pace(now, sent, reply.pace);
-        let is_answered = |named: u64| named <= number;
-        self.returned
-            .retain(|returned| !returned.named.is_some_and(is_answered));
+        for entry in &mut self.returned {
+            entry.is_told |= entry.named.is_some_and(|named| named <= number);
+        }
         self.lent = reply.lent;
         self.lent_by = reply.limit;
         self.ends = sent + LEASE;
--- a/crates/quota/src/review.rs
+++ b/crates/quota/src/review.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use unit::{Era, Version, Zone};
+use unit::{Era, Instance, Version, Zone};
 
 use crate::{ALLOCATOR_TIMEOUT, List, Member, Moment, Setting};
 
@@ -19,6 +19,16 @@
 /// The list is written again once its fleet is over this multiple of the number of daemons.
 const MAX_FLEET_FACTOR: u32 = 3;
 
+/// The most daemons that a list names. The list passes to each daemon, so above this number none are
+/// named, and each takeover takes its whole time.
+const MAX_NAMED: usize = 256;
+
+/// The least time from one list to the next that only names other daemons.
+const NAME_PAUSE: Duration = Duration::from_secs(1);
+
+/// How long a daemon has to be gone before it is named as leaving.
+const LEAVE_AFTER: Duration = Duration::from_secs(30);
+
 /// How long the number of daemons has to be the same before the first list is written.
 const GATHER: Duration = Duration::from_secs(2);
 
@@ -56,6 +66,10 @@
     seen: Option<(Version, Moment)>,
     /// Since when each allocator has not answered, or not lent.
     silent: BTreeMap<Member, Moment>,
+    /// The allocators that have said that they are clear since the list has stood.
+    clear: BTreeSet<Member>,
+    /// Since when daemons that the list names are gone.
+    gone: BTreeMap<Instance, Moment>,
     has_seen_list: bool,
     reviewed: Option<Moment>,
     /// The number of live daemons, and since when it is the same.
@@ -69,19 +83,33 @@
             setting,
             seen: None,
             silent: BTreeMap::new(),
+            clear: BTreeSet::new(),
+            gone: BTreeMap::new(),
             has_seen_list: false,
             reviewed: None,
             gathered: None,
         }
     }
 
-    /// Records whether an allocator has answered a probe and may lend.
-    pub fn probed(&mut self, now: Moment, member: &Member, lends: bool) {
+    /// Records whether an allocator has answered a probe and may lend, and whether it is clear of
+    /// takeovers and of the margin.
+    pub fn probed(&mut self, now: Moment, member: &Member, lends: bool, is_clear: bool) {
         if lends {
             self.silent.remove(member);
         } else {
             self.silent.entry(member.clone()).or_insert(now);
         }
+        if is_clear && self.has_stood(now) {
+            self.clear.insert(member.clone());
+        } else {
+            self.clear.remove(member);
+        }
+    }
+
+    /// Whether the list has been the same for so long that all loans by former ones have ended.
+    fn has_stood(&self, now: Moment) -> bool {
+        let wait = self.setting.takeover_wait();
+        self.seen.is_some_and(|(_, at)| now.since(at) >= wait)
     }
 
     fn is_silent(&self, now: Moment, member: &Member) -> bool {
@@ -112,16 +140,16 @@
         if self.seen.is_none_or(|(seen, _)| seen != version) {
             self.seen = Some((version, now));
             self.silent.clear();
+            self.clear.clear();
         }
         self.has_seen_list = true;
         let Some(list) = view.list else {
             // An operator has written something else; numbers go on from the revision.
-            return Some(self.list(view, version.revision + 1, false, &[], wanted(live)));
+            return Some(self.list(view, version.revision + 1, &[], wanted(live)));
         };
         self.silent
             .retain(|member, _| list.allocators.contains(member));
-        let since = self.seen.map_or(now, |(_, since)| since);
-        let has_stood = now.since(since) >= self.setting.settle_wait();
+        let has_stood = self.has_stood(now);
         let usable: Vec<Member> = list
             .allocators
             .iter()
@@ -140,24 +168,81 @@
         let fleet_differs = daemons > list.fleet || list.fleet > daemons * MAX_FLEET_FACTOR;
         // Each change of the size moves workspaces, whose new allocators have to wait.
         let has_size = count * SIZE_FACTOR >= wanted && count <= wanted * SIZE_FACTOR;
-        let is_due = usable.len() < count.min(live)
-            || !has_size
-            || fleet_differs
-            || (!list.settled && has_stood);
-        if !is_due {
+        let moves = usable.len() < count.min(live) || !has_size;
+        let is_of_era = list.is_of_era(version) && version.era == view.era;
+        let is_clear = list.allocators.iter().all(|m| self.clear.contains(m));
+        let settles = !list.settled && has_stood && is_clear && is_of_era;
+        let has_paused = self.seen.is_some_and(|(_, at)| now.since(at) >= NAME_PAUSE);
+        let names_differ = self.names_differ(now, list, view) && has_paused;
+        if !moves && !fleet_differs && !settles && !names_differ {
             return None;
         }
         let size = if has_size { count.min(live) } else { wanted };
-        let mut next = self.list(view, list.number + 1, has_stood, &usable, size);
-        if !fleet_differs {
-            next.fleet = list.fleet;
-        } else {
+        let mut next = self.list(view, list.number + 1, &usable, size);
+        self.follow(now, &mut next, list, view);
+        if fleet_differs {
             // Daemons that have not heard of it yet use the former even share for a while.
-            next.settled = false;
+            next.follows_settled = false;
+        } else {
+            next.fleet = list.fleet;
         }
+        let is_kept = next.allocators == list.allocators && !fleet_differs;
+        next.settled = is_kept && is_of_era && (list.settled || settles);
         Some(next)
     }
 
+    /// Whether the daemons that may borrow differ from those that the list names.
+    fn names_differ(&mut self, now: Moment, list: &List, view: &View<'_>) -> bool {
+        let known: BTreeSet<&Instance> = view.daemons.iter().map(|d| &d.member.instance).collect();
+        self.gone
+            .retain(|name, _| !known.contains(name) && list.daemons.contains(name));
+        for name in list.daemons.iter().filter(|name| !known.contains(name)) {
+            self.gone.entry(name.clone()).or_insert(now);
+        }
+        let left = |since: &Moment| now.since(*since) >= LEAVE_AFTER;
+        if known.len() > MAX_NAMED {
+            return !list.daemons.is_empty();
+        }
+        known
+            .iter()
+            .any(|name| list.daemons.binary_search(name).is_err())
+            || self.gone.values().any(left)
+    }
+
+    /// Sets what `next` says of the list before it.
+    fn follow(&self, now: Moment, next: &mut List, list: &List, view: &View<'_>) {
+        let is_of_era = view
+            .version
+            .is_some_and(|version| list.is_of_era(version) && version.era == view.era);
+        let is_seen = self
+            .seen
+            .is_some_and(|(seen, _)| Some(seen) == view.version);
+        let has_stood = is_seen && self.has_stood(now);
+        next.follows_settled = is_of_era && list.settled;
+        next.complete = is_of_era && !list.daemons.is_empty() && (list.complete || has_stood);
+        if next.daemons.is_empty() {
+            return;
+        }
+        // Those that are gone for a short time only come back without another list.
+        let left = |name: &Instance| {
+            let since = self.gone.get(name);
+            since.is_some_and(|since| now.since(*since) >= LEAVE_AFTER)
+        };
+        let (leaving, kept): (Vec<Instance>, Vec<Instance>) =
+            list.daemons.iter().cloned().partition(left);
+        next.daemons.extend(kept);
+        next.daemons.sort();
+        next.daemons.dedup();
+        next.leaving.extend(leaving);
+        if !has_stood {
+            next.leaving.extend(list.leaving.iter().cloned());
+        }
+        next.leaving.sort();
+        next.leaving.dedup();
+        next.leaving
+            .retain(|name| next.daemons.binary_search(name).is_err());
+    }
+
     /// The list without a member that stops, and without changes otherwise.
     pub fn without(&self, now: Moment, view: &View<'_>, member: &Member) -> Option<List> {
         let list = view.list?;
@@ -167,8 +252,6 @@
             .filter(|m| *m != member)
             .cloned()
             .collect();
-        let since = self.seen.filter(|(seen, _)| Some(*seen) == view.version);
-        let has_stood = since.is_some_and(|(_, at)| now.since(at) >= self.setting.settle_wait());
         let daemons: Vec<Daemon> = view
             .daemons
             .iter()
@@ -179,7 +262,8 @@
             daemons: &daemons,
             ..*view
         };
-        let mut next = self.list(&view, list.number + 1, has_stood, &kept, kept.len().max(1));
+        let mut next = self.list(&view, list.number + 1, &kept, kept.len().max(1));
+        self.follow(now, &mut next, list, &view);
         next.fleet = list.fleet;
         (!next.allocators.is_empty()).then_some(next)
     }
@@ -196,7 +280,10 @@
     fn first(&self, view: &View<'_>) -> List {
         let settled = !self.has_seen_list && view.era == Era(0);
         let live = view.daemons.iter().filter(|daemon| daemon.is_live).count();
-        self.list(view, 1, settled, &[], wanted(live))
+        let mut first = self.list(view, 1, &[], wanted(live));
+        first.settled = settled;
+        first.complete = settled;
+        first
     }
 
     fn is_usable(&self, now: Moment, member: &Member, view: &View<'_>) -> bool {
@@ -212,14 +299,7 @@
     }
 
     /// A list of `size` allocators: those kept first, then the longest-running daemons, spread over zones.
-    fn list(
-        &self,
-        view: &View<'_>,
-        number: u64,
-        settled: bool,
-        kept: &[Member],
-        size: usize,
-    ) -> List {
+    fn list(&self, view: &View<'_>, number: u64, kept: &[Member], size: usize) -> List {
         let live: Vec<&Daemon> = view
             .daemons
             .iter()
@@ -247,11 +327,27 @@
             allocators.push(next.member.clone());
         }
         allocators.sort();
+        let mut daemons: Vec<Instance> = view
+            .daemons
+            .iter()
+            .map(|daemon| daemon.member.instance.clone())
+            .collect();
+        daemons.sort();
+        daemons.truncate(if daemons.len() > MAX_NAMED {
+            0
+        } else {
+            MAX_NAMED
+        });
         List {
             number,
-            settled,
+            era: view.era,
+            settled: false,
+            follows_settled: false,
+            complete: false,
             fleet: fleet(view.daemons.len() as u32),
             allocators,
+            daemons,
+            leaving: Vec::new(),
         }
     }
 }
--- a/crates/quota/src/setting.rs
+++ b/crates/quota/src/setting.rs
@@ -69,13 +69,4 @@
     pub fn takeover_wait(&self) -> Duration {
         AUTHORITY + self.loan_span()
     }
-
-    /// How long a list has to stand before the next one may be settled.
-    ///
-    /// An allocator learns of a list at most [`AUTHORITY`] after its write, or it lends no margin. It
-    /// lends the margin until the end of its takeover wait, and these loans count for
-    /// [`Setting::loan_span`] more.
-    pub fn settle_wait(&self) -> Duration {
-        self.takeover_wait() + AUTHORITY + self.loan_span()
-    }
 }
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Serialize;
-use unit::{Incarnation, Instance, Rate, Version, Workspace};
+use unit::{Era, Incarnation, Instance, Rate, Version, Workspace};
 use workspace::Quota;
 
 pub const DAEMONS: usize = 80;
@@ -103,6 +103,12 @@
     }
 }
 
+fn daemons(names: &[Member]) -> Vec<Instance> {
+    let mut daemons: Vec<Instance> = names.iter().map(|name| name.instance.clone()).collect();
+    daemons.sort();
+    daemons
+}
+
 impl Fleet {
     pub fn new(seed: u64, loads: Vec<Load>) -> Fleet {
         let names: Vec<Member> = (0..DAEMONS)
@@ -113,9 +119,14 @@
             .collect();
         let list = List {
             number: 1,
+            era: Era(0),
             settled: true,
+            follows_settled: false,
+            complete: true,
             fleet: 120,
             allocators: names[..ALLOCATORS].to_vec(),
+            daemons: daemons(&names),
+            leaving: Vec::new(),
         };
         let new_borrower = |member: &Member| {
             let mut borrower = Borrower::new(member.incarnation, SETTING);
--- a/crates/quota/tests/hard_limit.rs
+++ b/crates/quota/tests/hard_limit.rs
@@ -14,6 +14,7 @@
         3 => (any::<u8>(), 500..15_000u64).prop_map(|(side, span)| Fault::Partition { side, span }),
         3 => (any::<u8>(), 500..15_000u64).prop_map(|(cut, span)| Fault::StoreCut { cut, span }),
         1 => (100..3_000u64).prop_map(|down| Fault::RestartAll { down }),
+        1 => (100..3_000u64).prop_map(|down| Fault::RestartAllocators { down }),
         1 => Just(Fault::Rollback),
         4 => any::<u8>().prop_map(|members| Fault::Rewrite { members }),
         2 => daemon.prop_map(|daemon| Fault::Stop { daemon }),
