Apply the slowdown of nearly full targets only where it is observed

The estimate took the slowdown for granted, which has several times the weight of the price of a call abroad. The model's targets have none, and a gate whose limit follows the knee reports a limit below it, so that it counted twice.

The entry now compares the times of answers from targets that are far from full and nearly full, and applies the slowdown as far as it is observed. Where there is a knee, the tests of uneven targets hold with their bounds. The new test fails if the slowdown is taken for granted.

--- a/bench/tests/policy.rs
+++ b/bench/tests/policy.rs
@@ -178,3 +178,21 @@
     assert_eq!(steady(), steady());
     ours("steady", 1);
 }
+
+#[test]
+fn times_by_class_keep_requests_in_their_region() {
+    // A slowdown of nearly full targets that was assumed and not there sent 12 % of the calls to
+    // other regions, for 3.3 % without times by class.
+    for seed in SEEDS {
+        let plain = figure("regions", "appleshore", seed);
+        let by_class = figure("regions", "times by class", seed);
+        assert!(
+            by_class.abroad <= plain.abroad * 2.0,
+            "calls abroad: {} % for {} %",
+            by_class.abroad,
+            plain.abroad
+        );
+        assert!(by_class.in_time >= plain.in_time - 0.2);
+        assert!(by_class.worst_zone >= plain.worst_zone - 0.3);
+    }
+}
--- a/crates/pick/src/pick.rs
+++ b/crates/pick/src/pick.rs
@@ -9,6 +9,7 @@
 use unit::{Instance, Report, Urgency, Zone};
 
 use crate::dump::Line;
+use crate::knee::Knee;
 use crate::record::{Record, micros};
 use crate::region::Home;
 use crate::score::{Estimator, Mean};
@@ -56,6 +57,7 @@
     pub(crate) volumes: volume::Table,
     /// Service times by class of work.
     pub(crate) work: work::Table,
+    pub(crate) knee: Knee,
     pub(crate) traffic: traffic::Table,
     /// Number of choices made.
     pub(crate) choices: u64,
@@ -93,6 +95,7 @@
             regional: false,
             volumes: volume::Table::default(),
             work: work::Table::new(SERVICE_CLASSES),
+            knee: Knee::default(),
             traffic: traffic::Table::default(),
             choices: 0,
         }
@@ -213,14 +216,20 @@
     /// An answer whose gate has a queue, or whose target is slow for a moment, took longer than the
     /// work does.
     fn learn(&mut self, now: Instant, index: usize, answer: &Answer) {
-        let undisturbed = answer
-            .report
-            .is_some_and(|report| report.waiting() == 0 && !report.slow && !report.hot);
-        if !self.setting.by_class || answer.kind != Kind::Ok || !undisturbed {
+        let undisturbed = |report: &Report| report.waiting() == 0 && !report.slow && !report.hot;
+        let Some(report) = answer.report.filter(undisturbed) else {
+            return;
+        };
+        if !self.setting.by_class || answer.kind != Kind::Ok {
             return;
         }
         let record = &mut self.records[index];
         let us = micros(answer.latency.saturating_sub(record.round_trip));
+        if let Some(mean) = self.work.mean(answer.class) {
+            let occupancy = f64::from(report.running) / f64::from(report.limit.max(1));
+            let expected = record.speed.time(now, answer.class, mean);
+            self.knee.record(occupancy, us / expected);
+        }
         record.speed.record(&mut self.work, now, answer.class, us);
     }
 
@@ -327,6 +336,7 @@
             now,
             mean: &self.mean,
             work: self.setting.by_class.then_some(&self.work),
+            knee: &self.knee,
             half_life: self.setting.half_life,
             cross_zone_cost: self.setting.cross_zone_cost,
         }
--- a/crates/pick/src/score.rs
+++ b/crates/pick/src/score.rs
@@ -11,8 +11,9 @@
 use tokio::time::Instant;
 use unit::Urgency;
 
+use crate::knee::Knee;
 use crate::record::{Received, Record, micros};
-use crate::{Need, Preference, knee, work};
+use crate::{Need, Preference, work};
 
 /// Weight of the newest report in the means over all targets.
 const MEAN_STEP: f64 = 0.02;
@@ -137,6 +138,7 @@
     pub(crate) mean: &'a Mean,
     /// Service times by class, if they are used.
     pub(crate) work: Option<&'a work::Table>,
+    pub(crate) knee: &'a Knee,
     pub(crate) half_life: Duration,
     pub(crate) cross_zone_cost: f64,
 }
@@ -175,7 +177,7 @@
             return service;
         };
         let Some(mean) = work.mean(class) else {
-            return service * knee::slowdown(ratio);
+            return service * self.knee.slowdown(ratio);
         };
         // The service time is raised by the pace and by overdue calls, which slow this one too.
         let slowness = (service / self.mean.service_us.max(1.0)).max(1.0);
@@ -184,7 +186,7 @@
         } else {
             1.0
         };
-        record.speed.time(self.now, class, mean) * slowness * knee::slowdown(ratio)
+        record.speed.time(self.now, class, mean) * slowness * self.knee.slowdown(ratio)
     }
 
     /// The reported backlog of the target's link, for a request whose answer is long.
