Serve long answers in the order of their begin, and each within 100 ms

Round robin completes all answers that wait at about the same time, and only one of the seven that went before others was limited to those older than 1 s.

Pieces now go in the order in which their answers began, those that missed 2 s behind the others. The bound of 115 ms is 100 ms again and also holds for all pieces at load 0.8; that of 1 late in 70 is 1 in 150.

The test of seven pieces to one goes with that rule; in its place, an answer that is late must get a turn within 100 ms and at most a quarter of the turns of two that are not.

--- a/crates/bandwidth/src/link.rs
+++ b/crates/bandwidth/src/link.rs
@@ -169,8 +169,8 @@
     }
 
     /// Ends a turn and wakes the piece that is next.
-    fn end(&mut self, turn: Turn) {
-        self.pacer.leave(turn);
+    fn end(&mut self, now: Instant, turn: Turn) {
+        self.pacer.leave(now, turn);
         self.wakers.remove(&turn);
         let next = self.pacer.next();
         if let Some(waker) = next.and_then(|next| self.wakers.remove(&next)) {
@@ -238,7 +238,7 @@
             });
             match state.pacer.claim(now, wait.turn, bytes) {
                 Verdict::Write(bytes) => {
-                    state.end(wait.turn);
+                    state.end(now, wait.turn);
                     state.written += bytes as u64;
                     state.paced += bytes as u64;
                     state.waited += now - wait.since;
@@ -290,7 +290,7 @@
         }
         self.forget(self.expected);
         if let Some(wait) = self.wait.take() {
-            self.link.state.lock().end(wait.turn);
+            self.link.state.lock().end(Instant::now(), wait.turn);
         }
     }
 }
--- a/crates/bandwidth/src/pacer.rs
+++ b/crates/bandwidth/src/pacer.rs
@@ -14,17 +14,21 @@
 const PIECE_TIME: Duration = Duration::from_millis(2);
 /// Bounds of a piece in bytes. Each piece costs a frame and a system call.
 const PIECE_BYTES: (u64, u64) = (4_000, 64_000);
-/// Ages of answers that go before others: they should be complete after 2 s, and those that are older
-/// have missed it.
-const PRESSING: std::ops::Range<Duration> = Duration::from_secs(1)..Duration::from_secs(2);
-/// Pieces of pressing answers between two pieces of others. Without the bound, a link that is
-/// overloaded for long would never finish an answer that is older than 2 s.
-/// While all pieces are overdue it is one, so that each answer has its turn.
-const MAX_PRESSING_RUN: u32 = 7;
-/// An answer that has waited this long for its turn gets a piece although the backlog is long.
-const MAX_WAIT: Duration = Duration::from_millis(100);
-/// Such pieces take at most one part in this many of the link. Without the bound, many long answers
-/// would fill the link with them, and urgent answers would wait.
+/// Age by which an answer should be complete. Answers are served in the order of their begin, which
+/// completes most of them by that age; those that have missed it come behind the others.
+const GOAL: Duration = Duration::from_secs(2);
+/// A piece that has waited this long is overdue: it goes before others, and is written although the
+/// backlog is long. Each long answer should get a piece every 100 ms; the rest of that time is for
+/// the backlog and for others that are overdue.
+const OVERDUE: Duration = Duration::from_millis(40);
+/// Overdue pieces between two pieces in order.
+const MAX_OVERDUE_RUN: u32 = 6;
+/// Bytes of a piece that goes before others because it is overdue. With more, many answers that wait
+/// would share the link evenly, and large ones would miss their goal.
+const OVERDUE_BYTES: usize = 700;
+/// Pieces that are written although the backlog is long take at most one part in this many of the
+/// link. Without the bound, many long answers would fill the link with them, and urgent answers
+/// would wait.
 const OVERDUE_SHARE: u32 = 4;
 
 /// The place of one piece in the queue of a [`Pacer`].
@@ -42,6 +46,15 @@
     Queued,
 }
 
+/// A piece that waits.
+#[derive(Debug)]
+struct Piece {
+    turn: Turn,
+    since: Instant,
+    /// Whether its answer has missed its goal, and when it began.
+    rank: (bool, Instant),
+}
+
 /// The backlog of a link, and the queue of the long answers that want to write.
 #[derive(Debug)]
 pub struct Pacer {
@@ -49,16 +62,15 @@
     /// Bytes written and not yet sent by the link at `updated`.
     backlog: f64,
     updated: Instant,
-    /// Pieces in the order of their turns, and since when they wait.
-    queue: VecDeque<(Turn, Instant)>,
+    /// Pieces in the order of their turns.
+    queue: VecDeque<Piece>,
     /// The piece that is next. It stays the next one until it ends, because the others don't wake by
     /// themselves.
     front: Option<Turn>,
-    /// The pieces at the front of the queue whose answers are pressing.
-    pressing: usize,
-    /// Pieces of pressing answers that were written since the last one of another answer.
-    pressing_run: u32,
-    max_pressing_run: u32,
+    /// Whether the next piece goes before others because it is overdue.
+    is_overdue: bool,
+    /// Overdue pieces that went before others since the last one in order.
+    overdue_run: u32,
     next_turn: u64,
     /// When a piece may next be written although the backlog is long.
     next_overdue: Instant,
@@ -73,9 +85,8 @@
             updated: now,
             queue: VecDeque::new(),
             front: None,
-            pressing: 0,
-            pressing_run: 0,
-            max_pressing_run: MAX_PRESSING_RUN,
+            is_overdue: false,
+            overdue_run: 0,
             next_turn: 0,
             next_overdue: now,
         }
@@ -102,30 +113,27 @@
         (self.backlog - self.rate.bytes_in(elapsed)).max(0.0)
     }
 
-    /// Puts the next piece of a long answer, which began at `began`, at the end of the queue.
+    /// Queues the next piece of a long answer, which began at `began`.
     pub fn join(&mut self, now: Instant, began: Instant) -> Turn {
         let turn = Turn(self.next_turn);
         self.next_turn += 1;
         let age = now.saturating_duration_since(began);
-        if PRESSING.contains(&age) {
-            self.queue.insert(self.pressing, (turn, now));
-            self.pressing += 1;
-        } else {
-            self.queue.push_back((turn, now));
-        }
+        let rank = (age >= GOAL, began);
+        let at = self.queue.partition_point(|other| other.rank <= rank);
+        let since = now;
+        self.queue.insert(at, Piece { turn, since, rank });
         self.front = self.front.or(Some(turn));
         turn
     }
 
     /// Removes a piece that will not be written.
-    pub fn leave(&mut self, turn: Turn) {
-        let Some(at) = self.queue.iter().position(|(other, _)| *other == turn) else {
+    pub fn leave(&mut self, now: Instant, turn: Turn) {
+        let Some(at) = self.queue.iter().position(|other| other.turn == turn) else {
             return;
         };
         self.queue.remove(at);
-        self.pressing -= usize::from(at < self.pressing);
         if self.front == Some(turn) {
-            self.front = self.select();
+            self.front = self.select(now);
         }
     }
 
@@ -139,11 +147,17 @@
         self.front
     }
 
-    fn select(&self) -> Option<Turn> {
-        let other = self.queue.get(self.pressing);
-        let other = other.filter(|_| self.pressing_run >= self.max_pressing_run);
-        let selected = other.or(self.queue.front());
-        selected.map(|(turn, _)| *turn)
+    fn select(&mut self, now: Instant) -> Option<Turn> {
+        let longest = self.queue.iter().min_by_key(|piece| piece.since);
+        let overdue = longest.filter(|piece| now >= piece.since + OVERDUE);
+        let overdue = overdue.filter(|_| self.overdue_run < MAX_OVERDUE_RUN);
+        let next = overdue.or(self.queue.front()).map(|piece| piece.turn);
+        self.is_overdue = overdue.is_some();
+        self.overdue_run = match self.is_overdue {
+            true => self.overdue_run + 1,
+            false => 0,
+        };
+        next
     }
 
     /// Asks to write a piece of an answer that has `bytes` left.
@@ -151,29 +165,26 @@
         if self.front != Some(turn) {
             return Verdict::Queued;
         }
-        let place = self.queue.iter().position(|(other, _)| *other == turn);
-        let Some((place, (_, since))) = place.and_then(|at| Some((at, self.queue.get(at)?))) else {
+        let piece = self.queue.iter().find(|piece| piece.turn == turn);
+        let Some((since, missed)) = piece.map(|piece| (piece.since, piece.rank.0)) else {
             return Verdict::Queued;
         };
         let backlog = self.backlog(now);
-        let overdue_at = (*since + MAX_WAIT).max(self.next_overdue);
+        let overdue_at = (since + OVERDUE).max(self.next_overdue);
         if backlog >= MAX_BACKLOG && now < overdue_at {
             // A nanosecond more, because the backlog must be under the bound.
             let short_at = now + (backlog - MAX_BACKLOG) + Duration::from_nanos(1);
             return Verdict::Until(short_at.min(overdue_at));
         }
-        let bytes = bytes.min(self.piece_bytes());
-        self.max_pressing_run = MAX_PRESSING_RUN;
+        let bytes = match self.is_overdue && !missed {
+            true => bytes.min(OVERDUE_BYTES),
+            false => bytes.min(self.piece_bytes()),
+        };
         if backlog >= MAX_BACKLOG {
-            self.max_pressing_run = 1;
             let time = self.rate.time_of_bytes(bytes as f64);
             self.next_overdue = now + time * OVERDUE_SHARE;
         }
-        self.pressing_run = match place < self.pressing {
-            true => self.pressing_run.saturating_add(1),
-            false => 0,
-        };
-        self.leave(turn);
+        self.leave(now, turn);
         self.record(now, bytes as u64);
         Verdict::Write(bytes)
     }
--- a/crates/bandwidth/tests/share.rs
+++ b/crates/bandwidth/tests/share.rs
@@ -48,6 +48,8 @@
 struct Times {
     urgent: Vec<Duration>,
     long: Vec<Duration>,
+    /// Times that pieces of long answers have waited.
+    pieces: Vec<Duration>,
 }
 
 /// One answer to write: its start and its size.
@@ -100,8 +102,10 @@
                 answer.expect(bytes);
                 let mut left = bytes;
                 while left > 0 {
+                    let asked = Instant::now();
                     let piece = answer.acquire(left).await;
                     assert!(piece > 0 && piece <= left);
+                    times.borrow_mut().pieces.push(asked.elapsed());
                     end = wire.write(piece);
                     left -= piece;
                 }
@@ -154,13 +158,32 @@
         assert!(quantile(&plain.urgent, 0.99) > Duration::from_millis(400));
         // The first 16 kB of several answers may still come together.
         assert!(quantile(&paced.urgent, 0.99) < Duration::from_millis(60));
+        // Each long answer gets a piece at least every 100 ms.
+        let longest = paced.pieces.iter().max().expect("pieces");
+        assert!(longest.as_millis() <= 100, "{longest:?}");
         late += paced.long.iter().filter(|time| time.as_secs() >= 2).count();
         all += paced.long.len();
         assert!(quantile(&paced.long, 0.5) < quantile(&plain.long, 0.5) * 2);
     }
-    // Round robin alone leaves 37 of 1,724 late.
+    // Round robin alone leaves 37 of 1,724 late, and the order of arrival 7; see the next test.
     println!("{late} of {all} long answers took 2 s or more");
-    assert!(late * 70 <= all, "{late} of {all}");
+    assert!(late * 150 <= all, "{late} of {all}");
+}
+
+/// A long answer should be complete after 2 s. Where those before it and the urgent ones need longer
+/// than that, none of the orders can do it; one that serves by arrival shows how many those are.
+#[tokio::test(start_paused = true)]
+async fn long_answers_are_late_only_where_the_link_has_no_room() {
+    for seed in 1..=3 {
+        let plain = play(arrivals(seed, 0.12, 0.68), false).await;
+        let paced = play(arrivals(seed, 0.12, 0.68), true).await;
+        let late = |times: &Times| times.long.iter().filter(|time| time.as_secs() >= 2).count();
+        let (paced, possible) = (late(&paced), late(&plain));
+        assert!(
+            paced <= possible,
+            "seed {seed}: {paced} late, {possible} by arrival"
+        );
+    }
 }
 
 /// Long answers starved while short ones alone filled the link.
@@ -194,9 +217,8 @@
     tasks.await;
     let pieces = pieces.borrow();
     assert!(pieces.len() >= 40, "{} pieces", pieces.len());
-    // 100 ms, and four times the 3.2 ms of the other answer's piece.
     let longest = pieces.iter().max().expect("pieces");
-    assert!(longest.as_millis() <= 115, "{longest:?}");
+    assert!(longest.as_millis() <= 100, "{longest:?}");
 }
 
 /// A hundred long answers took the link with their overdue pieces, and urgent ones waited.
@@ -225,22 +247,28 @@
 
 /// Answers that had missed their 2 s never ended while younger ones kept coming.
 #[test]
-fn pressing_answers_leave_turns_to_others() {
-    let now = Instant::now();
-    let mut pacer = Pacer::new(now, rate());
-    let later = now + Duration::from_millis(1_500);
-    pacer.join(later, now);
-    let old = pacer.join(later, later - Duration::from_secs(3));
-    let mut turns = Vec::new();
-    for step in 0..8 {
+fn answers_that_are_late_get_a_turn_within_100_ms() {
+    let begin = Instant::now();
+    let mut pacer = Pacer::new(begin, rate());
+    let later = begin + Duration::from_secs(3);
+    pacer.join(later, later);
+    pacer.join(later, later);
+    let mut late = pacer.join(later, begin);
+    let mut last = later;
+    let mut turns = 0;
+    for step in 0..100 {
         let now = later + Duration::from_millis(step * 10);
-        pacer.join(now, now - Duration::from_millis(1_200));
         let turn = pacer.next().expect("a turn");
         assert!(matches!(pacer.claim(now, turn, LONG), Verdict::Write(_)));
-        turns.push(turn);
+        if turn == late {
+            assert!(now - last <= Duration::from_millis(100));
+            (last, late) = (now, pacer.join(now, begin));
+            turns += 1;
+        } else {
+            pacer.join(now, now - Duration::from_millis(1_200));
+        }
     }
-    assert!(turns[..7].iter().all(|turn| *turn != old), "pressing first");
-    assert_eq!(turns[7], old);
+    assert!((10..=25).contains(&turns), "{turns} of 100");
 }
 
 /// A caller that disconnected kept the turn, and all answers behind it stood still.
