Describe early ends of takeovers, and test that cut-off daemons borrow again

Cause: daemons that were cut off together with allocators came back without tokens, which the new allocator could not know, and were refused until A + G + W had passed. Change: none in this commit; the takeover ends once all named daemons have reported.

--- a/crates/quota/tests/rows.rs
+++ b/crates/quota/tests/rows.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use quota::{
-    Answer, Ask, Borrower, Daemon, Item, Lender, List, Member, Moment, Review, Setting, Take, View,
+    Age, Answer, Ask, Borrower, Daemon, Item, Lender, List, Member, Moment, Review, Setting, Take,
+    View,
 };
 use unit::{Era, Incarnation, Rate, Version, Workspace};
 use workspace::Quota;
@@ -239,8 +240,19 @@
     }
 }
 
-/// What a daemon `name`, whose process runs for `age_ms`, tells and wants by list 5.
 fn report(lender: &mut Lender, ms: u64, name_of: &str, age_ms: u32, held: u32, want: u32) -> u32 {
+    report_returned(lender, ms, name_of, age_ms, (held, want), &[])
+}
+
+/// What a daemon `name`, whose process runs for `age_ms`, tells and wants by list 5.
+fn report_returned(
+    lender: &mut Lender,
+    ms: u64,
+    name_of: &str,
+    age_ms: u32,
+    (held, want): (u32, u32),
+    returned: &[Age],
+) -> u32 {
     let ask = Ask {
         incarnation: Incarnation(1),
         number: ms,
@@ -251,7 +263,7 @@
             held,
             want,
             tried: 0,
-            returned: vec![],
+            returned: returned.to_vec(),
         }],
     };
     let from = member(name_of, 1).instance;
@@ -290,6 +302,23 @@
     assert_eq!(all, LENDABLE - 4);
 }
 
+/// Daemons that were cut off with allocators came back without tokens, and were refused until the
+/// takeover had taken its time. What they returned is still in the window.
+#[test]
+fn daemon_that_was_cut_off_borrows_again_once_it_has_told() {
+    let mut lender = named(true);
+    assert_eq!(report(&mut lender, 10_001, "b", 60_000, 4, 4), 4);
+    assert_eq!(report(&mut lender, 10_002, "n", 60_000, 0, 0), 0);
+    let list = lender.list().map(|(_, list)| list.clone());
+    lender.confirm(at(18_000), at(18_000), Version::of(5), list.as_ref());
+    assert_eq!(report(&mut lender, 18_000, "b", 68_000, 4, 4), 4);
+    let hot = [Age { age: 100, count: 6 }];
+    let first = report_returned(&mut lender, 18_000, "c", 68_000, (0, 9), &hot);
+    assert_eq!(first, 0);
+    let next = report(&mut lender, 18_200, "c", 68_200, 0, 99);
+    assert_eq!(next, LENDABLE - 4 - 6);
+}
+
 /// What the former processes had spent in the window was lent again at once.
 #[test]
 fn takeover_waits_a_window_for_the_youngest_process() {
