Keep watches unanswered that meet a silent stand-in

Cause: a watch that waited when its client was silenced was answered once its time was over. Change: the stand-in looks again before it answers.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -263,6 +263,10 @@
                 moved = timeout_at(until, moved.changed()), if empty => moved.is_err(),
                 () = std::future::ready(()), if !empty => false,
             };
+            // A watch that meets silence is not answered either when its time is over.
+            for fault in &self.faults {
+                fault.turn().await?;
+            }
             if self.faults.iter().any(Fault::watches_dropped) {
                 std::future::pending::<()>().await;
             }
