End takeovers without daemons that have left the roster

Cause: after a loss of all power requests of workspaces were refused for 13 s, since the list in the store still named daemons that had been removed from the fleet and never tell what they hold. Change: a named daemon that has been absent from the allocator's roster for a whole window counts as one that has told.

--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -1,5 +1,6 @@
 //! Answers borrowers, and follows the list of allocators.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -86,6 +87,14 @@
         }
     }
 
+    /// The daemons in the roster that are not gone, this one included.
+    fn present(&self) -> BTreeSet<Instance> {
+        self.parts.roster.with(|roster| {
+            let names = roster.peers().map(|record| record.instance.clone());
+            names.chain([roster.me().clone()]).collect()
+        })
+    }
+
     /// Follows the list, the rules and the roster. Never returns.
     pub(super) async fn follow(self: Arc<Desk>) {
         loop {
@@ -93,12 +102,14 @@
                 .parts
                 .roster
                 .with(|roster| roster.own_record().incarnation);
-            let daemons = self.parts.roster.with(|roster| roster.peers().count() + 1);
+            let present = self.present();
+            let daemons = present.len();
             let now = self.now();
             {
                 let mut lender = self.lender.lock();
                 lender.set_incarnation(own);
                 self.confirm(now, &mut lender);
+                lender.set_present(now, |daemon| present.contains(daemon));
                 let is_allocator = lender
                     .list()
                     .is_some_and(|(_, list)| list.allocators.contains(lender.me()));
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -32,11 +32,17 @@
 }
 
 impl Known {
-    /// Whether all that may hold loans by former lists have told what they hold.
-    fn has_heard_all(&self) -> bool {
-        let mut daemons = self.list.daemons.iter().chain(&self.list.leaving);
+    /// The daemons that may hold loans by this list or former ones.
+    fn named(&self) -> impl Iterator<Item = &Instance> {
+        self.list.daemons.iter().chain(&self.list.leaving)
+    }
+
+    /// Whether all that may hold loans by former lists have told what they hold, except those that
+    /// `has_left` says have none.
+    fn has_heard_all(&self, has_left: impl Fn(&Instance) -> bool) -> bool {
         let is_named = self.list.complete && !self.list.daemons.is_empty();
-        is_named && daemons.all(|daemon| self.heard.contains(daemon))
+        let has_told = |daemon: &Instance| self.heard.contains(daemon) || has_left(daemon);
+        is_named && self.named().all(has_told)
     }
 }
 
@@ -59,6 +65,8 @@
     pools: BTreeMap<Workspace, Pool>,
     /// The number of the last ask of each borrower.
     asked: BTreeMap<Member, (u64, Moment)>,
+    /// Daemons named by the lists that are not in the roster, and since when.
+    absent: BTreeMap<Instance, Moment>,
     stopped: bool,
     traffic: VecDeque<(Moment, u64)>,
 }
@@ -74,6 +82,7 @@
             had_list: false,
             pools: BTreeMap::new(),
             asked: BTreeMap::new(),
+            absent: BTreeMap::new(),
             stopped: false,
             traffic: VecDeque::new(),
         }
@@ -169,12 +178,12 @@
     }
 
     /// What may be lent before the loans of the predecessor have ended; `None` if there is none.
-    fn takeover(&self, workspace: &Workspace) -> Option<Takeover> {
+    fn takeover(&self, now: Moment, workspace: &Workspace) -> Option<Takeover> {
         let mine = |known: &&Known| known.list.allocator(workspace) == Some(&self.me);
         let since = self.lists.iter().rev().take_while(mine).last()?;
         let is_known = since.list.is_of_era(since.version);
         let mut until = since.learned + self.setting.takeover_wait();
-        if is_known && since.has_heard_all() {
+        if is_known && since.has_heard_all(|daemon| self.has_left(now, daemon)) {
             until = until.min(since.cold);
         }
         (!since.is_first).then(|| Takeover {
@@ -184,6 +193,27 @@
         })
     }
 
+    /// Tells which daemons are in the roster, live or suspect.
+    ///
+    /// A daemon that has stopped as planned, or that was silent for long enough to be removed, leaves
+    /// the roster. It never tells what it holds, and takeovers don't wait for it.
+    pub fn set_present(&mut self, now: Moment, is_present: impl Fn(&Instance) -> bool) {
+        let named = self.lists.iter().flat_map(Known::named);
+        let absent = named.filter(|daemon| !is_present(daemon));
+        let absent = absent.map(|daemon| {
+            let since = self.absent.get(daemon).copied();
+            (daemon.clone(), since.unwrap_or(now))
+        });
+        self.absent = absent.collect();
+    }
+
+    /// Whether a daemon has been absent for a whole window. Its loans ended when it stopped, or long
+    /// before it was removed, and what they let pass has left the window.
+    fn has_left(&self, now: Moment, daemon: &Instance) -> bool {
+        let since = self.absent.get(daemon);
+        since.is_some_and(|since| now.since(*since) >= self.setting.window)
+    }
+
     /// Counts a daemon that has told all that it holds by the list of `ask`, if the list is known.
     fn hear(&mut self, now: Moment, from: &Instance, ask: &Ask) -> bool {
         let age = Duration::from_millis(u64::from(ask.age_ms));
@@ -266,7 +296,7 @@
                 share: self.setting.share(limit, fleet),
                 margin: self.setting.margin(limit),
             };
-            let takeover = self.takeover(&item.workspace);
+            let takeover = self.takeover(now, &item.workspace);
             let pool = self.pools.entry(item.workspace.clone());
             let pool = pool.or_insert_with(|| Pool::new(takeover));
             pool.set_takeover(now, takeover);
@@ -375,7 +405,7 @@
             if !is_successor {
                 continue;
             }
-            let takeover = self.takeover(workspace);
+            let takeover = self.takeover(now, workspace);
             let pool = self.pools.entry(workspace.clone());
             let pool = pool.or_insert_with(|| Pool::new(takeover));
             if pool.takes_over(now) {
--- a/crates/quota/tests/rows.rs
+++ b/crates/quota/tests/rows.rs
@@ -302,6 +302,38 @@
     assert_eq!(all, LENDABLE - 4);
 }
 
+/// Takeovers took their whole time after a loss of all power, since the lists still named daemons that
+/// had been removed from the fleet before and never told what they held.
+#[test]
+fn takeover_does_not_wait_for_daemons_that_have_left_the_roster() {
+    let mut lender = named(true);
+    lender.set_present(at(10_000), |daemon| daemon.as_str() != "c");
+    assert_eq!(report(&mut lender, 10_001, "b", 60_000, 4, 4), 4);
+    assert_eq!(report(&mut lender, 10_002, "n", 60_000, 0, 0), 0);
+    lender.set_present(at(14_900), |daemon| daemon.as_str() != "c");
+    let list = lender.list().map(|(_, list)| list.clone());
+    lender.confirm(at(14_900), at(14_900), Version::of(5), list.as_ref());
+    let early = report(&mut lender, 14_999, "b", 65_000, 4, 9);
+    assert_eq!(early, 4, "what c let pass may be in the window");
+    assert_eq!(report(&mut lender, 14_999, "n", 65_000, 0, 9), 0);
+    lender.confirm(at(15_000), at(15_000), Version::of(5), list.as_ref());
+    // How much at once is up to the pace; it was nothing until the takeover had ended.
+    assert!(report(&mut lender, 15_001, "n", 65_002, 0, 99) > 0);
+}
+
+/// The same, where the daemon has only been out of the roster for a moment.
+#[test]
+fn takeover_waits_for_a_daemon_that_is_back_in_the_roster() {
+    let mut lender = named(true);
+    lender.set_present(at(10_000), |daemon| daemon.as_str() != "c");
+    assert_eq!(report(&mut lender, 10_001, "b", 60_000, 4, 4), 4);
+    assert_eq!(report(&mut lender, 10_002, "n", 60_000, 0, 0), 0);
+    lender.set_present(at(14_000), |_| true);
+    let list = lender.list().map(|(_, list)| list.clone());
+    lender.confirm(at(16_000), at(16_000), Version::of(5), list.as_ref());
+    assert_eq!(report(&mut lender, 16_001, "b", 66_000, 4, 99), 4);
+}
+
 /// Daemons that were cut off with allocators came back without tokens, and were refused until the
 /// takeover had taken its time. What they returned is still in the window.
 #[test]
