--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -177,7 +177,7 @@
         if is_known && since.has_heard_all() {
             until = until.min(since.cold);
         }
-        (!since.is_first).then(|| Takeover {
+        (!since.is_first).then_some(Takeover {
             until,
             // Under a settled list nothing of the margin is ever in use.
             margin: is_known && since.list.follows_settled && !since.list.settled,
--- a/crates/quota/src/purse.rs
+++ b/crates/quota/src/purse.rs
@@ -484,9 +484,7 @@
             refused_total: self.refused_total,
         }
     }
-}
 
-impl Purse {
     /// Builds the item of an ask.
     pub(crate) fn ask(&mut self, now: Moment, number: u64, workspace: &unit::Workspace) -> Item {
         let (held, want, returned) = self.item(now, number);
