Log which daemons a takeover waits for, and restore the check of metrics without revocation

Cause: nothing told operators why a takeover took its time; and the check of metrics was made narrower for a counter that is registered only with its setting by now. Change: an allocator logs the daemons that it waits for, lists are logged with era and completeness; the check is as it was.

--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -75,11 +75,13 @@
         {
             let is_allocator = list.allocators.contains(lender.me());
             log::info!(
-                "quota: list={} version={} settled={} follows_settled={} fleet={} allocators={} allocator={is_allocator} age_ms={}.",
+                "quota: list={} version={} settled={} follows_settled={} complete={} era={} fleet={} allocators={} allocator={is_allocator} age_ms={}.",
                 list.number,
                 listed.version,
                 list.settled,
                 list.follows_settled,
+                list.complete,
+                list.era,
                 list.fleet,
                 list.allocators.len(),
                 listed.age.as_millis(),
@@ -114,6 +116,9 @@
                     .list()
                     .is_some_and(|(_, list)| list.allocators.contains(lender.me()));
                 self.parts.feed.hasten_confirmations(is_allocator);
+                if is_allocator {
+                    report_awaited(&lender.awaited(now));
+                }
             }
             if let Some(listed) = self.confirmed(now) {
                 let mut borrower = self.borrower.lock();
@@ -130,3 +135,13 @@
         }
     }
 }
+
+/// Logs which daemons a takeover waits for.
+fn report_awaited(awaited: &[Instance]) {
+    if let Some(first) = awaited.first() {
+        log::info!(
+            "quota: takeover waits for daemons={} first={first}.",
+            awaited.len()
+        );
+    }
+}
--- a/crates/appleshore/tests/confirm.rs
+++ b/crates/appleshore/tests/confirm.rs
@@ -52,15 +52,5 @@
     let state = mesh.daemon(0).dump(Part::Feed).state;
     assert!(state.get("confirmations").is_none(), "{state}");
     assert!(state["flows"].get("confirm").is_none(), "{state}");
-    // The count of refusals is there under its own name, like those of all reasons.
-    let metrics = metrics(&mesh, 0).await;
-    let mut lines = metrics.lines().filter(|line| line.contains("confirm"));
-    assert!(
-        lines.all(|line| line.contains("appleshore_unconfirmed")),
-        "{metrics}"
-    );
-    assert!(
-        metrics.contains("appleshore_unconfirmed_total 0"),
-        "{metrics}"
-    );
+    assert!(!metrics(&mesh, 0).await.contains("confirm"));
 }
--- a/crates/quota/src/lender.rs
+++ b/crates/quota/src/lender.rs
@@ -214,6 +214,19 @@
         since.is_some_and(|since| now.since(*since) >= self.setting.window)
     }
 
+    /// The daemons that a takeover under the present list waits for; empty if none is waited for or
+    /// the list does not name all.
+    pub fn awaited(&self, now: Moment) -> Vec<Instance> {
+        let is_over = |known: &&Known| now.since(known.learned) >= self.setting.takeover_wait();
+        let Some(last) = self.lists.back().filter(|known| !is_over(known)) else {
+            return Vec::new();
+        };
+        let awaited = last
+            .named()
+            .filter(|daemon| !last.heard.contains(*daemon) && !self.has_left(now, daemon));
+        awaited.cloned().collect()
+    }
+
     /// Counts a daemon that has told all that it holds by the list of `ask`, if the list is known.
     fn hear(&mut self, now: Moment, from: &Instance, ask: &Ask) -> bool {
         let age = Duration::from_millis(u64::from(ask.age_ms));
