--- a/crates/quota/src/pool.rs
+++ b/crates/quota/src/pool.rs
@@ -16,6 +16,9 @@
 /// workspace this bounds the sorting to ten times a second.
 const LEVEL_AGE: Duration = Duration::from_millis(100);
 
+/// A workspace is paced only while less than one part in this many of its tokens is free.
+const PACED_BELOW: u32 = 4;
+
 /// How long a borrower under a pace is told not to ask again while all tokens are in use.
 const PACED_AGAIN: Duration = Duration::from_millis(200);
 
@@ -278,7 +281,10 @@
 
     /// The pace of a borrower with `part` of the demand, while more is asked for than the quota gives.
     fn pace(&self, now: Moment, part: f64, terms: &Terms, setting: &Setting) -> Option<Pace> {
-        if !self.demand.is_over() {
+        let ceiling = self.ceiling(now, terms);
+        let free = ceiling.saturating_sub(self.used());
+        // While much is free, refusing what comes would cost callers what the quota gives them.
+        if !self.demand.is_over() || free > ceiling / PACED_BELOW {
             return None;
         }
         let quota = &terms.quota;
