Judge deadlines only after every ready socket was polled

Callers saw: after a freeze, daemons with very many connections and several threads still ended some whose requests lay unread.

Cause: the timers of `entry` waited for one further turn of 1 ms. One poll of the runtime takes 1,024 sockets, and in a runtime of several threads that turn can end on the events of the poll before it.

Change: a crate `timer`, for all crates. A runtime of one thread polls without waiting each time a task yields, so a deadline is judged after eight such polls (8,192 sockets). In a runtime of several threads a new socket is waited for, which the driver learns of after all that were ready before it. On the paused clock no time passes any more while a deadline is judged.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -14,9 +14,9 @@
 use unit::{Instance, Outcome};
 use wire::{Frame, Header, Receiver, Reply};
 
+use crate::Body;
 use crate::refusal::set_header;
 use crate::state::InFlight;
-use crate::{Body, timer};
 
 /// The header that gives the outcome of a request: `ran`, `not-run`, `unknown` or `already-run`.
 pub const OUTCOME: &str = "x-appleshore-outcome";
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -5,7 +5,8 @@
 
 use bytes::Bytes;
 use pick::{Guard, Kind, Transfer};
-use tokio::time::{Instant, timeout_at};
+use timer::timeout_at;
+use tokio::time::Instant;
 use unit::Token;
 use wire::{Ask, Call, Error, Frame, Header, Known, Link, Peer, Receiver, Refusal, Sender, Stream};
 
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -25,7 +25,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::port::Port;
-use crate::{Body, Reason, Refusal, timer};
+use crate::{Body, Reason, Refusal};
 
 /// Requests of one connection that are served concurrently; further ones stay in the input buffer.
 const MAX_CONCURRENT_REQUESTS: usize = 64;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,7 +43,6 @@
 pub mod share;
 mod state;
 mod stats;
-mod timer;
 mod upstream;
 
 pub use admission::{Admission, Exceeded, QuotaAsk, Spent, Unconfirmed};
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -8,7 +8,8 @@
 use futures_util::future::BoxFuture;
 use http::Response;
 use ledger::{Claim, Claimed, End, Moment, Record};
-use tokio::time::{Instant, sleep, timeout_at};
+use timer::timeout_at;
+use tokio::time::{Instant, sleep};
 use unit::{Caller, Digest, Instance, Outcome, Service, Token};
 use wire::{Ask, Frame, Known, Peer, Receiver, Reply};
 
@@ -17,7 +18,7 @@
 use crate::attempts::Attempts;
 use crate::job::Job;
 use crate::request_body::RequestBody;
-use crate::{Body, Entry, Reason, Refusal, timer};
+use crate::{Body, Entry, Reason, Refusal};
 
 /// Delay before a key is claimed again; the first of the delays that double for an unconfirmed run.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(20);
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -5,11 +5,12 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body as _;
-use tokio::time::{Instant, timeout_at};
+use timer::timeout_at;
+use tokio::time::Instant;
 use unit::Size;
 use wire::{Frame, Payload, Sender};
 
-use crate::{Body, Reason, Refusal, timer};
+use crate::{Body, Reason, Refusal};
 
 /// A body of up to this size is buffered before the first attempt, so that it can be sent again.
 pub(crate) const REPLAYABLE_BYTES: usize = 64 << 10;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -24,7 +24,7 @@
 use unit::Size;
 
 use crate::answer::OUTCOME;
-use crate::{Body, Reason, Refusal, timer};
+use crate::{Body, Reason, Refusal};
 
 /// The limits of one listening address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
