Count only time that this process ran as the silence of a link

Callers saw: when the machine of both ends of a link, or both of their processes, had been stopped for some seconds, the link was ended as silent when they went on, and the calls on it were lost, though both ends lived.

Cause: the end that was dialled judged the time since the last record (10 s), the watchdog over QUIC the time since the last datagram (600 ms). Both had passed in the stop, in which neither end could ping. The dialling end over TCP left out looks that came late, but judged the next one by the age of a ping sent before the stop.

Evidence: a_stop_of_both_ends_ends_no_link, over TCP and over QUIC, stops the clock of both ends three times. On the code before, the stream is lost over both: `Broken("read", "b", "silent")`, `connection lost`.

Change: a link is silent once this process has waited for so long without receiving anything: each wait counts as its planned length at most. Before a link is ended, or its ping is taken for unanswered, the sockets are polled.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -26,6 +26,7 @@
 mod link;
 mod listener;
 mod quic;
+mod silence;
 mod stream;
 mod tcp;
 
--- a/crates/wire/src/quic/listener.rs
+++ b/crates/wire/src/quic/listener.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::timeout;
+use timer::timeout;
 use tokio_util::task::TaskTracker;
 use unit::Instance;
 
--- a/crates/wire/src/quic/socket.rs
+++ b/crates/wire/src/quic/socket.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::time::{Instant, timeout};
+use timer::timeout;
+use tokio::time::Instant;
 
 use crate::quic::link::Link;
 use crate::quic::{Identity, crypto};
--- a/crates/wire/src/quic/watchdog.rs
+++ b/crates/wire/src/quic/watchdog.rs
@@ -11,9 +11,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::quic::link::Inner;
+use crate::silence::Silence;
 
 /// How often a link with open streams is looked at.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -55,8 +56,7 @@
 
 /// Looks at the link while streams are open; false if the link has ended.
 async fn watch(link: &Weak<Inner>, connection: &quinn::Connection) -> bool {
-    let mut seen = received(connection);
-    let mut since = Instant::now();
+    let mut silence = Silence::new(received(connection));
     loop {
         sleep(PERIOD).await;
         let Some(inner) = link.upgrade() else {
@@ -68,11 +68,15 @@
         if inner.open.load(Ordering::Acquire) == 0 {
             return true;
         }
-        let now = received(connection);
-        if now != seen {
-            seen = now;
-            since = Instant::now();
-        } else if since.elapsed() >= SILENT_AFTER {
+        let mut lasted = silence.add(PERIOD, received(connection));
+        if lasted >= SILENT_AFTER {
+            timer::polled().await;
+            lasted = silence.add(Duration::ZERO, received(connection));
+        }
+        if lasted.is_zero() {
+            continue;
+        }
+        if lasted >= SILENT_AFTER {
             log::warn!("wire: the link to {} has gone silent.", inner.peer.instance);
             inner.silent.store(true, Ordering::Release);
             connection.close(SILENT, b"silent");
--- a/crates/wire/src/tcp/greet.rs
+++ b/crates/wire/src/tcp/greet.rs
@@ -5,9 +5,9 @@
 
 use bytes::{Buf, BytesMut};
 use serde::{Deserialize, Serialize};
+use timer::timeout;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
 use unit::{Fingerprint, Instance};
 
 use crate::{Error, Note, codec};
--- a/crates/wire/src/tcp/link.rs
+++ b/crates/wire/src/tcp/link.rs
@@ -3,13 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use timer::timeout;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use super::greet::Greeter;
 use super::mux::{Arrival, Mux};
 use super::stream::{self, Receiver, Sender};
+use crate::silence::Silence;
 use crate::{Error, Peer};
 
 /// How long a connection may take to come about. The way between regions takes 35 ms; a machine
@@ -139,6 +141,7 @@
 
 /// Pings while nothing comes, tells when a link turns quiet, and ends one that has gone silent.
 async fn look_after(link: Link, quiet: watch::Sender<bool>) {
+    let mut silence = Silence::new(link.mux.count().heard);
     while link.alive() {
         let look = link.next_look();
         let began = Instant::now();
@@ -148,21 +151,26 @@
             () = link.woken.notified() => {}
             () = link.closed() => return,
         }
-        // After a sleep that lasted too long this end was held up itself, and answers to it may lie
-        // unread: it says nothing of the peer.
-        if began.elapsed() > look + QUIET_AFTER {
-            continue;
+        let waited = began.elapsed();
+        if link.mux.count().is_unanswered() {
+            timer::polled().await;
         }
         let count = link.mux.count();
-        let pinged = count.pinged.filter(|pinged| *pinged > count.heard);
-        let silence = pinged.map_or(Duration::ZERO, |pinged| pinged.elapsed());
-        let is_quiet = silence >= QUIET_AFTER;
-        quiet.send_if_modified(|was| std::mem::replace(was, is_quiet) != is_quiet);
-        if silence >= SILENT_AFTER {
+        let lasted = match silence.add(look, count.heard) {
+            lasted if count.is_unanswered() => lasted,
+            _ => Duration::ZERO,
+        };
+        // After a wait that lasted too long this end was held up itself, perhaps with its peer.
+        if waited <= look + QUIET_AFTER {
+            let is_quiet = lasted >= QUIET_AFTER;
+            quiet.send_if_modified(|was| std::mem::replace(was, is_quiet) != is_quiet);
+        }
+        if lasted >= SILENT_AFTER {
             log::warn!("wire: the link to {} has gone silent.", link.peer.instance);
             link.mux.end("silent");
-        } else if count.heard.elapsed() >= BUSY_LOOK {
+        } else if count.pinged.is_none() && count.heard.elapsed() >= BUSY_LOOK {
             link.mux.ping();
+            silence = Silence::new(count.heard);
         }
     }
 }
--- a/crates/wire/src/tcp/listener.rs
+++ b/crates/wire/src/tcp/listener.rs
@@ -16,6 +16,7 @@
 use super::mux::{Arrival, Ends, Event, Mux};
 use super::record::{Number, Record};
 use super::stream::{self, Receiver, Sender};
+use crate::silence::Silence;
 use crate::{Error, Frame, Note};
 
 /// How long a close waits for the tails of answers.
@@ -24,6 +25,9 @@
 /// Nothing received for so long: the dialling end, which pings each second, is gone.
 const SILENT_AFTER: Duration = Duration::from_secs(10);
 
+/// How often a link is checked for silence.
+const CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
+
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -195,12 +199,18 @@
 
 /// Ends a link whose dialling end has gone without a word.
 async fn watch(mux: Mux) {
+    let mut silence = Silence::new(mux.count().heard);
     while mux.is_open() {
         tokio::select! {
-            () = sleep(SILENT_AFTER) => {}
+            () = sleep(CHECK_INTERVAL) => {}
             () = mux.shared().closed.cancelled() => return,
         }
-        if mux.count().heard.elapsed() >= SILENT_AFTER {
+        let lasted = silence.add(CHECK_INTERVAL, mux.count().heard);
+        if lasted < SILENT_AFTER {
+            continue;
+        }
+        timer::polled().await;
+        if silence.add(Duration::ZERO, mux.count().heard) >= SILENT_AFTER {
             mux.end("silent");
         }
     }
--- a/crates/wire/src/tcp/mux.rs
+++ b/crates/wire/src/tcp/mux.rs
@@ -98,6 +98,13 @@
     }
 }
 
+impl Count {
+    /// Whether nothing came since the last ping.
+    pub(crate) fn is_unanswered(&self) -> bool {
+        self.pinged.is_some_and(|pinged| pinged > self.heard)
+    }
+}
+
 /// What the reader hands on beside the frames of known streams.
 pub(crate) enum Arrival {
     /// The peer has opened a stream.
--- a/crates/wire/tests/link.rs
+++ b/crates/wire/tests/link.rs
@@ -247,6 +247,31 @@
     assert!(each < 2.5, "{each} datagrams a call, both ways");
 }
 
+/// The machine of both ends was stopped, so that no ping was sent. It looked like silence, and the link
+/// ended with the calls on it.
+#[tokio::test]
+async fn a_stop_of_both_ends_ends_no_link() {
+    let (a, b) = (identity("a"), identity("b"));
+    let peer = listen(&b, a.fingerprint());
+    let dialer = Dialer::bind(a, LOOPBACK).expect("a socket");
+    let link = dialer.link(&peer).await.expect("a link");
+    let Stream {
+        mut sender,
+        mut receiver,
+    } = link.open().await.expect("a stream");
+    // The watchdog has looked at the link with this stream.
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    for _ in 0..3 {
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_secs(2)).await;
+        tokio::time::resume();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    sender.send(&ask()).await.expect("sent");
+    let known = receiver.recv().await;
+    assert_eq!(known, Ok(Some(Frame::Known(Known::Running))));
+}
+
 /// Hands the first datagram of a dialer on to `to`, and nothing back; the dialer's address.
 async fn one_way(to: SocketAddr) -> SocketAddr {
     let socket = UdpSocket::bind((LOOPBACK, 0)).await.expect("a port");
--- a/crates/wire/tests/tcp.rs
+++ b/crates/wire/tests/tcp.rs
@@ -204,6 +204,26 @@
     );
 }
 
+/// The machine of both ends was stopped. To the end that was dialled it looked like 10 s of silence, and
+/// it ended the link with the calls on it.
+#[tokio::test]
+async fn a_stop_of_both_ends_ends_no_link() {
+    let to = listen().await;
+    let dialer = Dialer::plain(greeter("a", 1, Arc::default()));
+    let link = dialer.link(&to).await.expect("a link");
+    let mut open = link.open().await.expect("a stream");
+    for _ in 0..3 {
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_secs(11)).await;
+        tokio::time::resume();
+        sleep(Duration::from_millis(50)).await;
+    }
+    open.sender.send(&ask()).await.expect("sent");
+    let known = open.receiver.recv().await;
+    assert_eq!(known, Ok(Some(Frame::Known(Known::Running))));
+    assert!(link.alive());
+}
+
 /// A way to `to` that carries nothing while the flag is set.
 async fn relayed(to: Peer) -> (Peer, Arc<AtomicBool>) {
     let relay = TcpListener::bind((LOOPBACK, 0)).await.expect("a port");
