Don't count a stop of the daemon as a pause of its target

Callers saw: a daemon that woke from a freeze broke answers off, though the target had sent them whole.

Cause: "no byte for the idle time" was judged by the time since the last byte, and the freeze counted in it. At the gate the bytes lay unread in the socket; at the entry of the same daemon they were still on their way from the gate, through the link and several tasks, so that reading the sockets first isn't enough.

Change: `timer::idle_timeout` divides the time into ten parts and leaves out one that ended late, ten of them at most. Bodies of targets, of answers between daemons and of callers' requests use it. The other waits for an answer (requests of a gate and an entry until their deadline, health checks, the store, votes, quotas, claims) poll the sockets before they give up.

--- a/crates/appleshore/src/quota/borrowing.rs
+++ b/crates/appleshore/src/quota/borrowing.rs
@@ -5,7 +5,8 @@
 
 use entry::{Exceeded, QuotaAsk, Spent};
 use quota::{Answer, Ask, Member, Take};
-use tokio::time::{sleep, timeout, timeout_at};
+use timer::{timeout, timeout_at};
+use tokio::time::sleep;
 use unit::Workspace;
 use wire::{Error, Topic, codec};
 
--- a/crates/appleshore/src/quota/listing.rs
+++ b/crates/appleshore/src/quota/listing.rs
@@ -6,7 +6,8 @@
 use quota::{AUTHORITY, Daemon, List, Member, Moment, Transfer, View};
 use roster::{Record, State};
 use store::Condition;
-use tokio::time::{Instant, sleep, timeout};
+use timer::timeout;
+use tokio::time::{Instant, sleep};
 use unit::Version;
 
 use super::{Desk, LIST_KEY, Listed, Message, Reply};
--- a/crates/appleshore/src/suspicion.rs
+++ b/crates/appleshore/src/suspicion.rs
@@ -10,8 +10,9 @@
 
 use bytes::Bytes;
 use gate::{Gate, Suspicion};
+use timer::timeout;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use unit::{Instance, Service};
 use wire::{Dialer, Error, Note, Topic, codec};
 
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -169,7 +169,7 @@
         return Some((Ok(Piece::data(start)), Some(streamed)));
     }
     let received = streamed.receiver.recv();
-    let frame = timer::timeout(streamed.guard.idle_timeout, received).await;
+    let frame = timer::idle_timeout(streamed.guard.idle_timeout, received).await;
     let cause = match frame {
         Ok(Ok(Some(Frame::Data(data)))) => {
             streamed.transfer.add(data.len());
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -440,7 +440,7 @@
 async fn collect(receiver: &mut Receiver, idle_timeout: Duration) -> Collected {
     let mut body = BytesMut::new();
     loop {
-        match timer::timeout(idle_timeout, receiver.recv()).await {
+        match timer::idle_timeout(idle_timeout, receiver.recv()).await {
             Ok(Ok(Some(Frame::Data(data)))) => body.extend_from_slice(&data),
             Ok(Ok(Some(Frame::End))) => return Collected::Complete(body.freeze()),
             Ok(Ok(Some(Frame::Abort(abort)))) => return Collected::Truncated(abort.cause),
--- a/crates/entry/src/request_body.rs
+++ b/crates/entry/src/request_body.rs
@@ -137,7 +137,7 @@
 impl Rest {
     /// Reads the next chunk; `None` at the end of the body.
     async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
-        let frame = match timer::timeout(self.limits.idle_timeout, self.body.frame()).await {
+        let frame = match timer::idle_timeout(self.limits.idle_timeout, self.body.frame()).await {
             Err(_) => return Err(too_slow(self.limits.idle_timeout)),
             Ok(None) => return Ok(None),
             Ok(Some(Err(error))) => return Err(read_failed(&error)),
--- a/crates/feed/src/confirm/read.rs
+++ b/crates/feed/src/confirm/read.rs
@@ -6,7 +6,8 @@
 use confirm::{Confirmation, Moment, Place};
 use futures_util::future::try_join_all;
 use store::{Consistency, Object};
-use tokio::time::{sleep, timeout};
+use timer::timeout;
+use tokio::time::sleep;
 use unit::Version;
 
 use super::{CHECK_INTERVAL, Confirming, place};
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -11,9 +11,10 @@
 use roster::{Record, Roster, Shared};
 use serde::Serialize;
 use store::{Meter, Store};
+use timer::timeout;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use unit::{Era, Instance, Version};
 
--- a/crates/feed/src/leave.rs
+++ b/crates/feed/src/leave.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use roster::{Record, Roster};
-use tokio::time::{Instant, sleep, timeout};
+use timer::timeout;
+use tokio::time::{Instant, sleep};
 
 use crate::feed::Inner;
 use crate::{announce, relay};
--- a/crates/held/src/lib.rs
+++ b/crates/held/src/lib.rs
@@ -22,8 +22,9 @@
 
 use bytes::Bytes;
 use parking_lot::Mutex;
+use timer::timeout_at;
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use unit::{Size, Token};
 use wire::Reply;
 
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -5,9 +5,10 @@
 
 use parking_lot::Mutex;
 use store::{Bucket, Store};
+use timer::timeout_at;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use unit::{Digest, Instance, Outcome, Rate, Token};
 
 use crate::claim::{Claim, Claimed, End, Record};
--- a/crates/store/src/http/peer.rs
+++ b/crates/store/src/http/peer.rs
@@ -10,7 +10,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use parking_lot::Mutex;
-use tokio::time::timeout;
+use timer::timeout;
 
 /// Bytes of an answer that we are ready to read: a list of many objects.
 const MAX_ANSWER: usize = 64_000_000;
--- a/crates/target/src/answer.rs
+++ b/crates/target/src/answer.rs
@@ -6,7 +6,8 @@
 use futures_util::FutureExt;
 use held::MAX_BODY;
 use http::{HeaderMap, StatusCode};
-use tokio::time::{Instant, timeout, timeout_at};
+use timer::{idle_timeout, timeout_at};
+use tokio::time::Instant;
 use unit::Decimal;
 use wire::{Error, Frame, Reply, Sender};
 
@@ -179,7 +180,7 @@
     async fn read(&mut self, connection: &mut Connection) -> Read {
         let piece = tokio::select! {
             biased;
-            piece = timeout(self.idle_timeout, connection.piece()) => piece,
+            piece = idle_timeout(self.idle_timeout, connection.piece()) => piece,
             // Otherwise a target that pauses would hold its slot until the idle timeout, although no
             // entry waits for the answer.
             () = self.sender.stopped(), if !self.keep => {
@@ -240,8 +241,8 @@
         delivered: &mut bool,
     ) -> Result<Option<Ended>, Error> {
         let written = match data.is_empty() {
-            true => timeout(self.idle_timeout, self.sender.flush()).await,
-            false => timeout(self.idle_timeout, self.sender.write(data)).await,
+            true => idle_timeout(self.idle_timeout, self.sender.flush()).await,
+            false => idle_timeout(self.idle_timeout, self.sender.write(data)).await,
         };
         match written {
             Ok(Ok(())) => Ok(None),
--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -9,7 +9,8 @@
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use http1::response;
 use nest::Context;
-use tokio::time::{Instant, timeout_at};
+use timer::timeout_at;
+use tokio::time::Instant;
 use unit::{Depth, Instance, Report, Urgency};
 use wire::{
     Abort, Accepted, Call, Cause, Error, Frame, Header, Notice, Payload, Receiver, Refusal, Reply,
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -9,9 +9,10 @@
 use http::{HeaderMap, HeaderValue, Method};
 use http1::{Body, Fault, Length, Piece, request, response};
 use quick_error::quick_error;
+use timer::timeout;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 use wire::{Frame, Receiver};
 
 /// Maximum time to connect to the target, which runs on the same instance.
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -7,8 +7,9 @@
 use dialect::Dialect;
 use http::{HeaderMap, Method, StatusCode, header};
 use http1::response;
+use timer::timeout;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use crate::connection::{Connection, Content, Outgoing};
 use crate::life::Stage;
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -38,6 +38,37 @@
     polled().await;
 }
 
+/// Parts of the span of an [`idle_timeout`].
+const PARTS: u32 = 10;
+
+/// Waits for `future` for `span`, in which only time counts that this process ran. This is for a peer
+/// that may pause for so long: while this process was stopped, the peer may have been stopped too, or
+/// what it sent is still on its way through other tasks.
+///
+/// # Errors
+///
+/// [`Elapsed`] if the future is not ready even then.
+pub async fn idle_timeout<F: Future>(span: Duration, future: F) -> Result<F::Output, Elapsed> {
+    let mut future = pin!(future);
+    let part = span / PARTS;
+    let (mut counted, mut late) = (0, 0);
+    loop {
+        let began = Instant::now();
+        let elapsed = match timeout(part, future.as_mut()).await {
+            Ok(output) => return Ok(output),
+            Err(elapsed) => elapsed,
+        };
+        // A process that is always late still gives up in the end.
+        match began.elapsed() >= part * 2 && late < PARTS {
+            true => late += 1,
+            false => counted += 1,
+        }
+        if counted == PARTS {
+            return Err(elapsed);
+        }
+    }
+}
+
 /// Waits for `future` until `span` has passed and the sockets have been polled since.
 ///
 /// # Errors
