Pace answers that are known to be long from their first byte

The link was never idle; the hypothesis of idle time between pieces is dropped.

Cause of the first part: the first 16 kB of each answer went at once, past all that waited, although the length of nearly all answers is known.

Change: an answer of which more than 16 kB are announced is paced from its first byte.

--- a/crates/bandwidth/src/class.rs
+++ b/crates/bandwidth/src/class.rs
@@ -1,6 +1,6 @@
 //! Which pieces of an answer are paced.
 
-/// Bytes at the start of an answer that are written at once.
+/// Bytes at the start of an answer of unknown length that are written at once.
 pub const IMMEDIATE_BYTES: u64 = 16 << 10;
 
 /// How a piece of an answer is treated.
@@ -14,9 +14,9 @@
 
 impl Class {
     /// The class of the piece that follows the first `sent` bytes of an answer. The answers of a
-    /// `bulk` route are paced from their first byte.
-    pub fn of(sent: u64, bulk: bool) -> Class {
-        match bulk || sent >= IMMEDIATE_BYTES {
+    /// `bulk` route, and others that are known to be `long`, are paced from their first byte.
+    pub fn of(sent: u64, long: bool) -> Class {
+        match long || sent >= IMMEDIATE_BYTES {
             true => Class::Paced,
             false => Class::Immediate,
         }
--- a/crates/bandwidth/src/link.rs
+++ b/crates/bandwidth/src/link.rs
@@ -85,6 +85,7 @@
         Answer {
             link: self.clone(),
             bulk,
+            is_long: false,
             began: Instant::now(),
             sent: 0,
             expected: 0,
@@ -184,6 +185,8 @@
 pub struct Answer {
     link: Link,
     bulk: bool,
+    /// Whether more was announced at once than is written immediately.
+    is_long: bool,
     began: Instant,
     sent: u64,
     /// Bytes that were announced by [`Answer::expect`] and are not yet written.
@@ -201,15 +204,17 @@
 }
 
 impl Answer {
-    /// Announces that `bytes` more of this answer are at hand, for [`Link::backlog`].
+    /// Announces that `bytes` more of this answer follow, for [`Link::backlog`]. An answer that is known
+    /// to be long is paced from its first byte.
     pub fn expect(&mut self, bytes: usize) {
         self.expected += bytes as u64;
+        self.is_long |= self.expected > IMMEDIATE_BYTES;
         self.link.state.lock().unwritten += bytes as u64;
     }
 
     /// Whether the next piece is paced.
     pub fn is_paced(&self) -> bool {
-        Class::of(self.sent, self.bulk) == Class::Paced
+        Class::of(self.sent, self.bulk || self.is_long) == Class::Paced
     }
 
     /// Waits until some of the `bytes` at hand may be written and returns how many, which are then
