Serve the long answers first that can still be complete in time

While the oldest answer was between two of its pieces, the turn went to the next one, so the two oldest shared the link in turns. And answers that could not be complete in time any more went first until their 2 s were over, and made others late that could have been.

Change: a piece that joins takes the turn over if it goes before the one that has it. The order is that of Moore and Hodgson: by begin, and where the answers that wait can't all be complete within 2 s, the longest are given up, until the others can. Those that are given up come last.

--- a/crates/bandwidth/src/link.rs
+++ b/crates/bandwidth/src/link.rs
@@ -236,10 +236,15 @@
         loop {
             let now = Instant::now();
             let mut state = self.link.state.lock();
-            let wait = self.wait.get_or_insert_with(|| Wait {
-                turn: state.pacer.join(now, self.began),
-                since: now,
-                timer: None,
+            let wait = self.wait.get_or_insert_with(|| {
+                let turn = state.pacer.join(now, self.began);
+                let left = self.expected.max(bytes as u64);
+                state.pacer.expect(now, turn, left);
+                Wait {
+                    turn,
+                    since: now,
+                    timer: None,
+                }
             });
             match state.pacer.claim(now, wait.turn, bytes) {
                 Verdict::Write(bytes) => {
--- a/crates/bandwidth/src/pacer.rs
+++ b/crates/bandwidth/src/pacer.rs
@@ -1,6 +1,6 @@
 //! Decides when a piece of a long answer may be written.
 
-use std::collections::VecDeque;
+use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -14,8 +14,7 @@
 const PIECE_TIME: Duration = Duration::from_millis(2);
 /// Bounds of a piece in bytes. Each piece costs a frame and a system call.
 const PIECE_BYTES: (u64, u64) = (4_000, 64_000);
-/// Age by which an answer should be complete. Answers are served in the order of their begin, which
-/// completes most of them by that age; those that have missed it come behind the others.
+/// Age by which an answer should be complete.
 const GOAL: Duration = Duration::from_secs(2);
 /// A piece that has waited this long is overdue: it goes before others, and is written although the
 /// backlog is long. Each long answer should get a piece every 100 ms; the rest of that time is for
@@ -51,8 +50,17 @@
 struct Piece {
     turn: Turn,
     since: Instant,
-    /// Whether its answer has missed its goal, and when it began.
-    rank: (bool, Instant),
+    /// When its answer began.
+    began: Instant,
+    /// Bytes of its answer that are known to be left.
+    left: u64,
+}
+
+impl Piece {
+    /// Time until its answer should be complete.
+    fn remaining(&self, now: Instant) -> Duration {
+        GOAL.saturating_sub(now.saturating_duration_since(self.began))
+    }
 }
 
 /// The backlog of a link, and the queue of the long answers that want to write.
@@ -62,10 +70,10 @@
     /// Bytes written and not yet sent by the link at `updated`.
     backlog: f64,
     updated: Instant,
-    /// Pieces in the order of their turns.
+    /// Pieces in the order in which their answers began.
     queue: VecDeque<Piece>,
-    /// The piece that is next. It stays the next one until it ends, because the others don't wake by
-    /// themselves.
+    /// The piece that is next. It stays the next one until it ends or another joins before it, because the
+    /// others don't wake by themselves.
     front: Option<Turn>,
     /// Whether the next piece goes before others because it is overdue.
     is_overdue: bool,
@@ -117,15 +125,29 @@
     pub fn join(&mut self, now: Instant, began: Instant) -> Turn {
         let turn = Turn(self.next_turn);
         self.next_turn += 1;
-        let age = now.saturating_duration_since(began);
-        let rank = (age >= GOAL, began);
-        let at = self.queue.partition_point(|other| other.rank <= rank);
-        let since = now;
-        self.queue.insert(at, Piece { turn, since, rank });
+        let at = self.queue.partition_point(|other| other.began <= began);
+        let piece = Piece {
+            turn,
+            since: now,
+            began,
+            left: 0,
+        };
+        self.queue.insert(at, piece);
         self.front = self.front.or(Some(turn));
         turn
     }
 
+    /// Tells how many bytes are left of the answer of a piece that has just joined. The piece becomes the
+    /// next one if it goes before the one that is, unless that is overdue.
+    pub fn expect(&mut self, now: Instant, turn: Turn, left: u64) {
+        if let Some(piece) = self.queue.iter_mut().find(|piece| piece.turn == turn) {
+            piece.left = left;
+        }
+        if !self.is_overdue && self.first(now) == Some(turn) {
+            self.front = Some(turn);
+        }
+    }
+
     /// Removes a piece that will not be written.
     pub fn leave(&mut self, now: Instant, turn: Turn) {
         let Some(at) = self.queue.iter().position(|other| other.turn == turn) else {
@@ -142,7 +164,7 @@
         self.queue.len()
     }
 
-    /// The piece that is next, until it is written or leaves.
+    /// The piece that is next.
     pub fn next(&self) -> Option<Turn> {
         self.front
     }
@@ -151,7 +173,8 @@
         let longest = self.queue.iter().min_by_key(|piece| piece.since);
         let overdue = longest.filter(|piece| now >= piece.since + OVERDUE);
         let overdue = overdue.filter(|_| self.overdue_run < MAX_OVERDUE_RUN);
-        let next = overdue.or(self.queue.front()).map(|piece| piece.turn);
+        let overdue = overdue.map(|piece| piece.turn);
+        let next = overdue.or_else(|| self.first(now));
         self.is_overdue = overdue.is_some();
         self.overdue_run = match self.is_overdue {
             true => self.overdue_run + 1,
@@ -160,15 +183,38 @@
         next
     }
 
+    /// The first piece in order. Of the answers that can be complete in time, the one that began first goes
+    /// first; where not all can, the longest are given up until the others can (Moore and Hodgson), which
+    /// leaves the fewest late. Those that are given up come behind the others.
+    fn first(&self, now: Instant) -> Option<Turn> {
+        let mut in_time = BinaryHeap::new();
+        let mut busy = self.backlog(now);
+        for (index, piece) in self.queue.iter().enumerate() {
+            let time = self.rate.time_of_bytes(piece.left as f64);
+            busy += time;
+            in_time.push((time, index));
+            while busy >= piece.remaining(now)
+                && let Some((longest, _)) = in_time.pop()
+            {
+                busy -= longest;
+            }
+        }
+        let indices = in_time.iter().map(|(_, index)| *index);
+        let first = self.queue.get(indices.min().unwrap_or(0));
+        first.map(|piece| piece.turn)
+    }
+
     /// Asks to write a piece of an answer that has `bytes` left.
     pub fn claim(&mut self, now: Instant, turn: Turn, bytes: usize) -> Verdict {
         if self.front != Some(turn) {
             return Verdict::Queued;
         }
         let piece = self.queue.iter().find(|piece| piece.turn == turn);
-        let Some((since, missed)) = piece.map(|piece| (piece.since, piece.rank.0)) else {
+        let Some(piece) = piece else {
             return Verdict::Queued;
         };
+        let missed = piece.remaining(now).is_zero();
+        let since = piece.since;
         let backlog = self.backlog(now);
         let overdue_at = (since + OVERDUE).max(self.next_overdue);
         if backlog >= MAX_BACKLOG && now < overdue_at {
