Let pieces of long answers wait longer before they pass others

Cause: a piece was overdue after 40 ms, and had 700 bytes, where each answer is owed one piece in 100 ms.

Change: a piece is overdue after 70 ms, and has 300 bytes.

--- a/crates/bandwidth/src/pacer.rs
+++ b/crates/bandwidth/src/pacer.rs
@@ -19,12 +19,12 @@
 /// A piece that has waited this long is overdue: it goes before others, and is written although the
 /// backlog is long. Each long answer should get a piece every 100 ms; the rest of that time is for
 /// the backlog and for others that are overdue.
-const OVERDUE: Duration = Duration::from_millis(40);
+const OVERDUE: Duration = Duration::from_millis(70);
 /// Overdue pieces between two pieces in order.
 const MAX_OVERDUE_RUN: u32 = 6;
 /// Bytes of a piece that goes before others because it is overdue. With more, many answers that wait
 /// would share the link evenly, and large ones would miss their goal.
-const OVERDUE_BYTES: usize = 700;
+const OVERDUE_BYTES: usize = 300;
 /// Pieces that are written although the backlog is long take at most one part in this many of the
 /// link. Without the bound, many long answers would fill the link with them, and urgent answers
 /// would wait.
--- a/crates/bandwidth/tests/share.rs
+++ b/crates/bandwidth/tests/share.rs
@@ -186,6 +186,83 @@
     }
 }
 
+fn late(times: &Times) -> usize {
+    times.long.iter().filter(|time| time.as_secs() >= 2).count()
+}
+
+/// Long answers that are late on a link of `rate` bytes a second without pieces, which sends urgent answers
+/// first, then long ones by arrival, and last those that can't be complete within 2 s.
+fn late_in_ideal_order(arrivals: &[Arrival], rate: f64) -> usize {
+    const GOAL: f64 = 2.0;
+    const STEP: f64 = 0.001;
+    let start = arrivals.iter().map(|arrival| arrival.at).min();
+    let start = start.expect("arrivals");
+    let seconds = |arrival: &Arrival| (arrival.at - start).as_secs_f64();
+    let mut coming: Vec<_> = arrivals.iter().collect();
+    coming.sort_by_key(|arrival| std::cmp::Reverse(arrival.at));
+    let (mut now, mut urgent, mut late) = (0.0, 0.0, 0);
+    let mut waiting: Vec<(f64, f64)> = Vec::new();
+    while !coming.is_empty() || !waiting.is_empty() {
+        while let Some(arrival) = coming.pop_if(|arrival| seconds(arrival) <= now) {
+            match arrival.bytes {
+                URGENT => urgent += URGENT as f64,
+                bytes => waiting.push((seconds(arrival), bytes as f64)),
+            }
+        }
+        let sent = f64::min(urgent, rate * STEP);
+        urgent -= sent;
+        let mut room = rate * STEP - sent;
+        now += STEP;
+        while room > 0.0 && !waiting.is_empty() {
+            let in_time = |(at, left): &(f64, f64)| now - at + left / rate <= GOAL;
+            let next = waiting.iter().position(in_time).unwrap_or(0);
+            let (at, left) = &mut waiting[next];
+            let sent = room.min(*left);
+            *left -= sent;
+            room -= sent;
+            if *left <= 0.0 {
+                late += usize::from(now - *at >= GOAL);
+                waiting.remove(next);
+            }
+        }
+    }
+    late
+}
+
+/// On other seeds than those above the pacer had more late answers than the order of arrival: those that
+/// could no longer be complete in time went before others that could.
+#[tokio::test(start_paused = true)]
+async fn over_many_seeds_fewer_answers_are_late_than_by_arrival() {
+    for (urgent, long) in [(0.12, 0.68), (0.2, 0.6), (0.05, 0.75)] {
+        let (mut paced, mut plain) = (0, 0);
+        for seed in 101..=160 {
+            paced += late(&play(arrivals(seed, urgent, long), true).await);
+            plain += late(&play(arrivals(seed, urgent, long), false).await);
+        }
+        println!("{urgent} + {long}: {paced} late, {plain} by arrival");
+        assert!(paced <= plain, "{urgent} + {long}: {paced}, {plain}");
+    }
+}
+
+/// Answers were late on a link that would have had all in time with a tenth of its rate to spare: the turn
+/// went to others while the oldest was between two of its pieces.
+#[tokio::test(start_paused = true)]
+async fn no_answer_is_late_where_the_link_has_room_to_spare() {
+    let most = rate().bytes_in(Duration::from_secs(1)) * 0.9;
+    let mut seeds_with_room = 0;
+    for (urgent, long) in [(0.12, 0.68), (0.2, 0.6), (0.05, 0.75)] {
+        for seed in 201..=240 {
+            let arrivals = arrivals(seed, urgent, long);
+            if late_in_ideal_order(&arrivals, most) == 0 {
+                seeds_with_room += 1;
+                let paced = late(&play(arrivals, true).await);
+                assert_eq!(paced, 0, "seed {seed}, {urgent} + {long}");
+            }
+        }
+    }
+    assert!(seeds_with_room >= 30, "{seeds_with_room} of 120");
+}
+
 /// Long answers starved while short ones alone filled the link.
 #[tokio::test(start_paused = true)]
 async fn long_answers_advance_on_a_link_full_of_short_ones() {
