Announce all daemons of a fleet below 200

After a loss of all power a daemon that isn't listed and can't reach the store is unknown to all: 20 of 63 were linked to by nobody for 5 s.

Change: as many as fit on a page of a listing are announced, some seconds after their start, when they know the size of the fleet. Whoever finds its own announcement doesn't hold its requests back, and whoever is found by others does so for 0.7 s, not 2 s. Fleets of 200 and more are as before, but for the two holds: some 135 of 984 daemons are announced (computed), and link to each other at once.

Test: after_a_loss_of_all_those_cut_off_from_the_store_are_found, 120 daemons: 0.63 s; before not within 10 s.

--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -279,7 +279,8 @@
         .seed(rand::random())
         .pace(profile.pace)
         .standing(profile.standing)
-        .sparse(profile.sparse);
+        .sparse(profile.sparse)
+        .announce_below(profile.announce_below);
     // The allocators of quotas lend only while their list is confirmed.
     let keys: Vec<String> = setting
         .quota
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -25,6 +25,8 @@
     pub standing: bool,
     /// Whether only some daemons are announced; see [`feed::Builder::sparse`].
     pub sparse: bool,
+    /// Fleets below this size announce all; see [`feed::Builder::announce_below`].
+    pub announce_below: usize,
     /// The time between two heartbeats of a target that announces itself to its daemon; `None`
     /// where the settings say all about it.
     pub heartbeat: Option<Duration>,
@@ -42,6 +44,9 @@
     pub one_port: bool,
 }
 
+/// Announcements that fit on a page of a listing.
+const PAGE: usize = 200;
+
 /// How long a watch waits at a store whose connections are probed.
 const LONG_WATCH: Duration = Duration::from_secs(25);
 
@@ -90,6 +95,7 @@
             profile.standing = true;
             // A takeover of quotas has to know all that may have borrowed, those that are cut off too.
             profile.sparse = setting.quota.is_none();
+            profile.announce_below = PAGE;
             profile.hand_overs = Some(HAND_OVERS);
             profile.link_within = Some(LINK_WITHIN);
             profile.pace = feed::Pace {
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -46,6 +46,7 @@
     pace: Pace,
     standing: bool,
     sparse: bool,
+    announce_below: usize,
     confirm: Option<Confirm>,
 }
 
@@ -102,6 +103,7 @@
             pace: Pace::default(),
             standing: false,
             sparse: false,
+            announce_below: 0,
             confirm: None,
         }
     }
@@ -185,6 +187,15 @@
         self
     }
 
+    /// Sets the size of a fleet below which all of its daemons are announced some seconds after their
+    /// start, also where [`Builder::sparse`] is set; default 0. While the announcements of a fleet fit on
+    /// a page of a listing they cost a start one write, and after a loss of all power those that reach
+    /// the store find those that don't.
+    pub fn announce_below(mut self, count: usize) -> Builder {
+        self.announce_below = count;
+        self
+    }
+
     /// Confirms that the rules in force, and the objects of further keys, are the newest in the
     /// store. By default nothing is confirmed, and no message or call is made for it.
     pub fn confirm(mut self, confirm: Confirm) -> Builder {
@@ -238,6 +249,7 @@
             pace: self.pace,
             standing: self.standing,
             sparse: self.sparse,
+            announce_below: self.announce_below,
             listed: CancellationToken::new(),
             needed,
             joined,
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -76,6 +76,8 @@
     pub(crate) standing: bool,
     /// Whether only some daemons are announced in the store.
     pub(crate) sparse: bool,
+    /// Size of a fleet below which all are announced nevertheless.
+    pub(crate) announce_below: usize,
     /// Cancelled once the announcements have been listed for the first time.
     pub(crate) listed: CancellationToken,
     /// Cancelled once this daemon has to be announced in the store.
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -29,6 +29,9 @@
 /// spreads over half a second.
 const RELIST_DELAY: Duration = Duration::from_millis(1_500);
 
+/// Interval at which a daemon that knows no other checks whether one has found it.
+const FOUND_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time in which a daemon that has found some others learns of the rest, by relays and by comparing
 /// rosters.
 const JOIN_TIME: Duration = Duration::from_millis(700);
@@ -49,6 +52,9 @@
 /// read that may be old takes to show those.
 const SPARSE_RELIST_DELAY: Duration = Duration::from_millis(2_100);
 
+/// Time after its start at which a daemon knows the size of the fleet, also after a start of all.
+const FLEET_KNOWN: Duration = Duration::from_secs(5);
+
 /// Maximum number of further listings while no other instance is known.
 const MAX_RELISTS: u32 = 3;
 
@@ -65,19 +71,32 @@
 
 /// Reads the platform once, then watches it whenever this daemon is a watcher of its zone.
 pub(crate) async fn run(inner: Arc<Inner>) {
-    start(&inner).await;
+    tokio::join!(follow_platform(&inner), join_when_found(&inner));
+}
+
+async fn follow_platform(inner: &Inner) {
+    start(inner).await;
     let evacuations = async {
         if inner.evacuation_prefix.is_some() {
-            watch(&inner, Part::Evacuations).await;
+            watch(inner, Part::Evacuations).await;
         }
     };
     tokio::join!(
-        watch(&inner, Part::Instances),
-        watch(&inner, Part::Rules),
-        evacuations
+        watch(inner, Part::Instances),
+        watch(inner, Part::Rules),
+        evacuations,
+        announce_in_small_fleet(inner)
     );
 }
 
+/// Announces this daemon, which has not been needed so far, if the fleet is small.
+async fn announce_in_small_fleet(inner: &Inner) {
+    sleep(FLEET_KNOWN + inner.jitter(FLEET_KNOWN)).await;
+    if count_others(inner) < inner.announce_below {
+        inner.needed.cancel();
+    }
+}
+
 fn backoff(inner: &Inner) -> Backoff {
     let seed = inner.jitter(Duration::from_secs(1)).as_nanos() as u64;
     Backoff::new(MIN_PAUSE, inner.pace.max_backoff, seed)
@@ -103,22 +122,32 @@
     if is_drawn || (1..MIN_ANNOUNCED).contains(&others) {
         inner.needed.cancel();
     }
+    let is_found = others > 0 && inner.with(|roster| roster.is_written());
     read_rules(inner).await;
     if inner.sparse {
-        join(inner).await;
+        if is_found {
+            // The listing may have shown all, and those that are announced are few compared with a page.
+            inner.joined.cancel();
+        }
+        if others == 0 {
+            relist(inner).await;
+        }
+        sleep(JOIN_TIME).await;
+        inner.joined.cancel();
+        sleep(WATCHER_DELAY).await;
     } else if inner.standing && !inner.with(|roster| roster.is_written()) {
         relist(inner).await;
     }
 }
 
-/// Waits until the other daemons are most likely known.
-async fn join(inner: &Inner) {
-    if count_others(inner) == 0 {
-        relist(inner).await;
+/// Waits until others have found this daemon, which may not reach the platform, and the rest is most
+/// likely known.
+async fn join_when_found(inner: &Inner) {
+    while count_others(inner) == 0 && !inner.joined.is_cancelled() {
+        sleep(FOUND_INTERVAL).await;
     }
     sleep(JOIN_TIME).await;
     inner.joined.cancel();
-    sleep(WATCHER_DELAY).await;
 }
 
 fn count_others(inner: &Inner) -> usize {
--- a/crates/feed/tests/it/sparse.rs
+++ b/crates/feed/tests/it/sparse.rs
@@ -141,3 +141,23 @@
     sleep(Duration::from_secs(120)).await;
     assert!(world.is_whole(), "nobody is removed later on");
 }
+
+/// After a loss of all power, daemons that did not reach the store were not found by the others, and their
+/// targets got no request, until the store answered them again.
+#[tokio::test(start_paused = true)]
+async fn after_a_loss_of_all_those_cut_off_from_the_store_are_found() {
+    const COUNT: usize = 120;
+    let mut world = World::announced(COUNT, ZONES).await;
+    let names: Vec<_> = world.nodes.iter().map(|node| node.name.clone()).collect();
+    names.iter().for_each(|name| world.kill(name));
+    for name in &names[..COUNT / 3] {
+        world.platform.fault_of(name.as_str()).down(true);
+    }
+    for number in 0..COUNT {
+        world.restart(number);
+    }
+    let whole = world.until(10, || world.is_whole()).await;
+    println!("all know all after {whole:?}");
+    let whole = whole.expect("all know all");
+    assert!(whole < Duration::from_secs(2), "{whole:?}");
+}
--- a/crates/feed/tests/it/world.rs
+++ b/crates/feed/tests/it/world.rs
@@ -44,6 +44,8 @@
     mode: Mode,
     /// Whether they follow evacuations in the store.
     evacuations: bool,
+    /// Size of a fleet below which all are announced.
+    announce_below: usize,
     /// Those named here neither send nor hear anything until they are thawed.
     frozen: watch::Sender<BTreeSet<Instance>>,
     /// How long the machine of each daemon was suspended without its monotonic clock.
@@ -238,6 +240,7 @@
             .evacuations(net.evacuations.then_some(EVACUATIONS), evacuations.clone())
             .standing(standing)
             .sparse(sparse)
+            .announce_below(net.announce_below)
             .pace(pace(net.mode))
             .mistaken(move || dials.mistaken(&dialler))
             .seed(seed);
@@ -321,6 +324,17 @@
         World::with(net, count, ZONES.len()).await.settle().await
     }
 
+    /// `count` daemons of a fleet that is small enough for all to be announced, some seconds after their
+    /// start.
+    pub async fn announced(count: usize, zones: usize) -> World {
+        let net = Net {
+            mode: Mode::Sparse,
+            announce_below: 200,
+            ..Net::default()
+        };
+        World::with(net, count, zones).await.settle().await
+    }
+
     /// Daemons that have just started and confirm their configuration.
     pub async fn confirming(confirm: Confirm, count: usize, zones: usize) -> World {
         let net = Net {
