--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -89,7 +89,7 @@
     );
 }
 
-/// Announces this daemon, which has not been needed so far, if the fleet is small.
+/// Announces this daemon if the fleet is small.
 async fn announce_in_small_fleet(inner: &Inner) {
     sleep(FLEET_KNOWN + inner.jitter(FLEET_KNOWN)).await;
     if count_others(inner) < inner.announce_below {
@@ -126,7 +126,8 @@
     read_rules(inner).await;
     if inner.sparse {
         if is_found {
-            // The listing may have shown all, and those that are announced are few compared with a page.
+            // A small fleet is listed in full. In a large one only the few that are announced get here, too
+            // few to overload each other.
             inner.joined.cancel();
         }
         if others == 0 {
