End a claim with the deadline of its request

Cause, by the log and the code: a claim asked its owner for up to 1.5 s, and then the next in rank for as long, whatever was left to the request.

Change: each is asked until the deadline of the claim at most, and nobody after it. What may have been written is freed as before.

--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -97,6 +97,13 @@
     assert!(report.broken.is_empty(), "{report}");
 }
 
+/// A claim asked two silent owners for 1.5 s each, and its caller was answered 2 s after the deadline.
+#[test]
+fn seed_41042_claims_end_with_the_deadline() {
+    let report = play(&Plan::draw(41_042, Duration::from_secs(12), 4).with_links(), None);
+    assert!(report.broken.is_empty(), "{report}");
+}
+
 /// Planned stops of all daemons in turn and nothing else, so that nothing excuses a lost answer.
 fn stops() -> Plan {
     let step = |turn: usize| Step {
--- a/crates/appleshore/src/claims.rs
+++ b/crates/appleshore/src/claims.rs
@@ -10,7 +10,7 @@
 use entry::{Claims, Granted, NoClaim};
 use ledger::message::{Answer, Ask, ClaimRequest};
 use ledger::{Claim, End, Ledger, Moment, Record};
-use timer::{timeout, timeout_at};
+use timer::timeout_at;
 use tokio::time::{Instant, sleep};
 use tokio_util::task::TaskTracker;
 use unit::{Digest, Instance, Outcome, Token};
@@ -96,7 +96,8 @@
         }
     }
 
-    /// Claims a key at its owner, or, if that one is lost, at the next in rank.
+    /// Claims a key at its owner, or, if that one is lost, at the next in rank, until the deadline of the
+    /// claim.
     ///
     /// A claim at a lost owner may still be written. Nobody will run the key under that token, so
     /// it is released, and the next owner is asked under a fresh one: the release must not free
@@ -108,10 +109,9 @@
             let Some(owner) = self.owner(claim.key, &passed) else {
                 break;
             };
-            match self
-                .ask(&owner, Ask::Claim(ClaimRequest::new(claim.clone())))
-                .await
-            {
+            let request = Ask::Claim(ClaimRequest::new(claim.clone()));
+            let until = claim.deadline.min(Instant::now() + OWNER_TIMEOUT);
+            match self.ask(&owner, request, until).await {
                 Ok(Answer::Claimed(claimed)) => {
                     return Ok(Granted {
                         token: claim.token,
@@ -127,6 +127,9 @@
             self.free(claim.key, claim.token);
             claim.token = Token(rand::random());
             passed.push(owner);
+            if Instant::now() >= claim.deadline {
+                break;
+            }
         }
         Err(NoClaim {
             cause,
@@ -159,7 +162,8 @@
                 passed.clear();
                 self.me.clone()
             });
-            match self.ask(&owner, Ask::End(end.clone())).await {
+            let owner_until = Instant::now() + OWNER_TIMEOUT;
+            match self.ask(&owner, Ask::End(end.clone()), owner_until).await {
                 Ok(Answer::Ended) => return,
                 Ok(answer) => log::warn!("ledger: {owner} did not take an end: {answer:?}."),
                 Err(error) => {
@@ -186,11 +190,11 @@
         self.ledger.owner(key, &left).cloned()
     }
 
-    async fn ask(&self, owner: &Instance, ask: Ask) -> Result<Answer, String> {
+    async fn ask(&self, owner: &Instance, ask: Ask, until: Instant) -> Result<Answer, String> {
         if *owner == self.me {
             return Ok(self.ledger.answer(ask).await);
         }
-        let asked = timeout(OWNER_TIMEOUT, self.ask_over(owner, ask)).await;
+        let asked = timeout_at(until, self.ask_over(owner, ask)).await;
         match asked {
             Ok(answer) => answer.map_err(|error| error.to_string()),
             Err(_) => Err(format!("ask {owner} for a key: no answer in time")),
