--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -100,7 +100,8 @@
 /// A claim asked two silent owners for 1.5 s each, and its caller was answered 2 s after the deadline.
 #[test]
 fn seed_41042_claims_end_with_the_deadline() {
-    let report = play(&Plan::draw(41_042, Duration::from_secs(12), 4).with_links(), None);
+    let plan = Plan::draw(41_042, Duration::from_secs(12), 4).with_links();
+    let report = play(&plan, None);
     assert!(report.broken.is_empty(), "{report}");
 }
 
