Fold what the change wrote twice

Behaviour and assertions stay as they are.

- The listening end over TCP and the watchdog over QUIC each polled the sockets before a silence counts: `Silence::add_polled` does it for both.
- The tests of the real daemon's log and of its freezes wrote the same settings: `tests/common`.

--- a/bin/appleshored/tests/frozen.rs
+++ b/bin/appleshored/tests/frozen.rs
@@ -1,10 +1,12 @@
 //! The real program is frozen while its target answers.
 
-use std::path::PathBuf;
+mod common;
+
 use std::process::Stdio;
 use std::time::Duration;
 
 use bytes::Bytes;
+use common::write_settings;
 use futures_util::future::join_all;
 use http::Method;
 use mesh::{Address, Answer, Block, Client, RULES, Target};
@@ -38,20 +40,8 @@
         let put = platform.store().put("rules", rules, Condition::Any).await;
         put.expect("the platform takes the rules");
         let target = Target::start("a", address(Address::Target), address(Address::Outbound)).await;
-        let settings = format!(
-            r#"{{ "instance": "a", "zone": "longbien", "service": "desk", "slots": 99, "callers": "{}",
-                  "outbound": "{}", "link": "{}", "operator": "{}", "target": "{}", "store": ["{}"],
-                  "log": "off", {fields} }}"#,
-            address(Address::Callers),
-            address(Address::Outbound),
-            address(Address::Link),
-            address(Address::Operator),
-            address(Address::Target),
-            address(Address::Store),
-        );
-        let name = format!("frozen-{}.jsonc", std::process::id());
-        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        std::fs::write(&path, settings).expect("the settings are written");
+        let fields = format!(r#""slots": 99, "log": "off", {fields}"#);
+        let path = write_settings(block, &fields);
         let daemon = Command::new(env!("CARGO_BIN_EXE_appleshored"))
             .arg("--settings")
             .arg(&path)
--- a/bin/appleshored/tests/log.rs
+++ b/bin/appleshored/tests/log.rs
@@ -1,10 +1,12 @@
 //! The log of the real program.
 
+mod common;
+
 use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 
-use mesh::{Address, Block};
+use common::write_settings;
+use mesh::Block;
 
 /// Ends the daemon with the test.
 struct Daemon(Child);
@@ -19,21 +21,7 @@
 
 /// The first line of a daemon whose settings have `fields` beside the addresses.
 fn first_line(fields: &str) -> String {
-    let block = Block::next();
-    let address = |what| block.of(0, what);
-    let settings = format!(
-        r#"{{ "instance": "a", "zone": "longbien", "service": "desk", "slots": 4, "callers": "{}",
-              "outbound": "{}", "link": "{}", "operator": "{}", "target": "{}", "store": ["{}"]{fields} }}"#,
-        address(Address::Callers),
-        address(Address::Outbound),
-        address(Address::Link),
-        address(Address::Operator),
-        address(Address::Target),
-        address(Address::Store),
-    );
-    let name = format!("log-{}.jsonc", address(Address::Callers).port());
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, settings).expect("the settings are written");
+    let path = write_settings(Block::next(), &format!(r#""slots": 4{fields}"#));
     let mut command = Command::new(env!("CARGO_BIN_EXE_appleshored"));
     let child = command
         .arg("--settings")
--- a/crates/feed/examples/spread.rs
+++ b/crates/feed/examples/spread.rs
@@ -7,6 +7,8 @@
 
 use tokio::time::sleep;
 
+#[path = "../tests/it/quiet.rs"]
+mod quiet;
 #[path = "../tests/it/world.rs"]
 #[expect(dead_code, reason = "the tests use more of it")]
 mod world;
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod parted;
 mod piece;
+mod quiet;
 mod rejected;
 mod sparse;
 mod spread;
--- a/crates/wire/src/quic/watchdog.rs
+++ b/crates/wire/src/quic/watchdog.rs
@@ -68,11 +68,8 @@
         if inner.open.load(Ordering::Acquire) == 0 {
             return true;
         }
-        let mut lasted = silence.add(PERIOD, received(connection));
-        if lasted >= SILENT_AFTER {
-            timer::polled().await;
-            lasted = silence.add(Duration::ZERO, received(connection));
-        }
+        let received = || received(connection);
+        let lasted = silence.add_polled(PERIOD, SILENT_AFTER, received).await;
         if lasted.is_zero() {
             continue;
         }
--- a/crates/wire/src/silence.rs
+++ b/crates/wire/src/silence.rs
@@ -22,6 +22,22 @@
         }
     }
 
+    /// Like [`Silence::add`]. Before a silence of `limit` or more is returned, the sockets are polled, and
+    /// `last` is asked once more.
+    pub(crate) async fn add_polled(
+        &mut self,
+        planned: Duration,
+        limit: Duration,
+        last: impl Fn() -> T,
+    ) -> Duration {
+        let lasted = self.add(planned, last());
+        if lasted < limit {
+            return lasted;
+        }
+        timer::polled().await;
+        self.add(Duration::ZERO, last())
+    }
+
     /// Ends a wait that was planned to take `planned`, after which `last` was the last received. Returns
     /// the silence so far.
     pub(crate) fn add(&mut self, planned: Duration, last: T) -> Duration {
--- a/crates/wire/src/tcp/listener.rs
+++ b/crates/wire/src/tcp/listener.rs
@@ -205,12 +205,11 @@
             () = sleep(CHECK_INTERVAL) => {}
             () = mux.shared().closed.cancelled() => return,
         }
-        let lasted = silence.add(CHECK_INTERVAL, mux.count().heard);
-        if lasted < SILENT_AFTER {
-            continue;
-        }
-        timer::polled().await;
-        if silence.add(Duration::ZERO, mux.count().heard) >= SILENT_AFTER {
+        let heard = || mux.count().heard;
+        let lasted = silence
+            .add_polled(CHECK_INTERVAL, SILENT_AFTER, heard)
+            .await;
+        if lasted >= SILENT_AFTER {
             mux.end("silent");
         }
     }
