--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -11,6 +11,7 @@
 mod poison;
 mod record;
 mod reuse;
+mod stall;
 mod store;
 mod upload;
 mod upstream;
@@ -61,6 +62,7 @@
         "again" => again::play(&record, trouble)?,
         "cold" => cold::play(&record, trouble)?,
         "poison" => poison::play(&record, trouble)?,
+        "stall" => stall::play(&record, trouble)?,
         other => return Err(format!("no such case: {other}").into()),
     };
     for line in &breaks {
--- a/review/stand-ins/src/upstream.rs
+++ b/review/stand-ins/src/upstream.rs
@@ -54,6 +54,8 @@
 struct Shared {
     place: Place,
     life: String,
+    /// Of so many answers one is sent in part, on a connection that stays open; 0 for none.
+    cuts: AtomicU64,
     /// Until when it is cold.
     cold_until: Mutex<Option<Instant>>,
     /// The Unix millisecond of its start.
@@ -84,6 +86,7 @@
         let shared = Arc::new(Shared {
             place,
             life: life.to_string(),
+            cuts: AtomicU64::new(0),
             cold_until: Mutex::new(None),
             born: SystemTime::now()
                 .duration_since(UNIX_EPOCH)
@@ -268,6 +271,11 @@
         left.map_or(0, |left| left.as_millis() as u64)
     }
 
+    /// Sends one of `one_of` answers in part from now on; none if 0.
+    pub fn cut(&self, one_of: u64) {
+        self.shared.cuts.store(one_of, Ordering::SeqCst);
+    }
+
     /// Becomes cold for `time`.
     pub fn chill(&self, time: Duration) {
         *self.shared.cold_until.lock().unwrap() = Some(Instant::now() + time);
@@ -338,6 +346,20 @@
         self.shared.running.fetch_sub(1, Ordering::SeqCst);
         fields.push(("X-Response-Signature", format!("{:016x}", run.hash)));
         let text = format!("{} {:016x}", run.length, run.hash);
+        let one_of = self.shared.cuts.load(Ordering::SeqCst);
+        let number = self.shared.runs.lock().unwrap().len() as u64;
+        if one_of > 0 && number.is_multiple_of(one_of) {
+            self.shared.record.say(format!(
+                "{} sends a part of its answer to {}",
+                run.upstream, run.id
+            ));
+            fields.push(("Content-Length", (text.len() * 2).to_string()));
+            let lines = fields
+                .iter()
+                .map(|(name, value)| format!("{name}: {value}\r\n"));
+            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", lines.collect::<String>());
+            return connection.write(&[head, text].concat().into_bytes());
+        }
         connection.answer("200 OK", &fields, text.as_bytes())
     }
 }
