--- a/review/stand-ins/src/reuse.rs
+++ b/review/stand-ins/src/reuse.rs
@@ -12,7 +12,7 @@
 use crate::record::Record;
 use crate::upstream::Upstream;
 
-const SERVICES: [&str; 3] = ["desk", "desk", "vault"];
+const SERVICES: [&str; 7] = ["desk", "desk", "desk", "desk", "vault", "vault", "vault"];
 const SLOTS: u64 = 15;
 
 /// The machine whose upstream ends.
@@ -27,11 +27,11 @@
 const TIMEOUT_MS: u64 = 1_000;
 
 /// Requests of the whole run, one each `PAUSE`; the upstream ends behind `BEFORE` of them.
-const REQUESTS: usize = 400;
-const BEFORE: usize = 100;
+const REQUESTS: usize = 1_000;
+const BEFORE: usize = 250;
 /// Clients stay at a machine for two questions of the platform behind a SIGTERM of its daemon.
-const CLIENTS_STAY: usize = 80;
-const PAUSE: Duration = Duration::from_millis(25);
+const CLIENTS_STAY: usize = 200;
+const PAUSE: Duration = Duration::from_millis(10);
 
 pub fn play(record: &Record, trouble: bool) -> Result<Breaks, Fault> {
     let mut fleet = Fleet::start(&SERVICES, SLOTS, config(7, TIMEOUT_MS, false), record)?;
@@ -99,7 +99,12 @@
     if served * 2 < REQUESTS {
         return Err("fewer than half of the requests are served".into());
     }
-    let mut others = vec![fleet.upstreams[2].clone()];
+    let others = fleet
+        .upstreams
+        .iter()
+        .zip(SERVICES)
+        .filter(|(_, service)| *service == "vault");
+    let mut others: Vec<Upstream> = others.map(|(upstream, _)| upstream.clone()).collect();
     others.extend(replacement);
     let mut breaks = Vec::new();
     for run in others.iter().flat_map(Upstream::runs) {
