--- a/review/stand-ins-2/src/bin/cut-upload.rs
+++ b/review/stand-ins-2/src/bin/cut-length.rs
@@ -1,7 +1,7 @@
-//! Clients upload long bodies in chunks on a route that may run once at most, and some of them leave
-//! in the middle.
+//! Clients send long bodies with a length, which upstreams reject before they are in, and some of the
+//! clients leave in the middle. Other clients send short requests meanwhile.
 //!
-//! Exits with 1 if an upstream ran a request with a body that no client had sent to its end.
+//! Exits with 1 if an upstream got bytes of other requests where the rest of a body is due.
 
 use std::fmt::Write as _;
 use std::io::Write;
@@ -17,21 +17,24 @@
 use stand_ins_2::store::Store;
 use stand_ins_2::upstream::Upstream;
 
-const DEADLINE_MS: u64 = 2_000;
+const DEADLINE_MS: u64 = 1_500;
 const UPLOADS: u32 = 10;
 /// One client in five leaves, as in `give_up` of the site file.
 const LEAVES_EACH: u32 = 5;
 /// A body, and how much of it a client that leaves has sent. `max_body_bytes` is 67,108,864.
 const BODY: usize = 240_000;
 const SENT: usize = 120_000;
-const CHUNK: usize = 8_000;
-/// A client that leaves does so this long after it has begun, before half of its deadline.
-const LEAVES_AFTER: Duration = Duration::from_millis(600);
+const PIECE: usize = 8_000;
+/// A client that leaves does so this long after it has begun, before half of its objective.
+const LEAVES_AFTER: Duration = Duration::from_millis(120);
+/// Upstreams reject a long request so long after its head.
+const EARLY_MS: u64 = 250;
+/// Short requests, 20 ms apart.
+const SHORT: u32 = 150;
 
 /// What a client has done.
 struct Seen {
     id: String,
-    sent: usize,
     left: bool,
     end: String,
 }
@@ -80,84 +83,96 @@
             .all(|id| runs.iter().any(|run| run.upstream == *id))
     })?;
 
-    let start = Instant::now();
     let seen = Arc::new(Mutex::new(Vec::new()));
     let mut clients = Vec::new();
+    let address = machines[0].outbound;
     for number in 0..UPLOADS {
-        let address = machines[0].outbound;
         let leaves = trouble && number % LEAVES_EACH == LEAVES_EACH - 1;
         let seen = seen.clone();
         clients.push(thread::spawn(move || {
-            thread::sleep(Duration::from_millis(100) * number);
-            let id = format!("u{number}");
-            let result = upload(address, &id, leaves);
-            let (sent, end) = match result {
-                Ok((sent, Some(answer))) => (sent, format!("answered {}", answer.status())),
-                Ok((sent, None)) if leaves => (sent, "left".to_string()),
-                Ok((sent, None)) => (sent, "no answer".to_string()),
-                Err(error) => (0, error.to_string()),
+            thread::sleep(Duration::from_millis(200) * number);
+            let id = format!("long{number}");
+            let end = match upload(address, &id, leaves) {
+                _ if leaves => "left".to_string(),
+                Ok(Some(answer)) => format!("answered {}", answer.status()),
+                Ok(None) => "no answer".to_string(),
+                Err(error) => error.to_string(),
             };
             seen.lock().unwrap().push(Seen {
                 id,
-                sent,
                 left: leaves,
                 end,
             });
         }));
     }
+    for number in 0..SHORT {
+        let seen = seen.clone();
+        clients.push(thread::spawn(move || {
+            thread::sleep(Duration::from_millis(20) * number);
+            let id = format!("short{number}");
+            let end = match order(address, &id) {
+                Ok(Some(answer)) => format!("answered {}", answer.status()),
+                Ok(None) => "no answer".to_string(),
+                Err(error) => error.to_string(),
+            };
+            seen.lock().unwrap().push(Seen {
+                id,
+                left: false,
+                end,
+            });
+        }));
+    }
     for client in clients {
         client.join().map_err(|_| "a client failed".to_string())?;
     }
-    thread::sleep(Duration::from_millis(DEADLINE_MS));
+    thread::sleep(Duration::from_millis(500));
+    // Upstreams read on for the rest of bodies until their connections end.
+    drop(machines);
+    thread::sleep(Duration::from_millis(500));
 
     let mut text = String::new();
-    let mut changed = 0;
-    let mut answered = 0;
+    let (mut foreign, mut unanswered) = (0, 0);
     let runs = runs.lock().unwrap();
     let mut seen = seen.lock().unwrap();
     seen.sort_by(|one, other| one.id.cmp(&other.id));
-    for Seen {
-        id,
-        sent,
-        left,
-        end,
-    } in seen.iter()
-    {
-        let whole = body(id);
-        answered += u32::from(end == "answered 200");
-        let mut ran = Vec::new();
+    for Seen { id, left, end } in seen.iter() {
+        let mut got = Vec::new();
         for run in runs.iter().filter(|run| run.id == *id) {
-            let is_whole = run.body == whole;
-            changed += u32::from(!is_whole);
-            let mark = if is_whole { "whole" } else { "CHANGED" };
-            ran.push(format!(
-                "{} at {:.3} with a body of {} bytes, {mark}",
+            if !id.starts_with("long") {
+                got.push(format!("run by {}", run.upstream));
+                continue;
+            }
+            let whole = body(id);
+            let same = run
+                .body
+                .iter()
+                .zip(&whole)
+                .take_while(|(one, other)| one == other);
+            let same = same.count();
+            let rest = &run.body[same..];
+            foreign += u32::from(!rest.is_empty());
+            let sample =
+                String::from_utf8_lossy(&rest[..rest.len().min(120)]).replace("\r\n", " | ");
+            got.push(format!(
+                "{} got {same} bytes of the body and {} others {sample:?}",
                 run.upstream,
-                run.began.duration_since(start).as_secs_f64(),
-                run.body.len()
+                rest.len()
             ));
         }
-        let _ = writeln!(
-            text,
-            "{id} sent {sent} of {BODY} bytes, left={left}, {end}, run by [{}]",
-            ran.join(", ")
-        );
+        unanswered += u32::from(!left && end != "answered 200" && end != "answered 413");
+        let _ = writeln!(text, "{id} left={left}, {end}, [{}]", got.join(", "));
     }
     let _ = writeln!(
         text,
-        "trouble={trouble} uploads={UPLOADS} answered 200={answered} run with a changed body={changed}: {}",
-        if changed > 0 {
+        "trouble={trouble} long={UPLOADS} short={SHORT} without their answer={unanswered} bodies with bytes of \
+         other requests={foreign}: {}",
+        if foreign > 0 {
             "UNASKED broken"
         } else {
             "held"
         }
     );
-    if !trouble && answered < UPLOADS {
-        return Err(format!(
-            "only {answered} of {UPLOADS} whole uploads were answered"
-        ));
-    }
-    Ok((text, changed > 0))
+    Ok((text, foreign > 0))
 }
 
 /// The whole body of a request, which no other has.
@@ -168,37 +183,41 @@
         .collect()
 }
 
-/// Uploads a body in chunks; one that leaves closes its connection in the middle.
-fn upload(
-    address: SocketAddr,
-    id: &str,
-    leaves: bool,
-) -> std::io::Result<(usize, Option<Message>)> {
+/// Sends a body with a length; a client that leaves closes its connection in the middle.
+fn upload(address: SocketAddr, id: &str, leaves: bool) -> std::io::Result<Option<Message>> {
     let began = Instant::now();
     let mut stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_secs(4)))?;
     let head = format!(
-        "POST /book/{id} HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {id}\r\n\
-         x-deadline-ms: {DEADLINE_MS}\r\ntransfer-encoding: chunked\r\n\r\n"
+        "POST /book/{id}?early={EARLY_MS} HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {id}\r\n\
+         x-deadline-ms: {DEADLINE_MS}\r\ncontent-length: {BODY}\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
     let whole = body(id);
     let mut sent = 0;
-    for chunk in whole.chunks(CHUNK) {
-        let mut bytes = format!("{:x}\r\n", chunk.len()).into_bytes();
-        bytes.extend_from_slice(chunk);
-        bytes.extend_from_slice(b"\r\n");
-        stream.write_all(&bytes)?;
-        sent += chunk.len();
+    for piece in whole.chunks(PIECE) {
+        stream.write_all(piece)?;
+        sent += piece.len();
         if leaves && sent >= SENT {
             thread::sleep(LEAVES_AFTER.saturating_sub(began.elapsed()));
-            return Ok((sent, None));
+            return Ok(None);
         }
-        thread::sleep(Duration::from_millis(5));
+        thread::sleep(Duration::from_millis(4));
     }
-    stream.write_all(b"0\r\n\r\n")?;
-    Ok((sent, Reader::new(stream).read(true)?))
+    Reader::new(stream).read(true)
+}
+
+/// Sends a short request of the same route.
+fn order(address: SocketAddr, id: &str) -> std::io::Result<Option<Message>> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(Duration::from_secs(4)))?;
+    let head = format!(
+        "POST /book/{id}?work=20 HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {id}\r\n\
+         x-deadline-ms: {DEADLINE_MS}\r\ncontent-length: 5\r\n\r\norder"
+    );
+    stream.write_all(head.as_bytes())?;
+    Reader::new(stream).read(true)
 }
 
 fn ask(address: SocketAddr, id: &str) -> std::io::Result<Option<Message>> {
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -22,6 +22,15 @@
         code.and_then(|code| code.parse().ok()).unwrap_or(0)
     }
 
+    pub fn length(&self) -> Option<usize> {
+        self.field("content-length")
+            .and_then(|text| text.parse().ok())
+    }
+
+    pub fn is_chunked(&self) -> bool {
+        self.field("transfer-encoding").is_some()
+    }
+
     pub fn method(&self) -> &str {
         self.first.split(' ').next().unwrap_or("")
     }
@@ -54,6 +63,27 @@
 
     /// Reads one message; `Ok(None)` if the connection ends before its first byte.
     pub fn read(&mut self, is_answer: bool) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head()? else {
+            return Ok(None);
+        };
+        message.body = match is_answer && !message.is_chunked() && message.length().is_none() {
+            true => self.rest()?,
+            false => self.read_body(&message)?,
+        };
+        Ok(Some(message))
+    }
+
+    /// Reads the body of a message whose head has been read, as its head says.
+    pub fn read_body(&mut self, head: &Message) -> io::Result<Vec<u8>> {
+        match (head.is_chunked(), head.length()) {
+            (true, _) => self.chunks(),
+            (false, Some(length)) => self.exact(length),
+            (false, None) => Ok(Vec::new()),
+        }
+    }
+
+    /// Reads the head of one message; its body is left on the connection.
+    pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let end = loop {
             if let Some(at) = find(&self.buffer, b"\r\n\r\n") {
                 break at;
@@ -72,22 +102,18 @@
         let fields = lines.filter_map(|line| line.split_once(':'));
         let fields =
             fields.map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()));
-        let mut message = Message {
+        Ok(Some(Message {
             first,
             fields: fields.collect(),
             body: Vec::new(),
-        };
-        let chunked = message.field("transfer-encoding").is_some();
-        let length = message
-            .field("content-length")
-            .and_then(|text| text.parse::<usize>().ok());
-        message.body = match (chunked, length) {
-            (true, _) => self.chunks()?,
-            (false, Some(length)) => self.exact(length)?,
-            (false, None) if is_answer => self.rest()?,
-            (false, None) => Vec::new(),
-        };
-        Ok(Some(message))
+        }))
+    }
+
+    /// Reads up to `length` bytes of a body; fewer if the connection ends.
+    pub fn read_up_to(&mut self, length: usize) -> Vec<u8> {
+        while self.buffer.len() < length && self.fill().is_ok_and(|count| count > 0) {}
+        let count = self.buffer.len().min(length);
+        self.buffer.drain(..count).collect()
     }
 
     fn exact(&mut self, length: usize) -> io::Result<Vec<u8>> {
--- a/review/stand-ins-2/src/upstream.rs
+++ b/review/stand-ins-2/src/upstream.rs
@@ -122,7 +122,13 @@
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
         stream.set_nodelay(true)?;
         let mut reader = Reader::new(stream);
-        while let Some(request) = reader.read(false)? {
+        while let Some(mut request) = reader.read_head()? {
+            let early = number(request.target(), "early", 0);
+            if early > 0 {
+                self.reject_early(&request, &mut reader, early)?;
+                continue;
+            }
+            request.body = reader.read_body(&request)?;
             let load = self.running.load(Ordering::SeqCst);
             let own = format!(
                 "x-instance-id: {}\r\nx-server-load: {load},0,{}\r\n",
@@ -155,6 +161,36 @@
         Ok(())
     }
 
+    /// Answers a long request after `early` milliseconds, whether or not its body is in, keeps the
+    /// connection, and reads the rest of the body afterwards.
+    fn reject_early(
+        &self,
+        request: &Message,
+        reader: &mut Reader,
+        early: u64,
+    ) -> std::io::Result<()> {
+        thread::sleep(Duration::from_millis(early));
+        let id = request.field("x-attempt-id").unwrap_or("").to_string();
+        let fields = format!(
+            "x-attempt-id: {id}\r\nx-response-signature: s.{id}.0\r\nx-instance-id: {}\r\n",
+            self.id
+        );
+        http::answer(&mut reader.stream, "413 Content Too Large", &fields, b"")?;
+        let body = reader.read_up_to(request.length().unwrap_or(0));
+        self.runs.lock().unwrap().push(Run {
+            id,
+            upstream: self.id.clone(),
+            began: Instant::now(),
+            ended: None,
+            dropped: None,
+            method: request.method().to_string(),
+            target: request.target().to_string(),
+            caller: request.field("x-caller-service").unwrap_or("").to_string(),
+            body,
+        });
+        Ok(())
+    }
+
     fn run(
         &self,
         id: &str,
