--- a/review/stand-ins-2/src/daemon.rs
+++ b/review/stand-ins-2/src/daemon.rs
@@ -27,15 +27,19 @@
         thread::sleep(LONGEST);
         eprintln!("could not run: it took longer than {LONGEST:?}");
         for id in RUNNING.lock().unwrap().iter() {
-            let _ = Command::new("kill")
-                .arg("-KILL")
-                .arg(id.to_string())
-                .status();
+            send(*id, "KILL");
         }
         std::process::exit(2);
     });
 }
 
+/// Sends a signal to a process that this one has started; returns whether that worked.
+fn send(id: u32, signal: &str) -> bool {
+    let command = format!("kill -{signal} {id}");
+    let done = Command::new("sh").args(["-c", &command]).status();
+    done.is_ok_and(|status| status.success())
+}
+
 /// A block of loopback addresses that nothing else uses, and a folder for settings and logs.
 pub struct Place {
     net: [u8; 2],
@@ -147,14 +151,7 @@
 
     pub fn signal(&self, name: &str) {
         let id = self.child.as_ref().expect("a running daemon").id();
-        let done = Command::new("kill")
-            .arg(format!("-{name}"))
-            .arg(id.to_string())
-            .status();
-        assert!(
-            done.is_ok_and(|status| status.success()),
-            "kill -{name} {id} failed"
-        );
+        assert!(send(id, name), "kill -{name} {id} failed");
     }
 
     /// Whether the process has ended.
