--- a/review/stand-ins-2/src/bin/cut-length.rs
+++ b/review/stand-ins-2/src/bin/cut-length.rs
@@ -15,7 +15,7 @@
 use stand_ins_2::daemon::{Machine, Place, until, watch_the_time};
 use stand_ins_2::http::{Message, Reader};
 use stand_ins_2::store::Store;
-use stand_ins_2::upstream::Upstream;
+use stand_ins_2::upstream::{Run, Upstream};
 
 const DEADLINE_MS: u64 = 1_500;
 const UPLOADS: u32 = 10;
@@ -27,10 +27,12 @@
 const PIECE: usize = 8_000;
 /// A client that leaves does so this long after it has begun, before half of its objective.
 const LEAVES_AFTER: Duration = Duration::from_millis(120);
-/// Upstreams reject a long request so long after its head.
+/// An upstream rejects some long requests so long after their heads.
 const EARLY_MS: u64 = 250;
-/// Short requests, 20 ms apart.
-const SHORT: u32 = 150;
+/// The largest share of its answers for which it may do so, as in `garble`.
+const EARLY_SHARE: f64 = 0.02;
+/// Short requests, 8 ms apart.
+const SHORT: u32 = 400;
 
 /// What a client has done.
 struct Seen {
@@ -63,10 +65,15 @@
     let store = Store::start(place.free(9));
     store.configure(config(3, "desk", DEADLINE_MS));
     let mut machines = Vec::new();
-    for (number, zone) in [(1, "longbien"), (2, "gialam")] {
+    for (number, zone) in [(1, "longbien"), (2, "gialam"), (3, "dongda")] {
         let mut machine = Machine::new(&place, number, zone, "desk", store.address);
         let addresses = (machine.app, machine.control);
-        Upstream::start(&format!("i-{number}"), "desk", zone, addresses, 11, &runs);
+        let id = format!("i-{number}");
+        let upstream = Upstream::start(&id, "desk", zone, addresses, 11, &runs);
+        // One upstream of three, as in `garble`.
+        upstream
+            .early
+            .store(number == 1, std::sync::atomic::Ordering::SeqCst);
         machine.start();
         machines.push(machine);
     }
@@ -74,11 +81,11 @@
         until("the daemon is ready", || machine.is_ready())?;
     }
     let mut probe = 0;
-    until("both upstreams run requests", || {
+    until("all upstreams run requests", || {
         probe += 1;
         let _ = ask(machines[0].outbound, &format!("probe{probe}"));
         let runs = runs.lock().unwrap();
-        ["i-1", "i-2"]
+        ["i-1", "i-2", "i-3"]
             .iter()
             .all(|id| runs.iter().any(|run| run.upstream == *id))
     })?;
@@ -87,12 +94,13 @@
     let mut clients = Vec::new();
     let address = machines[0].outbound;
     for number in 0..UPLOADS {
-        let leaves = trouble && number % LEAVES_EACH == LEAVES_EACH - 1;
+        let early = number % LEAVES_EACH == LEAVES_EACH - 1;
+        let leaves = trouble && early;
         let seen = seen.clone();
         clients.push(thread::spawn(move || {
             thread::sleep(Duration::from_millis(200) * number);
             let id = format!("long{number}");
-            let end = match upload(address, &id, leaves) {
+            let end = match upload(address, &id, early, leaves) {
                 _ if leaves => "left".to_string(),
                 Ok(Some(answer)) => format!("answered {}", answer.status()),
                 Ok(None) => "no answer".to_string(),
@@ -108,7 +116,7 @@
     for number in 0..SHORT {
         let seen = seen.clone();
         clients.push(thread::spawn(move || {
-            thread::sleep(Duration::from_millis(20) * number);
+            thread::sleep(Duration::from_millis(8) * number);
             let id = format!("short{number}");
             let end = match order(address, &id) {
                 Ok(Some(answer)) => format!("answered {}", answer.status()),
@@ -162,6 +170,22 @@
         unanswered += u32::from(!left && end != "answered 200" && end != "answered 413");
         let _ = writeln!(text, "{id} left={left}, {end}, [{}]", got.join(", "));
     }
+    let own = |run: &&Run| run.upstream == "i-1" && !run.id.starts_with("probe");
+    let answers = runs.iter().filter(own).count();
+    let early = runs
+        .iter()
+        .filter(own)
+        .filter(|run| run.target.contains("early="))
+        .count();
+    let _ = writeln!(
+        text,
+        "i-1 answered {answers} requests, {early} of them early"
+    );
+    if early as f64 > EARLY_SHARE * answers as f64 {
+        return Err(format!(
+            "{early} of {answers} answers were early, more than allowed"
+        ));
+    }
     let _ = writeln!(
         text,
         "trouble={trouble} long={UPLOADS} short={SHORT} without their answer={unanswered} bodies with bytes of \
@@ -184,13 +208,22 @@
 }
 
 /// Sends a body with a length; a client that leaves closes its connection in the middle.
-fn upload(address: SocketAddr, id: &str, leaves: bool) -> std::io::Result<Option<Message>> {
+fn upload(
+    address: SocketAddr,
+    id: &str,
+    early: bool,
+    leaves: bool,
+) -> std::io::Result<Option<Message>> {
     let began = Instant::now();
     let mut stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_secs(4)))?;
+    let query = match early {
+        true => format!("early={EARLY_MS}"),
+        false => "work=30".to_string(),
+    };
     let head = format!(
-        "POST /book/{id}?early={EARLY_MS} HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {id}\r\n\
+        "POST /book/{id}?{query} HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: {id}\r\n\
          x-deadline-ms: {DEADLINE_MS}\r\ncontent-length: {BODY}\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
--- a/review/stand-ins-2/src/bin/pipelined-stop.rs
+++ b/review/stand-ins-2/src/bin/pipelined-stop.rs
@@ -56,7 +56,7 @@
     let store = Store::start(place.free(9));
     store.configure(config(3, "desk", DEADLINE_MS));
     let mut machines = Vec::new();
-    for (number, zone) in [(1, "longbien"), (2, "gialam")] {
+    for (number, zone) in [(1, "longbien"), (2, "gialam"), (3, "dongda")] {
         let mut machine = Machine::new(&place, number, zone, "desk", store.address);
         let addresses = (machine.app, machine.control);
         Upstream::start(&format!("i-{number}"), "desk", zone, addresses, 40, &runs);
@@ -66,13 +66,13 @@
     for machine in &machines {
         until("the daemon is ready", || machine.is_ready())?;
     }
-    // Both upstreams are known where the requests begin once both have run some of them.
+    // All upstreams are known where the requests begin once all have run some of them.
     let mut probe = 0;
-    until("both upstreams run requests", || {
+    until("all upstreams run requests", || {
         probe += 1;
         let _ = ask_once(machines[0].outbound, &format!("probe{probe}"));
         let runs = runs.lock().unwrap();
-        ["i-1", "i-2"]
+        ["i-1", "i-2", "i-3"]
             .iter()
             .all(|id| runs.iter().any(|run| run.upstream == *id))
     })?;
--- a/review/stand-ins-2/src/bin/queued-stop.rs
+++ b/review/stand-ins-2/src/bin/queued-stop.rs
@@ -28,8 +28,8 @@
 /// Requests of a machine come so often. That is a tenth of what the upstreams can do.
 const EVERY: Duration = Duration::from_millis(100);
 const WARM_UP: Duration = Duration::from_secs(3);
-/// So many long requests come at both machines: some for each slot.
-const LONG: u32 = 2 * SLOTS as u32 + 4;
+/// So many long requests come at the three machines: some for each slot.
+const LONG: u32 = 3 * SLOTS as u32 + 6;
 /// The first of them comes so long after the stop.
 const LONG_AFTER: Duration = Duration::from_millis(1_000);
 /// Clients get no new work two readiness checks, a second apart, after a stop; so long they send on.
@@ -68,7 +68,7 @@
     let store = Store::start(place.free(9));
     store.configure(config(3, "desk", DEADLINE_MS));
     let mut machines = Vec::new();
-    for (number, zone) in [(1, "longbien"), (2, "gialam")] {
+    for (number, zone) in [(1, "longbien"), (2, "gialam"), (3, "dongda")] {
         let mut machine = Machine::new(&place, number, zone, "desk", store.address);
         let addresses = (machine.app, machine.control);
         Upstream::start(
@@ -86,13 +86,13 @@
         until("the daemon is ready", || machine.is_ready())?;
     }
     let mut probe = 0;
-    until("both upstreams run requests of both machines", || {
+    until("all upstreams run requests of all machines", || {
         probe += 1;
         for machine in &machines {
             let _ = ask(machine.outbound, &format!("probe{probe}"), "work=5");
         }
         let runs = runs.lock().unwrap();
-        ["i-1", "i-2"]
+        ["i-1", "i-2", "i-3"]
             .iter()
             .all(|id| runs.iter().filter(|run| run.upstream == *id).count() > 3)
     })?;
@@ -101,7 +101,7 @@
     let began = Instant::now();
     let stop = began + WARM_UP;
     let mut clients = Vec::new();
-    for machine in 0..2 {
+    for machine in 0..3 {
         let address = machines[machine].outbound;
         let last = if machine == 0 {
             stop + SENT_ON
@@ -109,7 +109,7 @@
             stop + GRACE
         };
         for number in 0.. {
-            let at = began + EVERY * number + EVERY / 2 * machine as u32;
+            let at = began + EVERY * number + EVERY / 3 * machine as u32;
             if at > last {
                 break;
             }
@@ -127,7 +127,7 @@
         }
     }
     for number in 0..LONG {
-        let machine = number as usize % 2;
+        let machine = number as usize % 3;
         let address = machines[machine].outbound;
         let seen = seen.clone();
         let at = stop + LONG_AFTER + Duration::from_millis(5) * number;
--- a/review/stand-ins-2/src/upstream.rs
+++ b/review/stand-ins-2/src/upstream.rs
@@ -39,6 +39,8 @@
     slots: usize,
     sequence: Arc<AtomicU64>,
     pub leaving: Arc<AtomicBool>,
+    /// Whether it rejects long requests before they are in, where they say so.
+    pub early: Arc<AtomicBool>,
     running: Arc<AtomicUsize>,
     pub runs: Arc<Mutex<Vec<Run>>>,
 }
@@ -61,6 +63,7 @@
             slots,
             sequence: Arc::default(),
             leaving: Arc::default(),
+            early: Arc::default(),
             running: Arc::default(),
             runs: runs.clone(),
         };
@@ -124,7 +127,7 @@
         let mut reader = Reader::new(stream);
         while let Some(mut request) = reader.read_head()? {
             let early = number(request.target(), "early", 0);
-            if early > 0 {
+            if early > 0 && self.early.load(Ordering::SeqCst) {
                 self.reject_early(&request, &mut reader, early)?;
                 continue;
             }
