--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -13,19 +13,18 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{BoxFuture, ready};
-use futures_util::stream::{self, FuturesOrdered};
+use futures_util::stream::FuturesOrdered;
 use futures_util::{FutureExt, StreamExt};
 use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, StreamBody};
+use http_body_util::{BodyExt, Full};
 use http1::{Fault, Length, Piece, request, response};
 use hyper::body::{Body as _, Frame};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
 use crate::port::Port;
-use crate::{Body, Reason, Refusal};
+use crate::{Body, Reason, Refusal, upload};
 
 /// Requests of one connection that are served concurrently; further ones stay in the input buffer.
 const MAX_CONCURRENT_REQUESTS: usize = 64;
@@ -37,8 +36,6 @@
 const READ_RESERVE_BYTES: usize = 4 << 10;
 /// Size of the output buffer from which on no more is read from the body of an answer.
 const MAX_OUTPUT_BYTES: usize = 64 << 10;
-/// Chunks of a request's body that are queued for the handler.
-const BODY_CHANNEL_CAPACITY: usize = 4;
 /// How long a closed connection is still read, so that bytes in transit don't reset it before the
 /// answer has arrived.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -84,7 +81,7 @@
 struct BodyUpload {
     body: http1::Body,
     /// `None` once the handler has dropped the body; the rest is read and discarded.
-    to: Option<mpsc::Sender<io::Result<Bytes>>>,
+    to: Option<upload::Sender>,
 }
 
 /// The event that a connection has waited for.
@@ -186,11 +183,11 @@
     /// Waits until the handler can take more of the current body.
     fn upload_capacity(&self) -> impl Future<Output = ()> + use<> {
         let waits = self.upload.as_ref().filter(|_| !self.input.is_empty());
-        let to = waits.and_then(|upload| upload.to.clone());
+        let room = waits.and_then(|upload| upload.to.as_ref().map(upload::Sender::room));
         async move {
-            match to {
+            match room {
                 // A closed channel counts as ready too: the rest of the body is discarded.
-                Some(to) => drop(to.reserve().await),
+                Some(room) => room.await,
                 None => std::future::pending().await,
             }
         }
@@ -279,15 +276,11 @@
             }
             Length::Sized(_) | Length::Chunked => {}
         }
-        let (to, from) = mpsc::channel(BODY_CHANNEL_CAPACITY);
-        let pieces = stream::unfold(from, |mut from| async move {
-            let piece: io::Result<Bytes> = from.recv().await?;
-            Some((piece.map(Frame::data), from))
-        });
+        let (to, content) = upload::channel();
         let to = Some(to);
         let body = body.clone();
         self.upload = Some(BodyUpload { body, to });
-        StreamBody::new(pieces).boxed_unsync()
+        content
     }
 
     /// Passes what has arrived of the current body to the handler; true once the body has ended.
@@ -295,39 +288,33 @@
         let Some(upload) = &mut self.upload else {
             return true;
         };
-        loop {
+        let end = loop {
             if upload.body.is_done() {
-                self.upload = None;
-                self.timer_start = Instant::now();
-                return true;
+                break Ok(());
             }
-            if upload
-                .to
-                .as_ref()
-                .is_some_and(|to| to.capacity() == 0 && !to.is_closed())
-            {
+            if upload.to.as_ref().is_some_and(upload::Sender::is_full) {
                 return false;
             }
-            let piece = match upload.body.next(&mut self.input) {
-                Ok(Some(Piece::Data(data))) => Ok(data),
-                Ok(Some(Piece::End)) => {
-                    self.upload = None;
-                    self.timer_start = Instant::now();
-                    return true;
+            match upload.body.next(&mut self.input) {
+                Ok(Some(Piece::Data(data))) => {
+                    upload.to = upload.to.take().filter(|to| to.try_send(data));
                 }
+                Ok(Some(Piece::End)) => break Ok(()),
                 Ok(None) => return false,
-                Err(fault) => Err(io::Error::other(fault.to_string())),
-            };
-            let broken = piece.is_err();
-            // The channel is closed if the handler has dropped the body.
-            upload.to = upload.to.take().filter(|to| to.try_send(piece).is_ok());
-            if broken {
-                self.upload = None;
+                Err(fault) => break Err(io::Error::other(fault.to_string())),
+            }
+        };
+        match end {
+            Ok(()) => self.timer_start = Instant::now(),
+            Err(_) => {
                 self.reads_done = true;
                 self.input.clear();
-                return true;
             }
         }
+        if let Some(to) = self.upload.take().and_then(|upload| upload.to) {
+            to.finish(end);
+        }
+        true
     }
 
     /// Answers a request that can't be parsed, and stops reading: the start of the next request is
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod share;
 mod state;
 mod stats;
+mod upload;
 mod upstream;
 
 pub use admission::{Admission, Exceeded, QuotaAsk, Spent, Unconfirmed};
--- a/crates/entry/tests/connection.rs
+++ b/crates/entry/tests/connection/main.rs
@@ -1,86 +1,22 @@
 //! Callers' connections: pipelining, bodies in chunks, disconnects, limits and the planned stop.
 
-use std::net::SocketAddr;
+mod upload;
+mod world;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use bytes::Bytes;
 use entry::{Body, ConnectionLimits, Handler, Port};
 use futures_util::FutureExt;
-use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
+use http::Request;
+use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
-use unit::Size;
-
-/// Maximum time to wait for an answer or a change of state.
-const TEST_TIMEOUT: Duration = Duration::from_secs(5);
-
-fn limits() -> ConnectionLimits {
-    ConnectionLimits {
-        head: Size::of(4_096),
-        head_timeout: Duration::from_millis(200),
-        idle_timeout: Duration::from_secs(60),
-        connections: 16,
-    }
-}
-
-/// Serves `handler` on a port of the loopback interface until the test's runtime stops.
-async fn serve(handler: Handler) -> (SocketAddr, CancellationToken) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let stop = CancellationToken::new();
-    let port = Port {
-        handler,
-        limits: Arc::new(limits),
-        stop: stop.clone(),
-    };
-    tokio::spawn(port.serve(listener));
-    (address, stop)
-}
 
-fn text_response(text: String) -> Response<Body> {
-    let body = Full::new(Bytes::from(text)).map_err(|never| match never {});
-    Response::new(body.boxed_unsync())
-}
-
-/// Answers with the request's path: `/slow` after a delay, all others immediately.
-fn echo_path() -> Handler {
-    Arc::new(|_, request: Request<Body>| {
-        async move {
-            let path = request.uri().path().to_string();
-            if path == "/slow" {
-                sleep(Duration::from_millis(300)).await;
-            }
-            text_response(path)
-        }
-        .boxed()
-    })
-}
-
-/// Reads until the answers contain `wanted`, and returns all that was read.
-async fn read_until(stream: &mut TcpStream, wanted: &str) -> String {
-    let mut all = Vec::new();
-    let read = async {
-        let mut buffer = [0; 1_024];
-        while !String::from_utf8_lossy(&all).contains(wanted) {
-            let count = stream.read(&mut buffer).await.expect("bytes");
-            assert!(
-                count > 0,
-                "the connection ended: {}",
-                String::from_utf8_lossy(&all)
-            );
-            all.extend_from_slice(&buffer[..count]);
-        }
-    };
-    timeout(TEST_TIMEOUT, read)
-        .await
-        .expect("the answer arrives in time");
-    String::from_utf8_lossy(&all).into_owned()
-}
+use crate::world::{TEST_TIMEOUT, echo_path, limits, read_until, serve, text_response};
 
 /// Guards against a pipelined request that waits for the service time of the previous one. The
 /// answers must still be sent in the order of the requests.
