--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -17,8 +17,9 @@
     Sender, Stream,
 };
 
-use crate::connection::{self, Connection, Content, Outgoing};
+use crate::connection::{self, Connection, Outgoing};
 use crate::server::Server;
+use crate::upload::Content;
 
 /// Maximum time until a deadline. It keeps an entry with a wrong clock or setting from making the gate
 /// remember a token for ever.
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -7,13 +7,14 @@
 use bytes::{Bytes, BytesMut};
 use dialect::Dialect;
 use http::{HeaderMap, HeaderValue, Method};
-use http1::{Body, Fault, Length, Piece, request, response};
+use http1::{Body, Fault, Length, Piece, response};
 use quick_error::quick_error;
 use timer::timeout;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use wire::{Frame, Receiver};
+
+use crate::upload::{Content, Upload, Written};
 
 /// Maximum time to connect to the target, which runs on the same instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -64,15 +65,6 @@
     pub(crate) headers: HeaderMap,
 }
 
-/// A request's body.
-pub(crate) enum Content {
-    Empty,
-    /// The complete body.
-    Complete(Bytes),
-    /// A body that is read from the link while it is sent.
-    Streamed(Receiver),
-}
-
 /// A connection to the target, idle or in use by one request.
 pub(crate) struct Connection {
     stream: TcpStream,
@@ -80,6 +72,9 @@
     body: Body,
     /// Whether the connection stays open after the answer and may be used again.
     keep_alive: bool,
+    /// Whether the last request has been written to its end. Otherwise the target would take another
+    /// request for the rest of it.
+    request_complete: bool,
     /// How long the target keeps an idle connection open, if it says so.
     pub(crate) keep_alive_timeout: Option<Duration>,
     /// Number of requests sent on it.
@@ -100,6 +95,7 @@
             input: BytesMut::new(),
             body: Body::of(Length::Empty),
             keep_alive: true,
+            request_complete: true,
             keep_alive_timeout: None,
             carried: 0,
             idle_since: Instant::now(),
@@ -114,9 +110,11 @@
         self.keep_alive && matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
-    /// Whether it may carry another request: the answer is complete and no bytes followed it.
+    /// Whether it may carry another request: the request and its answer are complete, and no bytes
+    /// followed the answer.
     pub(crate) fn is_reusable(&self) -> bool {
-        self.keep_alive && self.body.is_done() && self.input.is_empty()
+        let complete = self.request_complete && self.body.is_done();
+        self.keep_alive && complete && self.input.is_empty()
     }
 
     /// Whether bytes followed the complete answer.
@@ -139,33 +137,15 @@
     ) -> Result<response::Head, Error> {
         let mut on_sent = Some(on_sent);
         self.carried += 1;
-        let mut output = BytesMut::with_capacity(1_024);
-        let length = length(request, &content);
-        request::write(
-            &request.method,
-            &request.uri,
-            &request.headers,
-            length,
-            &mut output,
-        );
-        let mut rest = None;
-        match content {
-            Content::Empty => {}
-            Content::Complete(body) => output.extend_from_slice(&body),
-            Content::Streamed(receiver) => rest = Some(receiver),
-        }
-        let chunked = length == Length::Chunked;
+        self.request_complete = false;
+        let mut upload = Upload::new(request, content)?;
         loop {
             if let Some(head) = self.head(request, dialect).await? {
-                if rest.is_some() || !output.is_empty() {
-                    // The target has answered before it received the complete request. It would
-                    // take another request on this connection for the rest of the body.
-                    self.keep_alive = false;
-                }
+                self.request_complete = upload.is_complete();
                 return Ok(head);
             }
-            self.step(&mut output, &mut rest, chunked).await?;
-            if output.is_empty()
+            self.step(&mut upload).await?;
+            if upload.is_flushed()
                 && let Some(on_sent) = on_sent.take()
             {
                 on_sent();
@@ -174,12 +154,7 @@
     }
 
     /// Reads or writes some bytes.
-    async fn step(
-        &mut self,
-        output: &mut BytesMut,
-        rest: &mut Option<Receiver>,
-        chunked: bool,
-    ) -> Result<(), Error> {
+    async fn step(&mut self, upload: &mut Upload) -> Result<(), Error> {
         self.input.reserve(READ_SIZE);
         let (mut reader, mut writer) = self.stream.split();
         tokio::select! {
@@ -188,20 +163,9 @@
                 Ok(_) => Ok(()),
                 Err(error) => Err(Error::Lost(error.to_string())),
             },
-            written = writer.write_buf(output), if !output.is_empty() => {
-                if written.is_err() {
-                    // The target may have sent an answer although it reads no more of the request.
-                    output.clear();
-                    *rest = None;
-                    self.keep_alive = false;
-                }
-                Ok(())
-            }
-            frame = next(rest), if rest.is_some() && output.is_empty() => {
-                let last = append(frame?, chunked, output);
-                if last {
-                    *rest = None;
-                }
+            advanced = upload.advance(&mut writer) => {
+                // A target that reads no more of the request may have sent an answer to it.
+                self.keep_alive &= advanced? == Written::Open;
                 Ok(())
             }
         }
@@ -260,49 +224,6 @@
     }
 }
 
-/// Reads the next piece of the request's body from the link; `None` at its end.
-async fn next(rest: &mut Option<Receiver>) -> Result<Option<Bytes>, Error> {
-    let Some(receiver) = rest else {
-        return std::future::pending().await;
-    };
-    match receiver.recv().await {
-        Ok(Some(Frame::Data(data))) => Ok(Some(data)),
-        Ok(Some(Frame::End)) => Ok(None),
-        // A truncated body must never look complete to the target.
-        Ok(_) => Err(Error::Body("its link ended early".to_string())),
-        Err(error) => Err(Error::Body(error.to_string())),
-    }
-}
-
-/// Appends a piece of the request's body, or its end, to `output`. Returns true at the end.
-fn append(piece: Option<Bytes>, chunked: bool, output: &mut BytesMut) -> bool {
-    match (piece, chunked) {
-        (Some(data), true) if !data.is_empty() => http1::chunk(&data, output),
-        (Some(data), _) => output.extend_from_slice(&data),
-        (None, true) => {
-            http1::last_chunk(output);
-            return true;
-        }
-        (None, false) => return true,
-    }
-    false
-}
-
-/// How the length of the request's body is declared to the target.
-fn length(request: &Outgoing, content: &Content) -> Length {
-    let declared = Length::of(&request.headers).ok().flatten();
-    match content {
-        // If the caller declared a length, an empty body has an explicit length of 0.
-        Content::Empty if declared.is_some() => Length::Sized(0),
-        Content::Empty => Length::Empty,
-        Content::Complete(body) => Length::Sized(body.len() as u64),
-        Content::Streamed(_) => match declared {
-            Some(Length::Sized(size)) => Length::Sized(size),
-            _ => Length::Chunked,
-        },
-    }
-}
-
 /// Whether an answer belongs to another request than this one. A success that names no request counts
 /// as belonging to another.
 fn is_foreign(head: &response::Head, request: &Outgoing, dialect: &Dialect) -> bool {
@@ -332,3 +253,7 @@
         _ => Error::Garbled(fault.to_string()),
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/internal/connection.rs"]
+mod tests;
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -28,6 +28,7 @@
 mod presence;
 mod server;
 mod stats;
+mod upload;
 mod verdict;
 mod warmth;
 mod watch;
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -11,10 +11,11 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
 
-use crate::connection::{Connection, Content, Outgoing};
+use crate::connection::{Connection, Outgoing};
 use crate::life::Stage;
 use crate::max_rate::Exchange;
 use crate::server::Server;
+use crate::upload::Content;
 use crate::warmth::Source;
 
 /// Interval of connection checks for a target without heartbeats. Only the gate's daemon checks, at
