--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -395,6 +395,11 @@
                 running.finish(end.unwrap_or(End::Failed { latency }));
                 error.to_string()
             }
+            // The entry has not sent the complete body, which tells nothing of the target.
+            Sent::Failed(error @ connection::Error::Body(_)) => {
+                running.finish(End::Cancelled);
+                error.to_string()
+            }
             Sent::Failed(error) => {
                 self.server.pool.record_violation();
                 running.finish(End::Failed { latency });
