--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -345,6 +345,8 @@
         // they run here. So only the last of the pending answers closes the connection.
         if last && (close_requested && self.input.is_empty() || self.reads_done) {
             self.closing = true;
+            // A request behind this answer would be dropped with the connection; its caller resends it.
+            self.reads_done = true;
             let close = header::HeaderValue::from_static("close");
             parts.headers.insert(header::CONNECTION, close);
         }
