--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -22,6 +22,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
 
 use crate::port::Port;
 use crate::{Body, Reason, Refusal, upload};
@@ -135,7 +136,15 @@
                     Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.time_out(),
                     Err(error) => return Err(error),
                 },
-                Event::Stop => self.reads_done = self.input.is_empty() || self.reads_done,
+                // A request that has already arrived is still answered.
+                Event::Stop => match stream.try_read_buf(&mut self.input) {
+                    Ok(0) => return Ok(()),
+                    Ok(_) => {}
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                        self.reads_done = true;
+                    }
+                    Err(error) => return Err(error),
+                },
             }
         }
     }
@@ -176,7 +185,7 @@
             () = timer::passed(timeout.unwrap_or_else(Instant::now)), if timeout.is_some() => {
                 Ok(Event::Timeout)
             }
-            () = stopping.cancelled(), if may_stop => Ok(Event::Stop),
+            () = stopped(stopping), if may_stop => Ok(Event::Stop),
         }
     }
 
@@ -410,6 +419,12 @@
     }
 }
 
+/// Waits until the port is stopped and the sockets have been polled since.
+async fn stopped(stop: CancellationToken) {
+    stop.cancelled().await;
+    timer::polled().await;
+}
+
 async fn next_piece(writing: &mut Option<Writing>) -> Option<io::Result<Frame<Bytes>>> {
     match writing {
         Some(writing) => writing.body.frame().await,
--- a/crates/entry/tests/connection/stop.rs
+++ b/crates/entry/tests/connection/stop.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::world::{TEST_TIMEOUT, read_until, serve};
+use crate::world::{TEST_TIMEOUT, echo_path, read_until, serve};
 
 /// Answers with `Connection: close` and a body in pieces, as an instance does that stops, and counts the
 /// requests that it begins.
@@ -53,3 +53,29 @@
     assert!(answer.ends_with("0\r\n\r\n"), "{answer}");
     assert_eq!(begun.load(Ordering::SeqCst), 1, "requests begun");
 }
+
+/// Guards against a stop that closes idle connections whose next request has already arrived.
+#[tokio::test]
+async fn requests_that_arrived_before_the_stop_are_answered() {
+    const CONNECTIONS: usize = 16;
+    let (address, stop) = serve(echo_path()).await;
+    let mut streams = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.expect("connected");
+        let request = b"GET /first HTTP/1.1\r\nHost: h\r\n\r\n";
+        stream.write_all(request).await.expect("sent");
+        read_until(&mut stream, "/first").await;
+        streams.push(stream.into_std().expect("a socket"));
+    }
+    // The runtime has one thread, so the connections see the request and the stop at the same time.
+    for stream in &mut streams {
+        use std::io::Write;
+        let request = b"GET /second HTTP/1.1\r\nHost: h\r\n\r\n";
+        stream.write_all(request).expect("sent");
+    }
+    stop.cancel();
+    for stream in streams {
+        let mut stream = TcpStream::from_std(stream).expect("a socket");
+        read_until(&mut stream, "/second").await;
+    }
+}
