--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -83,6 +83,8 @@
     body: http1::Body,
     /// `None` once the handler has dropped the body; the rest is read and discarded.
     to: Option<upload::Sender>,
+    /// Whether input waits until the handler takes more.
+    blocked: bool,
 }
 
 /// The event that a connection has waited for.
@@ -189,13 +191,13 @@
         }
     }
 
-    /// Waits until the handler can take more of the current body.
+    /// Waits until the handler can take more of the current body, or has dropped it. Any other body
+    /// waits for input: a wait for room that is there already would be a loop without progress.
     fn upload_capacity(&self) -> impl Future<Output = ()> + use<> {
-        let waits = self.upload.as_ref().filter(|_| !self.input.is_empty());
-        let room = waits.and_then(|upload| upload.to.as_ref().map(upload::Sender::room));
+        let blocked = self.upload.as_ref().filter(|upload| upload.blocked);
+        let room = blocked.and_then(|upload| upload.to.as_ref().map(upload::Sender::room));
         async move {
             match room {
-                // A closed channel counts as ready too: the rest of the body is discarded.
                 Some(room) => room.await,
                 None => std::future::pending().await,
             }
@@ -288,7 +290,11 @@
         let (to, content) = upload::channel();
         let to = Some(to);
         let body = body.clone();
-        self.upload = Some(BodyUpload { body, to });
+        self.upload = Some(BodyUpload {
+            body,
+            to,
+            blocked: false,
+        });
         content
     }
 
@@ -301,7 +307,8 @@
             if upload.body.is_done() {
                 break Ok(());
             }
-            if upload.to.as_ref().is_some_and(upload::Sender::is_full) {
+            upload.blocked = upload.to.as_ref().is_some_and(upload::Sender::is_full);
+            if upload.blocked {
                 return false;
             }
             match upload.body.next(&mut self.input) {
--- a/crates/entry/tests/connection/world.rs
+++ b/crates/entry/tests/connection/world.rs
@@ -29,12 +29,20 @@
 
 /// Serves `handler` on a port of the loopback interface until the test's runtime stops.
 pub async fn serve(handler: Handler) -> (SocketAddr, CancellationToken) {
+    serve_with(handler, limits()).await
+}
+
+/// The same with other limits.
+pub async fn serve_with(
+    handler: Handler,
+    limits: ConnectionLimits,
+) -> (SocketAddr, CancellationToken) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let stop = CancellationToken::new();
     let port = Port {
         handler,
-        limits: Arc::new(limits),
+        limits: Arc::new(move || limits),
         stop: stop.clone(),
     };
     tokio::spawn(port.serve(listener));
