--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -37,6 +37,9 @@
 const READ_RESERVE_BYTES: usize = 4 << 10;
 /// Size of the output buffer from which on no more is read from the body of an answer.
 const MAX_OUTPUT_BYTES: usize = 64 << 10;
+/// Bytes of a body that are read after its handler has dropped it, so that the connection can be used
+/// again. It is the largest body that the default limits allow.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// How long a closed connection is still read, so that bytes in transit don't reset it before the
 /// answer has arrived.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -85,6 +88,8 @@
     to: Option<upload::Sender>,
     /// Whether input waits until the handler takes more.
     blocked: bool,
+    /// Bytes read of the body since the handler has dropped it.
+    discarded: usize,
 }
 
 /// The event that a connection has waited for.
@@ -206,10 +211,16 @@
 
     /// When the caller exceeds the timeout for the current head, or for an idle connection.
     fn timeout(&self) -> Option<Instant> {
-        if self.upload.is_some() || self.reads_done {
+        if self.reads_done {
             return None;
         }
         let limits = (self.port.limits)();
+        if self.upload.is_some() {
+            // The handler bounds the time of a body until its request is answered.
+            return self
+                .is_idle()
+                .then(|| self.timer_start + limits.head_timeout);
+        }
         if !self.input.is_empty() {
             return Some(self.timer_start + limits.head_timeout);
         }
@@ -226,8 +237,8 @@
     }
 
     fn time_out(&mut self) {
-        if !self.input.is_empty() && self.pending.len() + self.ready.len() < MAX_CONCURRENT_REQUESTS
-        {
+        let room = self.pending.len() + self.ready.len() < MAX_CONCURRENT_REQUESTS;
+        if self.upload.take().is_none() && !self.input.is_empty() && room {
             let refusal = Refusal::not_run(Reason::SlowBody).detail("the head took too long");
             self.refuse(&refusal);
         }
@@ -294,6 +305,7 @@
             body,
             to,
             blocked: false,
+            discarded: 0,
         });
         content
     }
@@ -311,7 +323,15 @@
             if upload.blocked {
                 return false;
             }
-            match upload.body.next(&mut self.input) {
+            let before = self.input.len();
+            let piece = upload.body.next(&mut self.input);
+            if upload.to.is_none() {
+                upload.discarded += before - self.input.len();
+            }
+            match piece {
+                _ if upload.discarded > MAX_DISCARDED_BYTES => {
+                    break Err(io::Error::other("too much of a body to discard"));
+                }
                 Ok(Some(Piece::Data(data))) => {
                     upload.to = upload.to.take().filter(|to| to.try_send(data));
                 }
--- a/crates/entry/tests/connection/discard.rs
+++ b/crates/entry/tests/connection/discard.rs
@@ -8,9 +8,9 @@
 use futures_util::FutureExt;
 use http::Request;
 use http_body_util::BodyExt;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::world::{TEST_TIMEOUT, limits, read_until, serve, serve_with, text_response};
 
@@ -104,3 +104,39 @@
         });
     }
 }
+
+/// Guards against a client that keeps its connection busy with a body that was refused: slowly, and at
+/// full speed.
+#[tokio::test]
+async fn refused_bodies_without_end_end_their_connection() {
+    for (size, pause) in [(1, 10), (64 << 10, 0)] {
+        let (address, _stop) = serve(refuse()).await;
+        let mut stream = TcpStream::connect(address).await.expect("connected");
+        stream.write_all(CHUNKED).await.expect("sent");
+        let (mut reader, mut writer) = stream.split();
+        let chunk = [
+            format!("{size:x}\r\n").as_bytes(),
+            &vec![b'a'; size],
+            b"\r\n",
+        ]
+        .concat();
+        let sent = async {
+            while writer.write_all(&chunk).await.is_ok() {
+                sleep(Duration::from_millis(pause)).await;
+            }
+        };
+        let read = async {
+            let mut answer = Vec::new();
+            // The connection may be reset once the answer has arrived.
+            while reader
+                .read_buf(&mut answer)
+                .await
+                .is_ok_and(|count| count > 0)
+            {}
+            String::from_utf8_lossy(&answer).into_owned()
+        };
+        let ended = timeout(TEST_TIMEOUT, async { tokio::join!(sent, read) }).await;
+        let (_, answer) = ended.expect("the connection ends in time");
+        assert!(answer.ends_with("refused"), "{answer}");
+    }
+}
