--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -25,6 +25,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::port::Port;
+use crate::writing::Writing;
 use crate::{Body, Reason, Refusal, upload};
 
 /// Requests of one connection that are served concurrently; further ones stay in the input buffer.
@@ -75,12 +76,6 @@
     method: Method,
 }
 
-/// An answer whose head has been written.
-struct Writing {
-    body: Body,
-    chunked: bool,
-}
-
 /// The transfer of a request's body to the handler.
 struct BodyUpload {
     body: http1::Body,
@@ -402,10 +397,8 @@
             &method,
             &mut self.output,
         );
-        let bodiless = method == Method::HEAD || parts.status == StatusCode::NO_CONTENT;
-        if length != Length::Empty && !bodiless {
-            let chunked = length == Length::Chunked;
-            self.writing = Some(Writing { body, chunked });
+        if length != Length::Empty && !response::is_bodiless(parts.status, &method) {
+            self.writing = Some(Writing::new(body, length));
         }
         self.start_idle_if_done();
     }
@@ -415,25 +408,15 @@
     /// An error in the body ends the connection, so that the caller sees a truncated answer and
     /// can't take it for a shorter complete one.
     fn write_piece(&mut self, piece: Option<io::Result<Frame<Bytes>>>) -> io::Result<()> {
-        let Some(writing) = &self.writing else {
+        let Some(writing) = &mut self.writing else {
             return Ok(());
         };
-        match piece.transpose()? {
-            Some(frame) => {
-                let data = frame.into_data().unwrap_or_default();
-                match writing.chunked {
-                    true if data.is_empty() => {}
-                    true => http1::chunk(&data, &mut self.output),
-                    false => self.output.extend_from_slice(&data),
-                }
-            }
-            None => {
-                if writing.chunked {
-                    http1::last_chunk(&mut self.output);
-                }
-                self.writing = None;
-                self.start_idle_if_done();
-            }
+        let frame = piece.transpose()?;
+        let ended = frame.is_none();
+        writing.write(frame, &mut self.output)?;
+        if ended {
+            self.writing = None;
+            self.start_idle_if_done();
         }
         Ok(())
     }
@@ -454,7 +437,7 @@
 
 async fn next_piece(writing: &mut Option<Writing>) -> Option<io::Result<Frame<Bytes>>> {
     match writing {
-        Some(writing) => writing.body.frame().await,
+        Some(writing) => writing.next().await,
         None => std::future::pending().await,
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod stats;
 mod upload;
 mod upstream;
+mod writing;
 
 pub use admission::{Admission, Exceeded, QuotaAsk, Spent, Unconfirmed};
 pub use answer::OUTCOME;
--- a/crates/entry/tests/connection/main.rs
+++ b/crates/entry/tests/connection/main.rs
@@ -1,5 +1,6 @@
 //! Callers' connections: pipelining, bodies in chunks, disconnects, limits and the planned stop.
 
+mod answer;
 mod discard;
 mod stop;
 mod upload;
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -57,7 +57,7 @@
         _ => Version::HTTP_11,
     };
     bytes.advance(end);
-    let length = match bodiless(status, method) {
+    let length = match is_bodiless(status, method) {
         true => Length::Empty,
         false => Length::of(&headers)?.unwrap_or(Length::Close),
     };
@@ -70,7 +70,9 @@
     }))
 }
 
-fn bodiless(status: StatusCode, method: &Method) -> bool {
+/// Whether an answer with this status to a request of `method` has no body, whatever length its head
+/// declares.
+pub fn is_bodiless(status: StatusCode, method: &Method) -> bool {
     let never = status.is_informational()
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
@@ -89,7 +91,7 @@
 ) {
     let reason = status.canonical_reason().unwrap_or("");
     out.extend_from_slice(format!("HTTP/1.1 {} {reason}\r\n", status.as_u16()).as_bytes());
-    let length = match (bodiless(status, method), length) {
+    let length = match (is_bodiless(status, method), length) {
         (true, _) => Length::Empty,
         (false, Length::Empty) => Length::Sized(0),
         (false, length) => length,
