--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -9,6 +9,9 @@
 /// Longest line of a chunk's size or of a trailer; real ones have some dozens of bytes.
 const MAX_LINE: usize = 4_096;
 
+/// Most bytes of the trailers of a body.
+const MAX_TRAILERS: usize = 16 << 10;
+
 /// A body that is being read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Body {
@@ -34,8 +37,8 @@
     ChunkData(u64),
     /// The end of a line comes next.
     ChunkEnd,
-    /// Lines of trailers come, up to an empty one.
-    Trailers,
+    /// Lines of trailers come, up to an empty one. So many bytes of them have been read.
+    Trailers(usize),
     /// All there is up to the end of the connection.
     Close,
     Done,
@@ -77,7 +80,7 @@
                     Ok(httparse::Status::Complete((line, size))) => {
                         bytes.advance(line);
                         self.state = match size {
-                            0 => State::Trailers,
+                            0 => State::Trailers(0),
                             size => State::ChunkData(size),
                         };
                     }
@@ -89,9 +92,12 @@
                     Some(_) => return Err(Fault::Chunk("more data than its size")),
                     None => return Ok(None),
                 },
-                State::Trailers => match line(bytes)? {
+                State::Trailers(read) if read > MAX_TRAILERS => {
+                    return Err(Fault::Chunk("trailers without end"));
+                }
+                State::Trailers(read) => match line(bytes)? {
                     Some(0) => self.state = State::Done,
-                    Some(_) => {}
+                    Some(length) => self.state = State::Trailers(read + length),
                     None => return Ok(None),
                 },
             }
