--- a/crates/target/src/call.rs
+++ b/crates/target/src/call.rs
@@ -9,7 +9,7 @@
 use http::{HeaderName, HeaderValue, Method, StatusCode, header};
 use http1::response;
 use nest::Context;
-use timer::timeout_at;
+use timer::{timeout, timeout_at};
 use tokio::time::Instant;
 use unit::{Depth, Instance, Report, Urgency};
 use wire::{
@@ -28,6 +28,11 @@
 /// About how many bytes a refusal with a load report takes on the link.
 const REFUSAL_BYTES: usize = 60;
 
+/// Maximum time and size of the rest of an answer by which the target declines a request. Reading on
+/// would cost more than another connection.
+const DECLINED_TIMEOUT: Duration = Duration::from_secs(1);
+const MAX_DECLINED_BYTES: usize = 64 << 10;
+
 /// Handles one call to the target.
 pub(crate) struct Handler<'a> {
     server: &'a Server,
@@ -298,7 +303,8 @@
         }
         let pool = self.server.pool.clone();
         tokio::spawn(async move {
-            while let Ok(Some(_)) = connection.piece().await {}
+            // A connection whose answer goes on is dropped.
+            drop(timeout(DECLINED_TIMEOUT, connection.skip_body(MAX_DECLINED_BYTES)).await);
             pool.put(connection);
         });
     }
--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -195,6 +195,16 @@
         Err(Error::Garbled("answers to other requests".to_string()))
     }
 
+    /// Reads the rest of the answer's body, but no more than about `most` bytes.
+    pub(crate) async fn skip_body(&mut self, most: usize) {
+        let mut size = 0;
+        while size <= most
+            && let Ok(Some(data)) = self.piece().await
+        {
+            size += data.len();
+        }
+    }
+
     /// Reads the next piece of the answer's body; `None` at its end.
     ///
     /// # Errors
