--- a/crates/target/src/answer.rs
+++ b/crates/target/src/answer.rs
@@ -43,8 +43,10 @@
     pub(crate) sender: &'a mut Sender,
     /// Maximum pause of the target in the body, and of the entry in reading it.
     pub(crate) idle_timeout: Duration,
-    /// Whether to read to the end even if the entry disconnects, and to return a copy.
+    /// Whether to read on even if the entry disconnects, and to return a copy.
     pub(crate) keep: bool,
+    /// When reading ends if the entry has disconnected.
+    pub(crate) deadline: Instant,
     /// Whether to read a short body to its end before any of the answer is sent. If the target truncates
     /// the answer, another target's can then replace it, provided that the request may be repeated.
     pub(crate) buffer_first: bool,
@@ -155,6 +157,10 @@
         delivered: &mut bool,
     ) -> Result<Option<Ended>, Error> {
         loop {
+            // A target that never pauses would otherwise be read on for ever.
+            if !*delivered && Instant::now() >= self.deadline {
+                return Ok(Some(Ended::Abandoned));
+            }
             let ready = connection.piece().now_or_never();
             let read = match ready {
                 Some(piece) => read_of(piece),
@@ -183,9 +189,7 @@
             piece = idle_timeout(self.idle_timeout, connection.piece()) => piece,
             // Otherwise a target that pauses would hold its slot until the idle timeout, although no
             // entry waits for the answer.
-            () = self.sender.stopped(), if !self.keep => {
-                return Read::Stop(Ended::Abandoned);
-            }
+            () = self.abandoned() => return Read::Stop(Ended::Abandoned),
         };
         match piece {
             Ok(piece) => read_of(piece),
@@ -196,6 +200,14 @@
         }
     }
 
+    /// Waits until the entry has disconnected and the answer need not be read on.
+    async fn abandoned(&mut self) {
+        self.sender.stopped().await;
+        if self.keep {
+            timer::passed(self.deadline).await;
+        }
+    }
+
     /// Writes `data`, piece by piece if the answer is paced. Empty `data` flushes the sender's buffer.
     async fn write(
         &mut self,
@@ -213,7 +225,7 @@
             let bytes = tokio::select! {
                 biased;
                 bytes = paced.acquire(data.len()) => bytes,
-                () = self.sender.stopped(), if !self.keep => return Ok(Some(Ended::Abandoned)),
+                () = self.abandoned() => return Ok(Some(Ended::Abandoned)),
             };
             self.paced = Some(paced);
             let piece = data.split_to(bytes);
--- a/crates/target/src/call/deliver.rs
+++ b/crates/target/src/call/deliver.rs
@@ -96,12 +96,13 @@
         if let Some(link) = link {
             link.record(head_bytes(&reply));
         }
-        // For a request that may not be repeated, the relay reads on after the entry has disconnected:
-        // the answer is kept for later queries for the token.
+        // For a request that may not be repeated, the relay reads on until the deadline after the entry
+        // has disconnected: the answer is kept for later queries for the token.
         let mut relay = Relay {
             sender: &mut sender,
             idle_timeout: self.server.idle_timeout,
             keep: self.call.once,
+            deadline: self.deadline,
             buffer_first: self.server.heartbeats.is_some(),
             paced: link.map(|link| link.answer(self.call.bulk)),
         };
