--- a/crates/appleshore/src/quota.rs
+++ b/crates/appleshore/src/quota.rs
@@ -161,3 +161,12 @@
     version: Version,
     list: Option<Arc<List>>,
 }
+
+impl Listed {
+    /// Hands the list to the borrower, which takes it in if it is newer than its own.
+    fn teach(&self, borrower: &mut Borrower) {
+        if let Some(list) = &self.list {
+            borrower.set_list(self.version, list);
+        }
+    }
+}
--- a/crates/appleshore/src/quota/borrowing.rs
+++ b/crates/appleshore/src/quota/borrowing.rs
@@ -60,6 +60,12 @@
             let taken = {
                 let mut borrower = self.borrower.lock();
                 let now = self.now();
+                // The first list may be confirmed already and not followed yet.
+                if borrower.list().is_none()
+                    && let Some(listed) = self.confirmed(now)
+                {
+                    listed.teach(&mut borrower);
+                }
                 borrower.set_limit(now, workspace, limit);
                 let taken = borrower.take(now, workspace);
                 if borrower.is_urgent(now, workspace) {
