--- a/crates/appleshore/src/quota.rs
+++ b/crates/appleshore/src/quota.rs
@@ -164,7 +164,7 @@
 
 impl Listed {
     /// Hands the list to the borrower, which takes it in if it is newer than its own.
-    fn teach(&self, borrower: &mut Borrower) {
+    fn update(&self, borrower: &mut Borrower) {
         if let Some(list) = &self.list {
             borrower.set_list(self.version, list);
         }
--- a/crates/appleshore/src/quota/borrowing.rs
+++ b/crates/appleshore/src/quota/borrowing.rs
@@ -64,7 +64,7 @@
                 if borrower.list().is_none()
                     && let Some(listed) = self.confirmed(now)
                 {
-                    listed.teach(&mut borrower);
+                    listed.update(&mut borrower);
                 }
                 borrower.set_limit(now, workspace, limit);
                 let taken = borrower.take(now, workspace);
--- a/crates/appleshore/src/quota/lending.rs
+++ b/crates/appleshore/src/quota/lending.rs
@@ -124,7 +124,7 @@
             if let Some(listed) = self.confirmed(now) {
                 let mut borrower = self.borrower.lock();
                 borrower.set_daemons(u32::try_from(daemons).unwrap_or(u32::MAX));
-                listed.teach(&mut borrower);
+                listed.update(&mut borrower);
                 for workspace in borrower.workspaces() {
                     borrower.set_limit(now, &workspace, self.limit(&workspace));
                 }
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -38,8 +38,8 @@
 const READ_RESERVE_BYTES: usize = 4 << 10;
 /// Size of the output buffer from which on no more is read from the body of an answer.
 const MAX_OUTPUT_BYTES: usize = 64 << 10;
-/// Bytes of a body that are read after its handler has dropped it, so that the connection can be used
-/// again. It is the largest body that the default limits allow.
+/// Bytes of a body that are read after its handler has dropped it, so that the caller can read its answer
+/// and use the connection again.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
 /// How long a closed connection is still read, so that bytes in transit don't reset it before the
 /// answer has arrived.
@@ -191,8 +191,8 @@
         }
     }
 
-    /// Waits until the handler can take more of the current body, or has dropped it. Any other body
-    /// waits for input: a wait for room that is there already would be a loop without progress.
+    /// Waits until the handler that blocks the current body can take more or has dropped the body. It
+    /// never resolves for a body that waits for input: room alone lets it make no progress.
     fn upload_capacity(&self) -> impl Future<Output = ()> + use<> {
         let blocked = self.upload.as_ref().filter(|upload| upload.blocked);
         let room = blocked.and_then(|upload| upload.to.as_ref().map(upload::Sender::room));
@@ -376,7 +376,7 @@
         // they run here. So only the last of the pending answers closes the connection.
         if last && (close_requested && self.input.is_empty() || self.reads_done) {
             self.closing = true;
-            // A request behind this answer would be dropped with the connection; its caller resends it.
+            // The caller takes what follows as unread and resends it.
             self.reads_done = true;
             let close = header::HeaderValue::from_static("close");
             parts.headers.insert(header::CONNECTION, close);
