--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -61,8 +61,6 @@
     upload: Option<BodyUpload>,
     /// Whether no further request is read.
     reads_done: bool,
-    /// Whether the connection closes after the answer that is being written.
-    closing: bool,
     /// When the current head began to arrive, or the connection became idle.
     timer_start: Instant,
     /// The idle timeout in force when the connection became idle. A lower setting takes effect
@@ -111,7 +109,6 @@
             writing: None,
             upload: None,
             reads_done: false,
-            closing: false,
             timer_start: Instant::now(),
             idle_timeout,
         }
@@ -132,34 +129,37 @@
                 Event::Read(_) | Event::Written | Event::Room => {}
                 Event::Answered(answered) => self.ready.push_back(answered),
                 Event::Piece(piece) => self.write_piece(piece)?,
-                Event::Timeout => match stream.try_read_buf(&mut self.input) {
-                    Ok(0) => return Ok(()),
-                    Ok(_) => self.parse_or_time_out(),
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.time_out(),
-                    Err(error) => return Err(error),
+                Event::Timeout => match self.read_arrived(&stream)? {
+                    Some(0) => return Ok(()),
+                    Some(_) => self.parse_or_time_out(),
+                    None => self.time_out(),
                 },
                 // A request that has already arrived is still answered.
-                Event::Stop => match stream.try_read_buf(&mut self.input) {
-                    Ok(0) => return Ok(()),
-                    Ok(_) => {}
-                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                        self.reads_done = true;
-                    }
-                    Err(error) => return Err(error),
+                Event::Stop => match self.read_arrived(&stream)? {
+                    Some(0) => return Ok(()),
+                    Some(_) => {}
+                    None => self.reads_done = true,
                 },
             }
         }
     }
 
+    /// Reads what has arrived, without waiting; `None` if nothing has.
+    fn read_arrived(&mut self, stream: &TcpStream) -> io::Result<Option<usize>> {
+        match stream.try_read_buf(&mut self.input) {
+            Ok(count) => Ok(Some(count)),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
     fn is_idle(&self) -> bool {
         let served = self.pending.is_empty() && self.ready.is_empty();
         served && self.writing.is_none() && self.output.is_empty()
     }
 
     fn is_finished(&self) -> bool {
-        let ends = self.reads_done && self.upload.is_none();
-        (self.closing && self.writing.is_none() && self.output.is_empty())
-            || (ends && self.is_idle())
+        self.reads_done && self.upload.is_none() && self.is_idle()
     }
 
     async fn wait(&mut self, stream: &mut TcpStream) -> io::Result<Event> {
@@ -363,7 +363,7 @@
 
     /// Writes the head of the next answer, unless another one is being written.
     fn write_next(&mut self) {
-        if self.writing.is_some() || self.closing {
+        if self.writing.is_some() {
             return;
         }
         let Some(Answered { response, method }) = self.ready.pop_front() else {
@@ -375,7 +375,6 @@
         // A caller takes requests after an answer with `close` as unread and resends them, although
         // they run here. So only the last of the pending answers closes the connection.
         if last && (close_requested && self.input.is_empty() || self.reads_done) {
-            self.closing = true;
             // The caller takes what follows as unread and resends it.
             self.reads_done = true;
             let close = header::HeaderValue::from_static("close");
--- a/crates/entry/src/writing.rs
+++ b/crates/entry/src/writing.rs
@@ -4,34 +4,22 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use http1::Length;
+use http1::{Encoder, Length};
 use hyper::body::Frame;
 
 use crate::Body;
 
 /// A body that is being written.
-///
-/// It is counted against the length that the head declares: the caller would take the next answer on the
-/// connection for the rest of a body that is too short.
 pub(crate) struct Writing {
     body: Body,
-    length: Length,
-    /// How much of a body with a declared length is still to be written.
-    missing: u64,
+    encoder: Encoder,
 }
 
 impl Writing {
     /// A body of which nothing has been written.
     pub(crate) fn new(body: Body, length: Length) -> Writing {
-        let missing = match length {
-            Length::Sized(size) => size,
-            Length::Empty | Length::Chunked | Length::Close => 0,
-        };
-        Writing {
-            body,
-            length,
-            missing,
-        }
+        let encoder = Encoder::of(length);
+        Writing { body, encoder }
     }
 
     /// Reads the next frame of the body; `None` at its end.
@@ -49,27 +37,13 @@
         frame: Option<Frame<Bytes>>,
         output: &mut BytesMut,
     ) -> io::Result<()> {
-        let wrong_size = || io::Error::other("the answer doesn't have its declared length");
-        let chunked = self.length == Length::Chunked;
-        let Some(frame) = frame else {
-            if self.missing > 0 {
-                return Err(wrong_size());
-            }
-            if chunked {
-                http1::last_chunk(output);
+        let written = match frame {
+            Some(frame) => {
+                let data = frame.into_data().unwrap_or_default();
+                self.encoder.data(&data, output)
             }
-            return Ok(());
+            None => self.encoder.end(output),
         };
-        let data = frame.into_data().unwrap_or_default();
-        if chunked {
-            if !data.is_empty() {
-                http1::chunk(&data, output);
-            }
-            return Ok(());
-        }
-        let missing = self.missing.checked_sub(data.len() as u64);
-        self.missing = missing.ok_or_else(wrong_size)?;
-        output.extend_from_slice(&data);
-        Ok(())
+        written.map_err(|fault| io::Error::other(fault.to_string()))
     }
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -21,12 +21,14 @@
 //! ```
 
 mod body;
+mod encoder;
 mod fault;
 mod length;
 pub mod request;
 pub mod response;
 
 pub use body::{Body, Piece, chunk, last_chunk};
+pub use encoder::Encoder;
 pub use fault::Fault;
 pub use length::Length;
 
--- a/crates/target/src/upload.rs
+++ b/crates/target/src/upload.rs
@@ -1,7 +1,7 @@
 //! A request on its way to the target.
 
 use bytes::{Bytes, BytesMut};
-use http1::{Length, request};
+use http1::{Encoder, Length, request};
 use tokio::io::{AsyncWrite, AsyncWriteExt};
 use wire::{Frame, Receiver};
 
@@ -17,18 +17,13 @@
 }
 
 /// A request that is being written.
-///
-/// What is written of the body is counted against the length that the head declares. A target that got
-/// less would take the next request on the connection for the rest of the body, and one that got more
-/// would take the excess for a request.
 pub(crate) struct Upload {
     /// The bytes to be written next.
     output: BytesMut,
     /// The part of the body that has not been read from the link.
     rest: Option<Receiver>,
-    length: Length,
-    /// How much of a body with a declared length is still to be read from the link.
-    missing: u64,
+    /// Encodes the part of the body that comes from the link.
+    encoder: Encoder,
 }
 
 /// Whether the target still reads the request.
@@ -57,25 +52,19 @@
         let mut upload = Upload {
             output,
             rest: None,
-            length,
-            missing: 0,
+            encoder: Encoder::of(length),
         };
         match content {
             Content::Empty => {}
             Content::Complete(body) => upload.output.extend_from_slice(&body),
-            Content::Streamed(receiver) => {
-                upload.rest = Some(receiver);
-                if let Length::Sized(size) = length {
-                    upload.missing = size;
-                }
-            }
+            Content::Streamed(receiver) => upload.rest = Some(receiver),
         }
         Ok(upload)
     }
 
     /// Whether the complete request has been written.
     pub(crate) fn is_complete(&self) -> bool {
-        self.output.is_empty() && self.rest.is_none() && self.missing == 0
+        self.output.is_empty() && self.rest.is_none()
     }
 
     /// Whether all that is at hand has been written.
@@ -107,42 +96,18 @@
             return std::future::pending().await;
         };
         match receiver.recv().await {
-            Ok(Some(Frame::Data(data))) => self.append(&data)?,
-            Ok(Some(Frame::End)) => self.end()?,
+            Ok(Some(Frame::Data(data))) => self.encoder.data(&data, &mut self.output),
+            Ok(Some(Frame::End)) => {
+                self.rest = None;
+                self.encoder.end(&mut self.output)
+            }
             // A truncated body must never look complete to the target.
             Ok(_) => return Err(Error::Body("its link ended early".to_string())),
             Err(error) => return Err(Error::Body(error.to_string())),
         }
+        .map_err(|fault| Error::Body(fault.to_string()))?;
         Ok(Written::Open)
     }
-
-    fn append(&mut self, data: &[u8]) -> Result<(), Error> {
-        if self.length == Length::Chunked {
-            if !data.is_empty() {
-                http1::chunk(data, &mut self.output);
-            }
-            return Ok(());
-        }
-        let missing = self.missing.checked_sub(data.len() as u64);
-        self.missing = missing.ok_or_else(|| wrong_size("longer"))?;
-        self.output.extend_from_slice(data);
-        Ok(())
-    }
-
-    fn end(&mut self) -> Result<(), Error> {
-        if self.missing > 0 {
-            return Err(wrong_size("shorter"));
-        }
-        if self.length == Length::Chunked {
-            http1::last_chunk(&mut self.output);
-        }
-        self.rest = None;
-        Ok(())
-    }
-}
-
-fn wrong_size(than: &str) -> Error {
-    Error::Body(format!("it is {than} than its declared length"))
 }
 
 /// How the length of the request's body is declared to the target.
