--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -41,6 +41,7 @@
 mod region_metric;
 mod state;
 mod suspicion;
+mod target_metric;
 
 pub use daemon::Daemon;
 pub use dump::{Dump, Part};
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -13,6 +13,7 @@
 use crate::quota::Group;
 use crate::region_metric::Regions;
 use crate::state::State;
+use crate::target_metric;
 
 /// Encodes the present values of all metrics.
 ///
@@ -93,57 +94,7 @@
             entry.over_quota,
         );
     }
-    let target = state.server.stats().clone();
-    registry.register(
-        "waited_seconds",
-        "Wait for a slot at this gate",
-        target.waited,
-    );
-    registry.register(
-        "ran_seconds",
-        "From a start to the head of the answer",
-        target.ran,
-    );
-    registry.register(
-        "slow_starts",
-        "Requests started in a slow spell of the target",
-        target.slow_starts,
-    );
-    registry.register(
-        "lost",
-        "Runs here that ended without a whole answer",
-        target.lost,
-    );
-    registry.register(
-        "unfit",
-        "Answers of the target that no caller may get",
-        target.unfit,
-    );
-    registry.register(
-        "declined",
-        "Requests that the target turned away",
-        target.declined,
-    );
-    registry.register(
-        "asked",
-        "Questions after the target's health and load",
-        target.asked,
-    );
-    registry.register(
-        "sent",
-        "Requests sent to the target, without health checks",
-        target.sent,
-    );
-    registry.register(
-        "target_max_rate",
-        "Requests per second that the target limits itself to",
-        target.max_rate,
-    );
-    registry.register(
-        "malformed_heartbeats",
-        "Heartbeats and leaves that could not be read, or were another writer's",
-        target.malformed,
-    );
+    target_metric::register(registry, state.server.stats());
     let feed = state.feed.stats().clone();
     registry.register(
         "rules_fetch_seconds",
--- a/crates/target/src/leave.rs
+++ b/crates/target/src/leave.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::connection::Connection;
+use crate::presence::Evidence;
 use crate::server::Server;
 
 /// A leave is forgotten after this time: if the end of the connection is never seen, no answer would
@@ -50,7 +51,7 @@
         if self.presence.lock().return_unnamed() {
             log::info!("target: may be another one than that which left.");
             self.reset_max_rate();
-            self.update_gate();
+            self.update_gate(Evidence::Connection);
         }
     }
 }
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -17,6 +17,26 @@
 /// A life counts as alive for this many heartbeat periods after its last heartbeat.
 const ALIVE_PERIODS: u32 = 2;
 
+/// The message or event that changed what is known of the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub(crate) enum Evidence {
+    /// A heartbeat of the target.
+    #[display("heartbeat")]
+    Heartbeat,
+    /// The announcement of its end.
+    #[display("leave")]
+    Leave,
+    /// The answer to a request.
+    #[display("answer")]
+    Answer,
+    /// The answer to a health check.
+    #[display("health-check")]
+    HealthCheck,
+    /// The state of a connection.
+    #[display("connection")]
+    Connection,
+}
+
 impl Server {
     /// Processes a heartbeat of the target, and updates the gate.
     pub fn receive_heartbeat(&self, heartbeat: &Heartbeat) -> Effect {
@@ -44,7 +64,7 @@
                     heartbeat.sequence,
                     heartbeat.cold.as_millis()
                 );
-                self.update_gate();
+                self.update_gate(Evidence::Heartbeat);
             }
             Effect::Restarted => {
                 let born = heartbeat
@@ -58,7 +78,7 @@
                     heartbeat.sequence,
                     heartbeat.cold.as_millis()
                 );
-                self.update_gate();
+                self.update_gate(Evidence::Heartbeat);
             }
             Effect::Undated => {
                 self.stats().malformed.inc();
@@ -90,7 +110,7 @@
     pub fn receive_leave(&self, name: &str, born: Option<Incarnation>) {
         log::info!("target: life={name} leaves.");
         if self.presence.lock().receive_leave(name, born) {
-            self.update_gate();
+            self.update_gate(Evidence::Leave);
         }
     }
 
@@ -106,7 +126,7 @@
                 // Until the answer is complete there is no connection to go by.
                 self.witness_leave(None);
             }
-            self.update_gate();
+            self.update_gate(Evidence::Answer);
         }
     }
 
@@ -132,10 +152,11 @@
         self.presence.lock().name.clone()
     }
 
-    /// Notifies the gate of the stage and slots of the target's life.
-    pub(crate) fn update_gate(&self) {
+    /// Notifies the gate of the stage and slots of the target's life, which `evidence` has changed.
+    pub(crate) fn update_gate(&self, evidence: Evidence) {
         let (stage, slots) = {
             let life = self.presence.lock();
+            self.record_stage(&life, evidence);
             (life.stage, life.slots)
         };
         match stage {
@@ -145,6 +166,24 @@
         }
     }
 
+    /// Logs and counts a change of the stage that the gate is notified of.
+    fn record_stage(&self, life: &Life, evidence: Evidence) {
+        let before = std::mem::replace(&mut *self.gate_stage.lock(), life.stage);
+        if before == life.stage {
+            return;
+        }
+        if life.stage == Stage::Ready {
+            self.stats().gate_openings.inc();
+        }
+        log::info!(
+            "target: gate={} before={before} life={} by={evidence} sequence={} process_ms={}.",
+            life.stage,
+            life.name.as_deref().unwrap_or("unnamed"),
+            life.sequence,
+            self.started_at.elapsed().as_millis()
+        );
+    }
+
     /// Records that the target can't be reached, and requests a health check.
     pub(crate) fn mark_unreachable(&self) {
         if self.heartbeats.is_none() {
@@ -153,7 +192,7 @@
         if self.presence.lock().mark_unreachable() {
             log::warn!("target: cannot be reached.");
             self.doubt_warmth();
-            self.update_gate();
+            self.update_gate(Evidence::Connection);
         }
         self.check_requested.notify_one();
     }
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -18,7 +18,7 @@
 
 use crate::call::Handler;
 use crate::leave::Witness;
-use crate::life::Life;
+use crate::life::{Life, Stage};
 use crate::max_rate::MaxRate;
 use crate::pool::Pool;
 use crate::warmth::Warmth;
@@ -40,6 +40,8 @@
     pub(crate) heartbeats: Option<Heartbeats>,
     pub(crate) link: Option<Link>,
     pub(crate) presence: Mutex<Life>,
+    /// The stage that the gate was last notified of.
+    pub(crate) gate_stage: Mutex<Stage>,
     pub(crate) warmth: Mutex<Warmth>,
     pub(crate) witness: Mutex<Option<Witness>>,
     pub(crate) max_rate: Mutex<MaxRate>,
@@ -82,6 +84,7 @@
         let now = Instant::now();
         Server {
             presence: Mutex::new(Life::unknown(now, slots)),
+            gate_stage: Mutex::new(Stage::Unknown),
             warmth: Mutex::new(Warmth::unknown(now)),
             witness: Mutex::default(),
             max_rate: Mutex::default(),
--- a/crates/target/src/stats.rs
+++ b/crates/target/src/stats.rs
@@ -27,6 +27,10 @@
     pub sent: Counter,
     /// Requests per second that the target limits itself to; infinite without a limit.
     pub max_rate: Gauge<f64, AtomicU64>,
+    /// How often the gate was opened to the target.
+    pub gate_openings: Counter,
+    /// Leaves and draining heartbeats that were acknowledged.
+    pub leaves_acknowledged: Counter,
     /// Heartbeats and leaves that could not be parsed or came from another sender, and were ignored.
     pub malformed: Counter,
 }
@@ -46,6 +50,8 @@
             asked: Counter::default(),
             sent: Counter::default(),
             max_rate,
+            gate_openings: Counter::default(),
+            leaves_acknowledged: Counter::default(),
             malformed: Counter::default(),
         }
     }
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -14,6 +14,7 @@
 use crate::connection::{Connection, Outgoing};
 use crate::life::Stage;
 use crate::max_rate::Exchange;
+use crate::presence::Evidence;
 use crate::server::Server;
 use crate::upload::Content;
 use crate::warmth::Source;
@@ -248,7 +249,7 @@
         }
         if changed {
             // The gate opens only now, with the bounds of the new life in place.
-            server.update_gate();
+            server.update_gate(Evidence::HealthCheck);
         }
     }
 }
