Keep acknowledged leaves of a target over restarts of its daemon

Cause: what a process has acknowledged was in its memory alone. The next process beside the same target began with an unknown life, and believed the first heartbeat or health check that it heard. A ready heartbeat that was sent before the leave can arrive later, and a health check can pass though the target leaves.

A leave was acknowledged while the store was silent; now it isn't.

A leave is written to the store before it is acknowledged, and a daemon that starts reads it before its gate opens. Life keeps the runs that have left: a heartbeat, a health check or a claimant of one of them can't make it ready. While the store doesn't answer at a start, the gate opens after ready heartbeats over two periods and a passing health check.

--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -73,6 +73,9 @@
             instance: setting.instance.clone(),
         });
     }
+    if setting.leave_prefix.is_some() {
+        server = server.recovers();
+    }
     match profile.heartbeat {
         Some(period) => server
             .heartbeats(heartbeats(setting, period, current))
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::error::Error;
 use crate::inbound::Inbound;
 use crate::keeper::Keeper;
+use crate::leaves::Leaves;
 use crate::links::{Hands, Life};
 use crate::notice::{self, Hearers};
 use crate::profile::{Links, Profile};
@@ -124,6 +125,7 @@
             (&nests, &held, link.as_ref()),
             &current,
         ));
+        let leaves = Arc::new(Leaves::new(&setting, &store, &server));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
         let sources = Sources {
             store: &store,
@@ -155,6 +157,7 @@
             setting,
             entry,
             server,
+            leaves,
             desk,
             roster,
             current,
@@ -264,6 +267,7 @@
         });
         self.tasks.spawn(inbound.run(self.listener.clone()));
         self.tasks.spawn(target::watch(state.server.clone()));
+        self.tasks.spawn(state.leaves.clone().run());
         self.tasks.spawn(suspicions.run());
         if state.profile.links == Links::Tcp {
             let keeper = Keeper {
@@ -309,6 +313,11 @@
         &self.state.server
     }
 
+    /// The acknowledged leaves of the target.
+    pub fn leaves(&self) -> &Arc<Leaves> {
+        &self.state.leaves
+    }
+
     /// Tells whether requests can be served: rules are in force, and no stop is under way.
     pub fn readiness(&self) -> impl Fn() -> bool + Send + Sync + 'static {
         let state = self.state.clone();
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod file;
 mod inbound;
 mod keeper;
+mod leaves;
 mod links;
 pub mod logging;
 mod measuring;
@@ -46,6 +47,7 @@
 pub use daemon::Daemon;
 pub use dump::{Dump, Part};
 pub use error::Error;
+pub use leaves::Leaves;
 pub use profile::{Links, Profile};
 
 pub use {
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -13,6 +13,7 @@
 
 use crate::claims::Desk;
 use crate::dump::{Dump, EntryState, LinkState, Part, RulesState, ServiceState};
+use crate::leaves::Leaves;
 use crate::profile::Profile;
 use crate::quota;
 
@@ -21,6 +22,7 @@
     pub(crate) setting: Setting,
     pub(crate) entry: Arc<Entry>,
     pub(crate) server: Arc<Server>,
+    pub(crate) leaves: Arc<Leaves>,
     pub(crate) desk: Arc<Desk>,
     pub(crate) roster: Arc<Shared>,
     pub(crate) current: Arc<Current>,
--- a/crates/setting/src/lib.rs
+++ b/crates/setting/src/lib.rs
@@ -115,6 +115,12 @@
     /// The key prefix of evacuations of availability zones in the store. By default evacuations are
     /// not followed.
     pub evacuation_prefix: Option<String>,
+    /// The key prefix under which acknowledged leaves of targets are kept in the store. By default they
+    /// are not kept, and a restart forgets them.
+    pub leave_prefix: Option<String>,
+    /// Whether no daemon of the fleet has run before, so that there is nothing to recover; `false` by
+    /// default.
+    pub first_start: bool,
     /// The bound on cold targets whose rules name a rate; none by default.
     pub cold: Option<Cold>,
     /// How requests of workspaces are counted over the fleet; they are not by default.
--- a/crates/setting/src/read.rs
+++ b/crates/setting/src/read.rs
@@ -10,7 +10,7 @@
 use crate::address::{self, Endpoint};
 use crate::{Limits, Links, LogFormat, Setting, check, cold, limits, placement, quota, retry};
 
-const FIELDS: [&str; 33] = [
+const FIELDS: [&str; 35] = [
     "instance",
     "zone",
     "region",
@@ -38,6 +38,8 @@
     "links",
     "retry",
     "evacuation_prefix",
+    "leave_prefix",
+    "first_start",
     "cold",
     "quota",
     "revoke",
@@ -90,6 +92,7 @@
     announce: String,
     ledger: String,
     evacuation: Option<String>,
+    leave: Option<String>,
 }
 
 pub(crate) fn setting(text: &str) -> Result<Setting, Error> {
@@ -135,6 +138,8 @@
     let store = reader.required(&fields, "store");
     let store = store.and_then(|value| store_addresses(reader, value));
     let keys = store_keys(reader, &fields);
+    let first_start = fields.get("first_start");
+    let first_start = first_start.and_then(|value| flag_or_text(reader, value));
     let limits = fields.get("limits");
     let limits = limits.and_then(|value| limits::read(reader, value));
     let log = fields.get("log");
@@ -171,6 +176,8 @@
         announce_prefix: keys.announce,
         ledger_prefix: keys.ledger,
         evacuation_prefix: keys.evacuation,
+        leave_prefix: keys.leave,
+        first_start: first_start.unwrap_or(false),
         cold,
         quota,
         revoke: revoke.filter(|_| revoke_enabled.unwrap_or(true)),
@@ -351,6 +358,9 @@
         evacuation: fields
             .get("evacuation_prefix")
             .map(|_| prefix(reader, fields, "evacuation_prefix", "evacuations/")),
+        leave: fields
+            .get("leave_prefix")
+            .map(|_| prefix(reader, fields, "leave_prefix", "leaves/")),
     };
     check_keys(reader, fields, &keys);
     keys
@@ -360,11 +370,17 @@
 fn check_keys<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>, keys: &Keys) {
     let evacuation = keys.evacuation.as_ref();
     let evacuation = evacuation.map(|prefix| ("evacuation_prefix", prefix.as_str()));
+    let leave = keys.leave.as_ref();
+    let leave = leave.map(|prefix| ("leave_prefix", prefix.as_str()));
     let prefixes = [
         ("announce_prefix", keys.announce.as_str()),
         ("ledger_prefix", keys.ledger.as_str()),
     ];
-    let prefixes: Vec<(&str, &str)> = prefixes.into_iter().chain(evacuation).collect();
+    let prefixes: Vec<(&str, &str)> = prefixes
+        .into_iter()
+        .chain(evacuation)
+        .chain(leave)
+        .collect();
     for (i, (name, prefix)) in prefixes.iter().enumerate() {
         for (earlier_name, earlier) in &prefixes[..i] {
             if prefix.starts_with(earlier) || earlier.starts_with(prefix) {
@@ -385,6 +401,7 @@
             "announce_prefix",
             "ledger_prefix",
             "evacuation_prefix",
+            "leave_prefix",
         ];
         reader.fault(first_offset(fields, &names), cause);
     }
--- a/crates/target/src/builder.rs
+++ b/crates/target/src/builder.rs
@@ -28,6 +28,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) heartbeats: Option<Heartbeats>,
     pub(crate) link: Option<Link>,
+    pub(crate) recovers: bool,
 }
 
 /// The machine's link, by which answers to other instances are paced.
@@ -78,6 +79,7 @@
             dialect: Dialect::default(),
             heartbeats: None,
             link: None,
+            recovers: false,
         }
     }
 
@@ -124,6 +126,13 @@
         self
     }
 
+    /// Keeps the gate closed until [`Server::recover`] tells which leaves former processes have
+    /// acknowledged, or the target has shown for some time that it stays.
+    pub fn recovers(mut self) -> Builder {
+        self.recovers = true;
+        self
+    }
+
     /// Builds the server.
     pub fn build(self) -> Server {
         Server::new(self)
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use builder::{Builder, ColdLimits, ColdTarget, HealthPath, Heartbeats, Link};
 pub use connection::Error;
-pub use life::{Effect, Heartbeat, Life, Stage};
+pub use life::{Effect, Heartbeat, Life, Run, Stage};
 pub use max_rate::{Exchange, MaxRate};
 pub use server::Server;
 pub use stats::Stats;
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -13,7 +13,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 use unit::Incarnation;
 
@@ -102,20 +102,31 @@
     pub warm_at: Instant,
     #[serde(skip)]
     last_seen: Option<Instant>,
-    former: VecDeque<Former>,
+    former: VecDeque<Run>,
+    left: VecDeque<Run>,
+    /// Whether the leaves that former processes have acknowledged are known.
+    pub is_recovered: bool,
+    /// When the current life began to send ready heartbeats without a gap.
+    #[serde(skip)]
+    ready_since: Option<Instant>,
+    /// Whether the current life passed its last health check.
+    #[serde(skip)]
+    is_healthy: bool,
     /// The last heartbeat of a life that announced itself while another one was known.
     #[serde(skip)]
     claimant: Option<Heartbeat>,
 }
 
-/// A life that served at the address before.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
-struct Former {
-    name: String,
-    born: Option<Incarnation>,
+/// One life of the target, told by its name and the time of its start.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Its name.
+    pub name: String,
+    /// When it started, by the target's clock, if it says so.
+    pub born: Option<Incarnation>,
 }
 
-impl Former {
+impl Run {
     /// Whether a message of a life called `name` that started at `born` comes from this life, or from
     /// an earlier one of the same name.
     fn covers(&self, name: &str, born: Option<Incarnation>) -> bool {
@@ -136,6 +147,10 @@
             warm_at: now,
             last_seen: None,
             former: VecDeque::new(),
+            left: VecDeque::new(),
+            is_recovered: true,
+            ready_since: None,
+            is_healthy: false,
             claimant: None,
         }
     }
@@ -146,6 +161,36 @@
         now: Instant,
         heartbeat: &Heartbeat,
         alive_for: Duration,
+    ) -> Effect {
+        let before = self.stage;
+        let was_alive = self.is_alive(now, alive_for);
+        if !heartbeat.ready && !self.is_undated(heartbeat) {
+            self.record_left(&heartbeat.life, heartbeat.born);
+        }
+        let effect = self.apply_heartbeat(now, heartbeat, alive_for);
+        self.end_if_left();
+        if effect.is_accepted() {
+            let continues = was_alive && effect != Effect::Restarted;
+            let since = self.ready_since.filter(|_| continues).unwrap_or(now);
+            self.ready_since = heartbeat.ready.then_some(since);
+        }
+        match effect.is_accepted() || self.stage == before {
+            true => effect,
+            false => Effect::Changed,
+        }
+    }
+
+    /// Whether the heartbeat lacks the start time that earlier ones of its life had.
+    fn is_undated(&self, heartbeat: &Heartbeat) -> bool {
+        let is_current = self.name.as_deref() == Some(&heartbeat.life);
+        is_current && self.born.is_some() && heartbeat.born.is_none()
+    }
+
+    fn apply_heartbeat(
+        &mut self,
+        now: Instant,
+        heartbeat: &Heartbeat,
+        alive_for: Duration,
     ) -> Effect {
         if self.name.as_deref() == Some(&heartbeat.life) {
             return match (self.born, heartbeat.born) {
@@ -249,6 +294,8 @@
             self.add_former(old, self.born);
         }
         self.born = born;
+        self.is_healthy = false;
+        self.ready_since = None;
         // If the clock was set back, remembered lives may cover the new one; they are removed.
         self.former.retain(|former| !former.covers(name, born));
         self.claimant = None;
@@ -258,6 +305,7 @@
     /// Records that the life `name` that started at `born` has announced that it leaves. Returns true
     /// if it is the current life.
     pub fn receive_leave(&mut self, name: &str, born: Option<Incarnation>) -> bool {
+        self.record_left(name, born);
         if self.name.as_deref() == Some(name) {
             if born.is_some() && born < self.born {
                 return false;
@@ -300,8 +348,68 @@
         returns
     }
 
+    /// Records that a life leaves for good, whatever is heard of it later. A leave without a start time
+    /// is that of the current run, if it has that name.
+    fn record_left(&mut self, name: &str, born: Option<Incarnation>) {
+        let current = self.born.filter(|_| self.name.as_deref() == Some(name));
+        let run = Run {
+            name: name.to_string(),
+            born: born.or(current),
+        };
+        if self.has_left(name, run.born) {
+            return;
+        }
+        self.left.push_back(run);
+        if self.left.len() > MAX_FORMER {
+            self.left.pop_front();
+        }
+    }
+
+    /// Whether the life `name` that started at `born` has announced that it leaves.
+    fn has_left(&mut self, name: &str, born: Option<Incarnation>) -> bool {
+        for run in self.left.iter_mut().filter(|run| run.name == name) {
+            // A leave without a start time belongs to the run that is heard of next.
+            run.born = run.born.or(born);
+        }
+        self.left.iter().any(|run| run.covers(name, born))
+    }
+
+    /// Takes the current life out of service if it has announced that it leaves. Returns true if that
+    /// is news.
+    fn end_if_left(&mut self) -> bool {
+        let Some(name) = self.name.clone() else {
+            return false;
+        };
+        let is_news = self.stage != Stage::Leaving && self.has_left(&name, self.born);
+        if is_news {
+            self.stage = Stage::Leaving;
+        }
+        is_news
+    }
+
+    /// The lives that have announced that they leave.
+    pub fn left(&self) -> Vec<Run> {
+        self.left.iter().cloned().collect()
+    }
+
+    /// Adopts the leaves that former processes have acknowledged. From now on they are known.
+    pub fn recover(&mut self, left: &[Run]) {
+        for run in left {
+            self.record_left(&run.name, run.born);
+        }
+        self.is_recovered = true;
+        self.end_if_left();
+    }
+
+    /// Whether the target may be sent requests, if what former processes have acknowledged is not known:
+    /// it has sent ready heartbeats for `confirm_after` and passes its health check.
+    pub fn is_confirmed(&self, now: Instant, confirm_after: Duration) -> bool {
+        let confirmed = |since: Instant| now - since >= confirm_after;
+        self.is_healthy && self.ready_since.is_some_and(confirmed)
+    }
+
     fn add_former(&mut self, name: String, born: Option<Incarnation>) {
-        self.former.push_back(Former { name, born });
+        self.former.push_back(Run { name, born });
         if self.former.len() > MAX_FORMER {
             self.former.pop_front();
         }
@@ -323,6 +431,22 @@
         if !known && self.is_former(name, None) {
             return false;
         }
+        let changed = self.apply_health(now, name, known, healthy, slots);
+        self.end_if_left();
+        if self.name.as_deref() == Some(name) {
+            self.is_healthy = healthy;
+        }
+        changed
+    }
+
+    fn apply_health(
+        &mut self,
+        now: Instant,
+        name: &str,
+        known: bool,
+        healthy: bool,
+        slots: Option<u16>,
+    ) -> bool {
         match (known, self.stage) {
             // The reported health may be wrong; heartbeats and answers decide.
             (true, Stage::Leaving | Stage::Ready) => false,
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -10,7 +10,7 @@
 use unit::Incarnation;
 
 use crate::connection::Connection;
-use crate::life::{Effect, Heartbeat, Life, Stage};
+use crate::life::{Effect, Heartbeat, Life, Run, Stage};
 use crate::server::Server;
 use crate::warmth::Source;
 
@@ -35,14 +35,16 @@
     /// The state of a connection.
     #[display("connection")]
     Connection,
+    /// The leaves that former processes have acknowledged.
+    #[display("recovery")]
+    Recovery,
 }
 
 impl Server {
     /// Processes a heartbeat of the target, and updates the gate.
     pub fn receive_heartbeat(&self, heartbeat: &Heartbeat) -> Effect {
         let now = Instant::now();
-        let period = self.heartbeats.as_ref().map(|heartbeats| heartbeats.period);
-        let alive_for = period.unwrap_or(Duration::ZERO) * ALIVE_PERIODS;
+        let alive_for = self.alive_for();
         let effect = self
             .presence
             .lock()
@@ -88,7 +90,7 @@
                     heartbeat.sequence
                 );
             }
-            Effect::Unchanged => {}
+            Effect::Unchanged => self.update_confirmed(),
             Effect::Late => log::info!(
                 "target: a heartbeat of life={} sequence={} came late and is passed over.",
                 heartbeat.life,
@@ -114,6 +116,17 @@
         }
     }
 
+    /// Adopts the leaves that former processes have acknowledged. From now on the gate may open.
+    pub fn recover(&self, left: &[Run]) {
+        self.presence.lock().recover(left);
+        self.update_gate(Evidence::Recovery);
+    }
+
+    /// The lives that have announced that they leave.
+    pub fn left(&self) -> Vec<Run> {
+        self.presence.lock().left()
+    }
+
     /// Records that the current life has said in an answer that it leaves.
     pub(crate) fn leave_by_answer(&self) {
         let (is_news, is_named) = {
@@ -156,8 +169,9 @@
     pub(crate) fn update_gate(&self, evidence: Evidence) {
         let (stage, slots) = {
             let life = self.presence.lock();
-            self.record_stage(&life, evidence);
-            (life.stage, life.slots)
+            let stage = self.usable_stage(&life);
+            self.record_stage(&life, stage, evidence);
+            (stage, life.slots)
         };
         match stage {
             Stage::Ready => self.gate.target_ready(slots),
@@ -166,20 +180,46 @@
         }
     }
 
+    /// The stage by which the gate goes: a target that may have left before this process started is
+    /// unknown.
+    fn usable_stage(&self, life: &Life) -> Stage {
+        let now = Instant::now();
+        let is_usable = life.is_recovered || life.is_confirmed(now, self.alive_for());
+        match life.stage {
+            Stage::Ready if !is_usable => Stage::Unknown,
+            stage => stage,
+        }
+    }
+
+    /// Opens the gate once the target has shown for long enough that it stays, while the leaves that
+    /// former processes have acknowledged can't be read.
+    fn update_confirmed(&self) {
+        let stage = self.usable_stage(&self.presence.lock());
+        if stage != *self.gate_stage.lock() {
+            self.update_gate(Evidence::Heartbeat);
+        }
+    }
+
+    /// How long a life counts as alive after its last heartbeat.
+    fn alive_for(&self) -> Duration {
+        let period = self.heartbeats.as_ref().map(|heartbeats| heartbeats.period);
+        period.unwrap_or(Duration::ZERO) * ALIVE_PERIODS
+    }
+
     /// Logs and counts a change of the stage that the gate is notified of.
-    fn record_stage(&self, life: &Life, evidence: Evidence) {
-        let before = std::mem::replace(&mut *self.gate_stage.lock(), life.stage);
-        if before == life.stage {
+    fn record_stage(&self, life: &Life, stage: Stage, evidence: Evidence) {
+        let before = std::mem::replace(&mut *self.gate_stage.lock(), stage);
+        if before == stage {
             return;
         }
-        if life.stage == Stage::Ready {
+        if stage == Stage::Ready {
             self.stats().gate_openings.inc();
         }
         log::info!(
-            "target: gate={} before={before} life={} by={evidence} sequence={} process_ms={}.",
-            life.stage,
+            "target: gate={stage} before={before} life={} by={evidence} sequence={} recovered={} process_ms={}.",
             life.name.as_deref().unwrap_or("unnamed"),
             life.sequence,
+            life.is_recovered,
             self.started_at.elapsed().as_millis()
         );
     }
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -82,8 +82,10 @@
             builder.gate.inherit_cold_starts();
         }
         let now = Instant::now();
+        let mut life = Life::unknown(now, slots);
+        life.is_recovered = !builder.recovers;
         Server {
-            presence: Mutex::new(Life::unknown(now, slots)),
+            presence: Mutex::new(life),
             gate_stage: Mutex::new(Stage::Unknown),
             warmth: Mutex::new(Warmth::unknown(now)),
             witness: Mutex::default(),
