Change the gate under the lock of the life that it follows

With more than one thread, a ready stage that was read before a leave could be applied after it, and open the gate to a target that leaves.

The lock is held until the gate has changed; the gate knows nothing of the life, so the locks are always taken in the same order.

--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -167,14 +167,13 @@
 
     /// Notifies the gate of the stage and slots of the target's life, which `evidence` has changed.
     pub(crate) fn update_gate(&self, evidence: Evidence) {
-        let (stage, slots) = {
-            let life = self.presence.lock();
-            let stage = self.usable_stage(&life);
-            self.record_stage(&life, stage, evidence);
-            (stage, life.slots)
-        };
+        // The lock is held until the gate has changed. Otherwise a stage that was read before a leave
+        // could be applied after it.
+        let life = self.presence.lock();
+        let stage = self.usable_stage(&life);
+        self.record_stage(&life, stage, evidence);
         match stage {
-            Stage::Ready => self.gate.target_ready(slots),
+            Stage::Ready => self.gate.target_ready(life.slots),
             Stage::Leaving => self.gate.leave(),
             Stage::Down | Stage::Unknown => self.gate.target_down(),
         }
