--- a/crates/target/tests/life.rs
+++ b/crates/target/tests/life.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use target::{Effect, Heartbeat, Life, Stage};
+use target::{Effect, Heartbeat, Life, Run, Stage};
 use tokio::time::Instant;
 use unit::Incarnation;
 
@@ -248,3 +248,82 @@
     );
     assert_eq!(life.sequence, 4);
 }
+
+fn left(name: &str, born: u64) -> Run {
+    Run {
+        name: name.to_string(),
+        born: Some(Incarnation(born)),
+    }
+}
+
+/// Guards against a late heartbeat of a life that isn't current yet, which replaces the draining one that
+/// was acknowledged before it.
+#[test]
+fn claimant_that_drains_is_not_made_ready_by_an_older_heartbeat() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.receive_heartbeat(now, &dated("b", 900, 4, true), ALIVE_FOR);
+    assert_eq!(
+        life.receive_heartbeat(now, &dated("a", 1_000, 6, false), ALIVE_FOR),
+        Effect::Conflicting
+    );
+    life.receive_heartbeat(now, &dated("a", 1_000, 5, true), ALIVE_FOR);
+    life.receive_health(now, "a", true, None);
+    assert_eq!(life.name.as_deref(), Some("a"));
+    assert_eq!(life.stage, Stage::Leaving);
+}
+
+/// Guards against late heartbeats of an earlier run under the same name, which look like a run whose clock
+/// was set back.
+#[test]
+fn heartbeats_of_an_earlier_run_do_not_undo_a_leave() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.receive_heartbeat(now, &dated("a", 2_000, 3, true), ALIVE_FOR);
+    life.receive_leave("a", Some(Incarnation(2_000)));
+    let later = now + ALIVE_FOR * 2;
+    for sequence in 40..43 {
+        life.receive_heartbeat(later, &dated("a", 1_000, sequence, true), ALIVE_FOR);
+        assert_eq!(life.stage, Stage::Leaving);
+    }
+}
+
+/// Guards against a process that starts beside a target that leaves, whatever arrives before and after the
+/// leaves of former processes are read.
+#[test]
+fn recovered_leave_outlasts_heartbeats_and_health_checks() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.is_recovered = false;
+    life.receive_heartbeat(now, &dated("a", 1_000, 4, true), ALIVE_FOR);
+    life.recover(&[left("a", 1_000)]);
+    assert_eq!(life.stage, Stage::Leaving);
+    life.receive_health(now, "a", true, None);
+    life.receive_heartbeat(now, &dated("a", 1_000, 5, true), ALIVE_FOR);
+    assert_eq!(life.stage, Stage::Leaving);
+    assert_eq!(
+        life.receive_heartbeat(now, &dated("a", 2_000, 1, true), ALIVE_FOR),
+        Effect::Restarted
+    );
+    assert_eq!(life.stage, Stage::Ready, "another run may be served");
+}
+
+/// Guards against a life that counts as staying after one heartbeat, or without a passing health check,
+/// while the leaves of former processes can't be read.
+#[test]
+fn life_is_confirmed_only_by_heartbeats_over_time_and_its_health() {
+    let now = Instant::now();
+    let mut life = Life::unknown(now, 1);
+    life.is_recovered = false;
+    life.receive_health(now, "a", true, None);
+    life.receive_heartbeat(now, &dated("a", 1_000, 4, true), ALIVE_FOR);
+    assert!(!life.is_confirmed(now, ALIVE_FOR));
+    let half = now + ALIVE_FOR / 2;
+    life.receive_heartbeat(half, &dated("a", 1_000, 5, true), ALIVE_FOR);
+    assert!(!life.is_confirmed(half, ALIVE_FOR));
+    let whole = now + ALIVE_FOR;
+    life.receive_heartbeat(whole, &dated("a", 1_000, 6, true), ALIVE_FOR);
+    assert!(life.is_confirmed(whole, ALIVE_FOR));
+    life.receive_health(whole, "a", false, None);
+    assert!(!life.is_confirmed(whole, ALIVE_FOR));
+}
