Don't open a gate again that a planned stop has closed

Reading the leaves, at the start or after the store has come back from an older copy, notified the gate also where nothing had changed.

--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -90,7 +90,7 @@
                     heartbeat.sequence
                 );
             }
-            Effect::Unchanged => self.update_confirmed(),
+            Effect::Unchanged => self.update_changed_gate(Evidence::Heartbeat),
             Effect::Late => log::info!(
                 "target: a heartbeat of life={} sequence={} came late and is passed over.",
                 heartbeat.life,
@@ -119,7 +119,7 @@
     /// Adopts the leaves that former processes have acknowledged. From now on the gate may open.
     pub fn recover(&self, left: &[Run]) {
         self.presence.lock().recover(left);
-        self.update_gate(Evidence::Recovery);
+        self.update_changed_gate(Evidence::Recovery);
     }
 
     /// The lives that have announced that they leave.
@@ -190,12 +190,12 @@
         }
     }
 
-    /// Opens the gate once the target has shown for long enough that it stays, while the leaves that
-    /// former processes have acknowledged can't be read.
-    fn update_confirmed(&self) {
+    /// Notifies the gate if its stage has changed. A stage that is repeated would open the gate again
+    /// that a planned stop of this daemon has closed.
+    fn update_changed_gate(&self, evidence: Evidence) {
         let stage = self.usable_stage(&self.presence.lock());
         if stage != *self.gate_stage.lock() {
-            self.update_gate(Evidence::Heartbeat);
+            self.update_gate(evidence);
         }
     }
 
