Read the leaves once, and drop a result that nobody uses

Whether nothing has to be read at a first start is held by what is known of the store alone; it was kept twice. A leave that was written before the first read had ended made the daemon read its object again. end_if_left told what no caller asked.

--- a/crates/appleshore/src/leaves.rs
+++ b/crates/appleshore/src/leaves.rs
@@ -32,7 +32,6 @@
     store: Store,
     /// `None` if leaves are not kept.
     key: Option<String>,
-    is_first_start: bool,
     saved: Mutex<Saved>,
 }
 
@@ -55,7 +54,6 @@
             server: server.clone(),
             store: store.clone(),
             key: prefix.map(|prefix| format!("{prefix}{}", setting.instance)),
-            is_first_start: setting.first_start,
             saved: Mutex::new(saved),
         }
     }
@@ -82,11 +80,7 @@
         if self.key.is_none() {
             return std::future::pending().await;
         }
-        if self.is_first_start {
-            self.server.recover(&[]);
-        } else {
-            self.retry("read", || self.load()).await;
-        }
+        self.retry("read", || self.load()).await;
         let mut era = self.store.eras().after(None).await;
         loop {
             era = self.store.eras().after(Some(era)).await;
@@ -108,8 +102,13 @@
         }
     }
 
+    /// Tells the server which leaves are known, and reads them before if they aren't.
     async fn load(&self) -> Result<(), Error> {
         let mut saved = self.saved.lock().await;
+        if saved.is_known {
+            self.server.recover(&saved.left);
+            return Ok(());
+        }
         self.read(&mut saved).await
     }
 
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -374,17 +374,14 @@
         self.left.iter().any(|run| run.covers(name, born))
     }
 
-    /// Takes the current life out of service if it has announced that it leaves. Returns true if that
-    /// is news.
-    fn end_if_left(&mut self) -> bool {
+    /// Takes the current life out of service if it has announced that it leaves.
+    fn end_if_left(&mut self) {
         let Some(name) = self.name.clone() else {
-            return false;
+            return;
         };
-        let is_news = self.stage != Stage::Leaving && self.has_left(&name, self.born);
-        if is_news {
+        if self.has_left(&name, self.born) {
             self.stage = Stage::Leaving;
         }
-        is_news
     }
 
     /// The lives that have announced that they leave.
