Send requests only to lives that a heartbeat has named

Cause: Life::receive_health_of_other made a life current by a passing health check alone. A health check names a life, not its service; only heartbeats name both. A life that was still current stayed so while another one answered in its place, so a daemon that was paused through the change had the same fault.

A life now becomes current by a heartbeat, or by a health check of the life that the last heartbeat to a former process has named. That name is kept in the store in the object of the leaves, which is read before the gate opens anyway: one write per start of a target, spread over N x 10 ms when all start at once. A current life in whose place another one answers is down. The load, limits and warm-up that another life reports aren't recorded.

--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -125,7 +125,7 @@
             (&nests, &held, link.as_ref()),
             &current,
         ));
-        let leaves = Arc::new(Leaves::new(&setting, &store, &server));
+        let leaves = Arc::new(Leaves::new(&setting, &store, &server, &roster));
         let desk = Arc::new(assembly::desk(&setting, &store, &dialer, &directory));
         let sources = Sources {
             store: &store,
--- a/crates/appleshore/src/leaves.rs
+++ b/crates/appleshore/src/leaves.rs
@@ -1,13 +1,18 @@
-//! Keeps acknowledged leaves of the target in the store.
+//! Keeps in the store what the next process must know of the target.
 //!
 //! A process that restarts beside a target that leaves has no memory of the leave. Heartbeats that were
 //! sent before it may still arrive, and health checks may pass, so neither shows that the target stays.
 //! A leave is therefore written before it is acknowledged, and read before the gate opens.
+//!
+//! A health check doesn't tell the service of the target that answers, so by itself it never opens the
+//! gate. With the leaves goes the last life that a heartbeat has named: the next process sends requests
+//! to it again as soon as it answers, and needn't wait for its next heartbeat.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 use setting::Setting;
 use store::{Backoff, Condition, Error, Store};
 use target::{Run, Server};
@@ -23,12 +28,19 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
+/// How long a daemon that starts waits for the size of the fleet before it writes a life.
+const FLEET_KNOWN: Duration = Duration::from_secs(5);
+
+/// Mean pause between two writes of lives in the whole fleet, if all targets restart at once.
+const LIFE_SPACING: Duration = Duration::from_millis(10);
+
 /// How often a write is repeated over what another call has written in between.
 const MAX_TRIES: usize = 4;
 
-/// The acknowledged leaves of the target beside this daemon.
+/// The acknowledged leaves of the target beside this daemon, and the last life that it has announced.
 pub struct Leaves {
     server: Arc<Server>,
+    roster: Arc<roster::Shared>,
     store: Store,
     /// `None` if leaves are not kept.
     key: Option<String>,
@@ -40,11 +52,26 @@
 struct Saved {
     is_known: bool,
     version: Option<Version>,
+    content: Content,
+}
+
+/// The content of the object.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Content {
+    /// The lives that have announced that they leave.
     left: Vec<Run>,
+    /// The last life that a heartbeat has named.
+    #[serde(default)]
+    announced: Option<Run>,
 }
 
 impl Leaves {
-    pub(crate) fn new(setting: &Setting, store: &Store, server: &Arc<Server>) -> Leaves {
+    pub(crate) fn new(
+        setting: &Setting,
+        store: &Store,
+        server: &Arc<Server>,
+        roster: &Arc<roster::Shared>,
+    ) -> Leaves {
         let prefix = setting.leave_prefix.as_ref();
         let saved = Saved {
             is_known: setting.first_start,
@@ -52,6 +79,7 @@
         };
         Leaves {
             server: server.clone(),
+            roster: roster.clone(),
             store: store.clone(),
             key: prefix.map(|prefix| format!("{prefix}{}", setting.instance)),
             saved: Mutex::new(saved),
@@ -74,13 +102,17 @@
         }
     }
 
-    /// Reads the leaves that former processes have acknowledged, and writes them again whenever the
-    /// store has come back from an older copy. Never returns.
+    /// Reads what former processes have written, and keeps it up to date. Never returns.
     pub(crate) async fn run(self: Arc<Self>) {
         if self.key.is_none() {
             return std::future::pending().await;
         }
         self.retry("read", || self.load()).await;
+        tokio::join!(self.rewrite_lost_leaves(), self.write_lives());
+    }
+
+    /// Writes the leaves again whenever the store has come back from an older copy.
+    async fn rewrite_lost_leaves(&self) {
         let mut era = self.store.eras().after(None).await;
         loop {
             era = self.store.eras().after(Some(era)).await;
@@ -91,6 +123,19 @@
         }
     }
 
+    /// Writes each life that a heartbeat names. The writes of a fleet whose targets restart at once are
+    /// spread over a time that grows with the fleet, so that their rate doesn't.
+    async fn write_lives(&self) {
+        sleep(FLEET_KNOWN).await;
+        loop {
+            self.server.life_announced().await;
+            let peers = self.roster.with(|roster| roster.peers().count());
+            let spread = LIFE_SPACING.mul_f64(peers as f64);
+            sleep(spread.mul_f64(rand::random())).await;
+            self.retry("written", || self.save()).await;
+        }
+    }
+
     async fn retry<F>(&self, what: &str, call: impl Fn() -> F)
     where
         F: Future<Output = Result<(), Error>>,
@@ -102,16 +147,21 @@
         }
     }
 
-    /// Tells the server which leaves are known, and reads them before if they aren't.
+    /// Tells the server what former processes have written, and reads it before if it isn't known.
     async fn load(&self) -> Result<(), Error> {
         let mut saved = self.saved.lock().await;
         if saved.is_known {
-            self.server.recover(&saved.left);
+            self.recover(&saved.content);
             return Ok(());
         }
         self.read(&mut saved).await
     }
 
+    fn recover(&self, content: &Content) {
+        let Content { left, announced } = content;
+        self.server.recover(left, announced.as_ref());
+    }
+
     /// Reads what the store holds, and adopts it.
     async fn read(&self, saved: &mut Saved) -> Result<(), Error> {
         let Some(key) = &self.key else {
@@ -119,10 +169,12 @@
         };
         let found = self.store.get(key).await?;
         saved.version = found.as_ref().map(|object| object.version);
-        saved.left = found.map_or_else(Vec::new, |object| parse(key, &object.value));
+        saved.content = found.map_or_else(Content::default, |object| parse(key, &object.value));
         saved.is_known = true;
-        log::info!("leaves: read lives={}.", saved.left.len());
-        self.server.recover(&saved.left);
+        let Content { left, announced } = &saved.content;
+        let name = announced.as_ref().map_or("none", |run| run.name.as_str());
+        log::info!("leaves: read lives={} announced={name}.", left.len());
+        self.recover(&saved.content);
         Ok(())
     }
 
@@ -136,8 +188,11 @@
             if !saved.is_known {
                 self.read(&mut saved).await?;
             }
-            let left = self.server.left();
-            if left == saved.left {
+            let content = Content {
+                left: self.server.left(),
+                announced: self.server.announced(),
+            };
+            if content == saved.content {
                 return Ok(());
             }
             let condition = saved.version.map_or(Condition::Absent, Condition::Match);
@@ -145,14 +200,14 @@
             saved.is_known = false;
             match self
                 .store
-                .put(key, Bytes::from(encode(&left)), condition)
+                .put(key, Bytes::from(encode(&content)), condition)
                 .await
             {
                 Ok(version) => {
                     *saved = Saved {
                         is_known: true,
                         version: Some(version),
-                        left,
+                        content,
                     };
                     return Ok(());
                 }
@@ -168,21 +223,14 @@
     }
 }
 
-fn encode(left: &[Run]) -> String {
-    serde_json::json!({ "left": left }).to_string()
+fn encode(content: &Content) -> String {
+    serde_json::json!(content).to_string()
 }
 
-/// The leaves in an object. One that can't be parsed was written by something else.
-fn parse(key: &str, value: &[u8]) -> Vec<Run> {
-    #[derive(serde::Deserialize)]
-    struct Content {
-        left: Vec<Run>,
-    }
-    match serde_json::from_slice::<Content>(value) {
-        Ok(content) => content.left,
-        Err(error) => {
-            log::error!("leaves: object {key}: {error}.");
-            Vec::new()
-        }
-    }
+/// The content of an object. One that can't be parsed was written by something else.
+fn parse(key: &str, value: &[u8]) -> Content {
+    serde_json::from_slice(value).unwrap_or_else(|error| {
+        log::error!("leaves: object {key}: {error}.");
+        Content::default()
+    })
 }
--- a/crates/appleshore/src/target_metric.rs
+++ b/crates/appleshore/src/target_metric.rs
@@ -61,6 +61,11 @@
         "How often the gate was opened to the target",
         target.gate_openings,
     );
+    registry.register(
+        "foreign_answers",
+        "Health checks answered by a life that no heartbeat has named",
+        target.foreign_answers,
+    );
     registry.register(
         "leaves_acknowledged",
         "Leaves and draining heartbeats of the target that were acknowledged",
--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -26,6 +26,7 @@
 mod max_rate;
 mod pool;
 mod presence;
+mod run;
 mod server;
 mod stats;
 mod upload;
@@ -35,8 +36,9 @@
 
 pub use builder::{Builder, ColdLimits, ColdTarget, HealthPath, Heartbeats, Link};
 pub use connection::Error;
-pub use life::{Effect, Heartbeat, Life, Run, Stage};
+pub use life::{Effect, Heartbeat, Life, Stage};
 pub use max_rate::{Exchange, MaxRate};
+pub use run::Run;
 pub use server::Server;
 pub use stats::Stats;
 pub use warmth::{Source, Warmth};
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -9,16 +9,18 @@
 //! heartbeats are numbered from the beginning. By name alone each of them would look late until the
 //! numbers had caught up, and a drain of the former run would last for ever. Start times tell the
 //! runs apart.
+//!
+//! A former target's address may be assigned to a target of another service. An answer names the life
+//! that gave it but not its service, so only a heartbeat, which names both, makes a life current. The
+//! life that a former process was told of may also become current by a health check.
 
-use std::collections::VecDeque;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 use tokio::time::Instant;
 use unit::Incarnation;
 
-/// Number of former lives that are remembered, so that their late heartbeats are ignored.
-const MAX_FORMER: usize = 32;
+use crate::run::{Run, Runs};
 
 /// A heartbeat of the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,8 +104,10 @@
     pub warm_at: Instant,
     #[serde(skip)]
     last_seen: Option<Instant>,
-    former: VecDeque<Run>,
-    left: VecDeque<Run>,
+    former: Runs,
+    left: Runs,
+    /// The last life that a heartbeat has named, to this process or a former one.
+    announced: Option<Run>,
     /// Whether the leaves that former processes have acknowledged are known.
     pub is_recovered: bool,
     /// When the current life began to send ready heartbeats without a gap.
@@ -117,24 +121,6 @@
     claimant: Option<Heartbeat>,
 }
 
-/// One life of the target, told by its name and the time of its start.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Run {
-    /// Its name.
-    pub name: String,
-    /// When it started, by the target's clock, if it says so.
-    pub born: Option<Incarnation>,
-}
-
-impl Run {
-    /// Whether a message of a life called `name` that started at `born` comes from this life, or from
-    /// an earlier one of the same name.
-    fn covers(&self, name: &str, born: Option<Incarnation>) -> bool {
-        let later = born.is_some() && born > self.born;
-        self.name == name && !later
-    }
-}
-
 impl Life {
     /// Starts with no known life; `slots` applies until a heartbeat or an answer gives the number.
     pub fn unknown(now: Instant, slots: u16) -> Life {
@@ -146,8 +132,9 @@
             sequence: 0,
             warm_at: now,
             last_seen: None,
-            former: VecDeque::new(),
-            left: VecDeque::new(),
+            former: Runs::default(),
+            left: Runs::default(),
+            announced: None,
             is_recovered: true,
             ready_since: None,
             is_healthy: false,
@@ -215,7 +202,7 @@
     }
 
     fn is_former(&self, name: &str, born: Option<Incarnation>) -> bool {
-        self.former.iter().any(|former| former.covers(name, born))
+        self.former.cover(name, born)
     }
 
     /// Processes a heartbeat whose start time is before the known one.
@@ -254,6 +241,7 @@
             return Effect::Late;
         }
         self.born = self.born.or(heartbeat.born);
+        self.announced = self.run();
         self.sequence = heartbeat.sequence;
         self.last_seen = Some(now);
         self.warm_at = now + heartbeat.cold;
@@ -278,6 +266,7 @@
             None => Effect::Changed,
         };
         self.replace(&heartbeat.life, heartbeat.born);
+        self.announced = self.run();
         self.stage = match heartbeat.ready {
             true => Stage::Ready,
             false => Stage::Leaving,
@@ -297,9 +286,17 @@
         self.is_healthy = false;
         self.ready_since = None;
         // If the clock was set back, remembered lives may cover the new one; they are removed.
-        self.former.retain(|former| !former.covers(name, born));
+        self.former.remove(name, born);
         self.claimant = None;
         self.sequence = 0;
+        self.last_seen = None;
+    }
+
+    /// The current life, if one is known.
+    fn run(&self) -> Option<Run> {
+        let name = self.name.clone()?;
+        let born = self.born;
+        Some(Run { name, born })
     }
 
     /// Records that the life `name` that started at `born` has announced that it leaves. Returns true
@@ -359,19 +356,14 @@
         if self.has_left(name, run.born) {
             return;
         }
-        self.left.push_back(run);
-        if self.left.len() > MAX_FORMER {
-            self.left.pop_front();
-        }
+        self.left.push(run);
     }
 
     /// Whether the life `name` that started at `born` has announced that it leaves.
     fn has_left(&mut self, name: &str, born: Option<Incarnation>) -> bool {
-        for run in self.left.iter_mut().filter(|run| run.name == name) {
-            // A leave without a start time belongs to the run that is heard of next.
-            run.born = run.born.or(born);
-        }
-        self.left.iter().any(|run| run.covers(name, born))
+        // A leave without a start time belongs to the run that is heard of next.
+        self.left.date(name, born);
+        self.left.cover(name, born)
     }
 
     /// Takes the current life out of service if it has announced that it leaves.
@@ -386,14 +378,21 @@
 
     /// The lives that have announced that they leave.
     pub fn left(&self) -> Vec<Run> {
-        self.left.iter().cloned().collect()
+        self.left.to_vec()
     }
 
-    /// Adopts the leaves that former processes have acknowledged. From now on they are known.
-    pub fn recover(&mut self, left: &[Run]) {
+    /// The last life that a heartbeat has named, to this process or a former one.
+    pub fn announced(&self) -> Option<&Run> {
+        self.announced.as_ref()
+    }
+
+    /// Adopts what former processes have recorded: the leaves that they have acknowledged, and the
+    /// last life that a heartbeat has named. From now on the leaves are known.
+    pub fn recover(&mut self, left: &[Run], announced: Option<&Run>) {
         for run in left {
             self.record_left(&run.name, run.born);
         }
+        self.announced = self.announced.take().or(announced.cloned());
         self.is_recovered = true;
         self.end_if_left();
     }
@@ -406,17 +405,15 @@
     }
 
     fn add_former(&mut self, name: String, born: Option<Incarnation>) {
-        self.former.push_back(Run { name, born });
-        if self.former.len() > MAX_FORMER {
-            self.former.pop_front();
-        }
+        self.former.push(Run { name, born });
     }
 
     /// Records that the target has answered a health check as the life `name`. Returns true if that
     /// changes what is known.
     ///
-    /// If the life is known from no heartbeat, it becomes current only if it reports that it is healthy:
-    /// a daemon that has just started must not send requests to a target that leaves.
+    /// A life that isn't current becomes so only if a heartbeat has named it. If only a former process has
+    /// heard that heartbeat, the life must also report that it is healthy: a daemon that has just started
+    /// must not send requests to a target that leaves.
     pub fn receive_health(
         &mut self,
         now: Instant,
@@ -463,21 +460,22 @@
         healthy: bool,
         slots: Option<u16>,
     ) -> bool {
-        let claimant = self
-            .claimant
-            .take()
-            .filter(|heartbeat| heartbeat.life == name);
-        if let Some(heartbeat) = claimant {
+        let is_named = |heartbeat: &mut Heartbeat| heartbeat.life == name;
+        if let Some(heartbeat) = self.claimant.take_if(is_named) {
             self.begin(now, &heartbeat);
             return true;
         }
-        if !healthy {
-            return false;
+        let announced = self.announced.clone().filter(|run| run.name == name);
+        match announced {
+            Some(run) if healthy => {
+                self.replace(name, run.born);
+                self.stage = Stage::Ready;
+                self.slots = slots.unwrap_or(self.slots).max(1);
+                true
+            }
+            // Whoever answers, the current life doesn't.
+            _ => self.mark_unreachable(),
         }
-        self.replace(name, None);
-        self.stage = Stage::Ready;
-        self.slots = slots.unwrap_or(self.slots).max(1);
-        true
     }
 
     /// Records that the target can't be reached. Returns true if it was ready before.
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -10,7 +10,8 @@
 use unit::Incarnation;
 
 use crate::connection::Connection;
-use crate::life::{Effect, Heartbeat, Life, Run, Stage};
+use crate::life::{Effect, Heartbeat, Life, Stage};
+use crate::run::Run;
 use crate::server::Server;
 use crate::warmth::Source;
 
@@ -45,10 +46,15 @@
     pub fn receive_heartbeat(&self, heartbeat: &Heartbeat) -> Effect {
         let now = Instant::now();
         let alive_for = self.alive_for();
-        let effect = self
-            .presence
-            .lock()
-            .receive_heartbeat(now, heartbeat, alive_for);
+        let (effect, is_new) = {
+            let mut life = self.presence.lock();
+            let before = life.announced().cloned();
+            let effect = life.receive_heartbeat(now, heartbeat, alive_for);
+            (effect, life.announced() != before.as_ref())
+        };
+        if is_new {
+            self.life_announced.notify_one();
+        }
         if effect == Effect::Restarted {
             // What the former life reported must not outlast it.
             self.target_restarted();
@@ -116,10 +122,13 @@
         }
     }
 
-    /// Adopts the leaves that former processes have acknowledged. From now on the gate may open.
-    pub fn recover(&self, left: &[Run]) {
-        self.presence.lock().recover(left);
+    /// Adopts the leaves that former processes have acknowledged, and the last life that a heartbeat
+    /// has named to them. From now on the gate may open.
+    pub fn recover(&self, left: &[Run], announced: Option<&Run>) {
+        self.presence.lock().recover(left, announced);
         self.update_changed_gate(Evidence::Recovery);
+        // If that life still answers, it needn't wait for its next heartbeat.
+        self.request_life_check();
     }
 
     /// The lives that have announced that they leave.
@@ -127,6 +136,16 @@
         self.presence.lock().left()
     }
 
+    /// The last life that a heartbeat has named, to this process or a former one.
+    pub fn announced(&self) -> Option<Run> {
+        self.presence.lock().announced().cloned()
+    }
+
+    /// Waits until a heartbeat has named another life than before.
+    pub async fn life_announced(&self) {
+        self.life_announced.notified().await;
+    }
+
     /// Records that the current life has said in an answer that it leaves.
     pub(crate) fn leave_by_answer(&self) {
         let (is_news, is_named) = {
@@ -288,16 +307,25 @@
     /// changes what is known of it; the gate must then be updated.
     pub(crate) fn receive_health(&self, name: &str, healthy: bool, slots: Option<u16>) -> bool {
         let now = Instant::now();
-        let (changed, replaced) = {
+        let (changed, before, after) = {
             let mut life = self.presence.lock();
             let before = life.name.clone();
             let changed = life.receive_health(now, name, healthy, slots);
-            (changed, before.is_some() && before != life.name)
+            (changed, before, life.name.clone())
         };
+        if after.as_deref() != Some(name) {
+            self.stats().foreign_answers.inc();
+        }
         if changed {
-            log::info!("target: life={name} answers for itself.");
-            if replaced {
-                self.target_restarted();
+            log::info!(
+                "target: life={name} answers for itself, current={} before={}.",
+                after.as_deref().unwrap_or("none"),
+                before.as_deref().unwrap_or("none")
+            );
+            match after.as_deref() == Some(name) {
+                true if before.is_some() && before != after => self.target_restarted(),
+                true => {}
+                false => self.doubt_warmth(),
             }
         }
         changed
--- a/crates/target/src/server.rs
+++ b/crates/target/src/server.rs
@@ -52,6 +52,8 @@
     pub(crate) load_reported_at: Mutex<Option<Instant>>,
     /// Wakes [`watch`](crate::watch()) to send a health check.
     pub(crate) check_requested: Notify,
+    /// Notified whenever a heartbeat names another life than before.
+    pub(crate) life_announced: Notify,
     /// Whether a health check must tell which life is current.
     pub(crate) life_in_doubt: AtomicBool,
     /// Whether a request waits for a pace report.
@@ -97,6 +99,7 @@
             link: builder.link,
             load_reported_at: Mutex::new(None),
             check_requested: Notify::new(),
+            life_announced: Notify::new(),
             life_in_doubt: AtomicBool::new(false),
             pace_wanted: AtomicBool::new(false),
             load_received: Notify::new(),
--- a/crates/target/src/stats.rs
+++ b/crates/target/src/stats.rs
@@ -29,6 +29,8 @@
     pub max_rate: Gauge<f64, AtomicU64>,
     /// How often the gate was opened to the target.
     pub gate_openings: Counter,
+    /// Health checks answered by a life that no heartbeat has named.
+    pub foreign_answers: Counter,
     /// Leaves and draining heartbeats that were acknowledged.
     pub leaves_acknowledged: Counter,
     /// Heartbeats and leaves that could not be parsed or came from another sender, and were ignored.
@@ -51,6 +53,7 @@
             sent: Counter::default(),
             max_rate,
             gate_openings: Counter::default(),
+            foreign_answers: Counter::default(),
             leaves_acknowledged: Counter::default(),
             malformed: Counter::default(),
         }
--- a/crates/target/src/watch.rs
+++ b/crates/target/src/watch.rs
@@ -226,30 +226,31 @@
 /// Records the load, life, health and warm-up that the answer to a health check sent at `asked_at`
 /// reports.
 fn record_health(server: &Server, head: &response::Head, asked_at: Instant) {
-    server.record_load(head);
     // Without a load in the answer, the next check must still not come before the maximum age.
     *server.load_reported_at.lock() = Some(Instant::now());
     let figures = server.dialect.figures(&head.headers);
     let slots = figures.map(|figures| figures.slots);
-    if let Some(name) = server.dialect.life(&head.headers) {
-        let healthy = head.status == StatusCode::OK;
-        let changed = server.receive_health(name, healthy, slots);
+    let Some(name) = server.dialect.life(&head.headers) else {
+        return server.record_load(head);
+    };
+    let healthy = head.status == StatusCode::OK;
+    let changed = server.receive_health(name, healthy, slots);
+    // What another target at the address reports says nothing of this one.
+    if server.life_name().as_deref() == Some(name) {
+        server.record_load(head);
+        let max_rate = server.dialect.max_rate(&head.headers);
+        server.record_max_rate(max_rate, Exchange::HealthCheck, asked_at);
+        if server.dialect.is_leaving(&head.headers) {
+            server.leave_by_answer();
+        }
         let remaining = server.dialect.cold_remaining(&head.headers);
         let remaining = remaining.filter(|left| healthy || !left.is_zero());
-        let is_current = server.life_name().as_deref() == Some(name);
-        if is_current {
-            let max_rate = server.dialect.max_rate(&head.headers);
-            server.record_max_rate(max_rate, Exchange::HealthCheck, asked_at);
-            if server.dialect.is_leaving(&head.headers) {
-                server.leave_by_answer();
-            }
-        }
-        if let Some(remaining) = remaining.filter(|_| is_current) {
+        if let Some(remaining) = remaining {
             server.record_warmth(remaining, Source::Health(asked_at));
         }
-        if changed {
-            // The gate opens only now, with the bounds of the new life in place.
-            server.update_gate(Evidence::HealthCheck);
-        }
+    }
+    if changed {
+        // The gate opens only now, with the bounds of the new life in place.
+        server.update_gate(Evidence::HealthCheck);
     }
 }
