Read each object of the store by itself

Another writer's object that the JSON reader refuses (nested over 128 deep, a number out of range, half of a surrogate pair, bytes that are not UTF-8) hid all others of its kind: a daemon that started knew nobody and served nothing, nobody used its target, and later configurations didn't come into force. No process ended.

Cause: listings and the events of watches were parsed into one tree before each object was judged by itself. Single objects and the answers to writes had the same cause.

The value of one that can't be read is empty: its key still names an evacuated zone, and its own daemon can write it again by its revision. Leaves that can't be read count as unknown, not as none, and are replaced once the target has shown that it stays. Each unreadable content is logged once.

--- a/crates/appleshore/src/leaves.rs
+++ b/crates/appleshore/src/leaves.rs
@@ -34,6 +34,9 @@
 /// Mean pause between two writes of lives in the whole fleet, if all targets restart at once.
 const LIFE_SPACING: Duration = Duration::from_millis(10);
 
+/// Pause between two checks whether the target has shown that it stays.
+const CONFIRM_PAUSE: Duration = Duration::from_secs(1);
+
 /// How often a write is repeated over what another call has written in between.
 const MAX_TRIES: usize = 4;
 
@@ -108,9 +111,22 @@
             return std::future::pending().await;
         }
         self.retry("read", || self.load()).await;
+        if !self.server.presence().is_recovered {
+            self.replace_unreadable().await;
+        }
         tokio::join!(self.rewrite_lost_leaves(), self.write_lives());
     }
 
+    /// Replaces an object that can't be read. The leaves in it are lost, so this waits until the target has
+    /// shown that it stays: the next process will take the new object for all that was acknowledged.
+    async fn replace_unreadable(&self) {
+        while !self.server.is_confirmed() {
+            sleep(CONFIRM_PAUSE).await;
+        }
+        self.retry("written", || self.save()).await;
+        self.server.recover(&[], None);
+    }
+
     /// Writes the leaves again whenever the store has come back from an older copy.
     async fn rewrite_lost_leaves(&self) {
         let mut era = self.store.eras().after(None).await;
@@ -162,19 +178,26 @@
         self.server.recover(left, announced.as_ref());
     }
 
-    /// Reads what the store holds, and adopts it.
+    /// Reads what the store holds, and adopts it if it can be read.
     async fn read(&self, saved: &mut Saved) -> Result<(), Error> {
         let Some(key) = &self.key else {
             return Ok(());
         };
         let found = self.store.get(key).await?;
         saved.version = found.as_ref().map(|object| object.version);
-        saved.content = found.map_or_else(Content::default, |object| parse(key, &object.value));
         saved.is_known = true;
-        let Content { left, announced } = &saved.content;
-        let name = announced.as_ref().map_or("none", |run| run.name.as_str());
-        log::info!("leaves: read lives={} announced={name}.", left.len());
-        self.recover(&saved.content);
+        saved.content = Content::default();
+        let value = found.as_ref().map(|object| object.value.as_ref());
+        match value.map_or(Ok(Content::default()), serde_json::from_slice) {
+            Ok(content) => {
+                saved.content = content;
+                let Content { left, announced } = &saved.content;
+                let name = announced.as_ref().map_or("none", |run| run.name.as_str());
+                log::info!("leaves: read lives={} announced={name}.", left.len());
+                self.recover(&saved.content);
+            }
+            Err(error) => log::error!("leaves: object {key} can't be read: {error}."),
+        }
         Ok(())
     }
 
@@ -226,11 +249,3 @@
 fn encode(content: &Content) -> String {
     serde_json::json!(content).to_string()
 }
-
-/// The content of an object. One that can't be parsed was written by something else.
-fn parse(key: &str, value: &[u8]) -> Content {
-    serde_json::from_slice(value).unwrap_or_else(|error| {
-        log::error!("leaves: object {key}: {error}.");
-        Content::default()
-    })
-}
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -184,6 +184,10 @@
 /// Decodes the announcement in an object. One that can't be decoded, or names another instance than
 /// its key, was written by something else and is ignored.
 pub(crate) fn record(object: &Object) -> Option<Record> {
+    if object.value.is_empty() {
+        // The client of the store couldn't read it, and has logged that.
+        return None;
+    }
     let parsed = serde_json::from_slice(&object.value);
     let parsed = parsed.inspect_err(|e| log::warn!("feed: object {}: {e}.", object.key));
     let record: Record = parsed.ok()?;
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -131,6 +131,12 @@
         self.request_life_check();
     }
 
+    /// Whether the gate may open without the leaves that former processes have acknowledged: they are
+    /// known, or the target has shown for long enough that it stays.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_usable(&self.presence.lock())
+    }
+
     /// The lives that have announced that they leave.
     pub fn left(&self) -> Vec<Run> {
         self.presence.lock().left()
@@ -201,14 +207,16 @@
     /// The stage by which the gate goes: a target that may have left before this process started is
     /// unknown.
     fn usable_stage(&self, life: &Life) -> Stage {
-        let now = Instant::now();
-        let is_usable = life.is_recovered || life.is_confirmed(now, self.alive_for());
         match life.stage {
-            Stage::Ready if !is_usable => Stage::Unknown,
+            Stage::Ready if !self.is_usable(life) => Stage::Unknown,
             stage => stage,
         }
     }
 
+    fn is_usable(&self, life: &Life) -> bool {
+        life.is_recovered || life.is_confirmed(Instant::now(), self.alive_for())
+    }
+
     /// Notifies the gate if its stage has changed. A stage that is repeated would open the gate again
     /// that a planned stop of this daemon has closed.
     fn update_changed_gate(&self, evidence: Evidence) {
