Ask a life that answers before a late heartbeat replaces it

A target could stay without requests for as long as it lived: a heartbeat of a former life that arrived late replaced the current one, whose own heartbeats then all counted as late.

Cause: a current life counted as alive by its heartbeats alone. After a restart of the daemon it is current by a health check, before its next heartbeat, and heartbeats may be delayed for longer than the two periods for which one counts.

A life that has answered a health check within these two periods now counts as alive too, so a heartbeat of another life asks the target which of them is current, as it did before within two periods of a heartbeat. late_heartbeat_does_not_replace_a_life_that_answers failed before with Restarted for Conflicting. Not seen on real processes.

--- a/crates/target/src/lib.rs
+++ b/crates/target/src/lib.rs
@@ -21,6 +21,7 @@
 mod builder;
 mod call;
 mod connection;
+mod heartbeat;
 mod leave;
 mod life;
 mod max_rate;
@@ -36,7 +37,8 @@
 
 pub use builder::{Builder, ColdLimits, ColdTarget, HealthPath, Heartbeats, Link};
 pub use connection::Error;
-pub use life::{Effect, Heartbeat, Life, Stage};
+pub use heartbeat::{Effect, Heartbeat};
+pub use life::{Life, Stage};
 pub use max_rate::{Exchange, MaxRate};
 pub use run::Run;
 pub use server::Server;
--- a/crates/target/src/life.rs
+++ b/crates/target/src/life.rs
@@ -20,25 +20,9 @@
 use tokio::time::Instant;
 use unit::Incarnation;
 
+use crate::heartbeat::{Effect, Heartbeat};
 use crate::run::{Run, Runs};
 
-/// A heartbeat of the target.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// The name of the life that sent it.
-    pub life: String,
-    /// When that life started, by the target's clock; `None` if the heartbeat doesn't say.
-    pub born: Option<Incarnation>,
-    /// Whether the target accepts new requests.
-    pub ready: bool,
-    /// Maximum number of requests that the target runs at once.
-    pub slots: u16,
-    /// How much longer the target is slow after its start.
-    pub cold: Duration,
-    /// Increases with each heartbeat of one life.
-    pub sequence: u64,
-}
-
 /// The stage of the target's life.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, derive_more::Display)]
 #[serde(rename_all = "kebab-case")]
@@ -57,35 +41,6 @@
     Down,
 }
 
-/// The effect of a heartbeat on what is known of the target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Effect {
-    /// The stage or the number of slots changed; the gate must be notified.
-    Changed,
-    /// The target has restarted; what was known of its former run no longer applies.
-    Restarted,
-    /// The heartbeat changed nothing that the gate depends on.
-    Unchanged,
-    /// The heartbeat arrived late and was ignored.
-    Late,
-    /// The heartbeat has no start time, although earlier ones of the same life had one. It comes from
-    /// another sender and was ignored.
-    Undated,
-    /// The heartbeat names another life although the known one sent a heartbeat a moment ago. Only
-    /// the target itself can tell which of the two is current.
-    Conflicting,
-}
-
-impl Effect {
-    /// Whether the heartbeat comes from the current life and is not outdated.
-    pub(crate) fn is_accepted(self) -> bool {
-        matches!(
-            self,
-            Effect::Changed | Effect::Restarted | Effect::Unchanged
-        )
-    }
-}
-
 /// What is known of the life at the target's address.
 #[derive(Debug, Clone, Serialize)]
 pub struct Life {
@@ -104,6 +59,9 @@
     pub warm_at: Instant,
     #[serde(skip)]
     last_seen: Option<Instant>,
+    /// When the current life last answered a health check.
+    #[serde(skip)]
+    last_answer: Option<Instant>,
     former: Runs,
     left: Runs,
     /// The last life that a heartbeat has named, to this process or a former one.
@@ -132,6 +90,7 @@
             sequence: 0,
             warm_at: now,
             last_seen: None,
+            last_answer: None,
             former: Runs::default(),
             left: Runs::default(),
             announced: None,
@@ -194,7 +153,7 @@
         if self.is_former(&heartbeat.life, heartbeat.born) {
             return Effect::Late;
         }
-        if self.name.is_some() && self.is_alive(now, alive_for) {
+        if self.name.is_some() && (self.is_alive(now, alive_for) || self.answers(now, alive_for)) {
             self.claimant = Some(heartbeat.clone());
             return Effect::Conflicting;
         }
@@ -235,6 +194,12 @@
         recent && matches!(self.stage, Stage::Ready | Stage::Leaving)
     }
 
+    /// Whether the current life accepts requests and has answered a health check within `alive_for`.
+    fn answers(&self, now: Instant, alive_for: Duration) -> bool {
+        let recent = self.last_answer.is_some_and(|at| now - at < alive_for);
+        recent && self.stage == Stage::Ready
+    }
+
     fn receive_current(&mut self, now: Instant, heartbeat: &Heartbeat) -> Effect {
         // Sequence 0: the life is known from an answer, and this is its first heartbeat.
         if heartbeat.sequence <= self.sequence && self.sequence > 0 {
@@ -290,6 +255,7 @@
         self.claimant = None;
         self.sequence = 0;
         self.last_seen = None;
+        self.last_answer = None;
     }
 
     /// The current life, if one is known.
@@ -429,6 +395,7 @@
         self.end_if_left();
         if self.name.as_deref() == Some(name) {
             self.is_healthy = healthy;
+            self.last_answer = Some(now);
         }
         changed
     }
--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -10,7 +10,8 @@
 use unit::Incarnation;
 
 use crate::connection::Connection;
-use crate::life::{Effect, Heartbeat, Life, Stage};
+use crate::heartbeat::{Effect, Heartbeat};
+use crate::life::{Life, Stage};
 use crate::run::Run;
 use crate::server::Server;
 use crate::warmth::Source;
--- a/crates/target/tests/life.rs
+++ b/crates/target/tests/life.rs
@@ -364,6 +364,31 @@
     }
 }
 
+/// Guards against one late heartbeat of a former life that locks out the life that answers health checks.
+#[test]
+fn late_heartbeat_does_not_replace_a_life_that_answers() {
+    let now = Instant::now();
+    let later = now + ALIVE_FOR;
+    let mut recovered = Life::unknown(now, 1);
+    recovered.recover(&[], Some(&run("b", 2_000)));
+    assert!(recovered.receive_health(later, "b", true, None));
+    let mut silent = Life::unknown(now, 1);
+    silent.receive_heartbeat(now, &dated("b", 2_000, 1, true), ALIVE_FOR);
+    silent.receive_health(later, "b", true, None);
+    for mut life in [recovered, silent] {
+        let late = dated("a", 1_000, 9, true);
+        let effect = life.receive_heartbeat(later, &late, ALIVE_FOR);
+        assert_eq!(effect, Effect::Conflicting);
+        assert!(!life.receive_health(later, "b", true, None));
+        let next = life.receive_heartbeat(later, &dated("b", 2_000, 2, true), ALIVE_FOR);
+        assert_ne!(next, Effect::Late);
+        assert_eq!(
+            (life.stage, life.name.as_deref()),
+            (Stage::Ready, Some("b"))
+        );
+    }
+}
+
 /// Guards against a former process's life that takes the place of the one that this process was told of.
 #[test]
 fn recovered_life_does_not_replace_an_announced_one() {
