--- a/crates/target/src/presence.rs
+++ b/crates/target/src/presence.rs
@@ -316,26 +316,24 @@
     /// changes what is known of it; the gate must then be updated.
     pub(crate) fn receive_health(&self, name: &str, healthy: bool, slots: Option<u16>) -> bool {
         let now = Instant::now();
-        let (changed, before, after) = {
+        let (changed, before, is_current) = {
             let mut life = self.presence.lock();
             let before = life.name.clone();
             let changed = life.receive_health(now, name, healthy, slots);
-            (changed, before, life.name.clone())
+            (changed, before, life.name.as_deref() == Some(name))
         };
-        if after.as_deref() != Some(name) {
+        if !is_current {
             self.stats().foreign_answers.inc();
         }
-        if changed {
-            log::info!(
-                "target: life={name} answers for itself, current={} before={}.",
-                after.as_deref().unwrap_or("none"),
-                before.as_deref().unwrap_or("none")
-            );
-            match after.as_deref() == Some(name) {
-                true if before.is_some() && before != after => self.target_restarted(),
-                true => {}
-                false => self.doubt_warmth(),
+        if changed && is_current {
+            log::info!("target: life={name} answers for itself.");
+            if before.is_some_and(|before| before != name) {
+                self.target_restarted();
             }
+        } else if changed {
+            let before = before.as_deref().unwrap_or("unnamed");
+            log::warn!("target: life={name} answers in the place of life={before}.");
+            self.doubt_warmth();
         }
         changed
     }
