Write lives of targets ten seconds apart in the whole fleet

What a write saves is a heartbeat period of one target after a kill of its daemon.

The writes are now spread over N x 10 s, one in ten seconds in the whole fleet at any size: within 5.6 hours at 2,000 targets, within two minutes in a fleet of a dozen. A kill before that costs the time to the next heartbeat.

--- a/crates/appleshore/src/leaves.rs
+++ b/crates/appleshore/src/leaves.rs
@@ -31,8 +31,9 @@
 /// How long a daemon that starts waits for the size of the fleet before it writes a life.
 const FLEET_KNOWN: Duration = Duration::from_secs(5);
 
-/// Mean pause between two writes of lives in the whole fleet, if all targets restart at once.
-const LIFE_SPACING: Duration = Duration::from_millis(10);
+/// Mean pause between two writes of lives in the whole fleet, if all targets restart at once. A life that
+/// isn't written yet costs a restart of its daemon a heartbeat period; each write is priced.
+const LIFE_SPACING: Duration = Duration::from_secs(10);
 
 /// Pause between two checks whether the target has shown that it stays.
 const CONFIRM_PAUSE: Duration = Duration::from_secs(1);
