Write a life once its target has been sent a hundred requests

Lives were written N x 10 s apart, most of them not before the kill.

Where targets get one request a second, as on the fleet site, that is after minutes.

--- a/crates/appleshore/src/leaves.rs
+++ b/crates/appleshore/src/leaves.rs
@@ -31,9 +31,15 @@
 /// How long a daemon that starts waits for the size of the fleet before it writes a life.
 const FLEET_KNOWN: Duration = Duration::from_secs(5);
 
-/// Mean pause between two writes of lives in the whole fleet, if all targets restart at once. A life that
-/// isn't written yet costs a restart of its daemon a heartbeat period; each write is priced.
-const LIFE_SPACING: Duration = Duration::from_secs(10);
+/// Number of requests that a life must have been sent before it is written. One that isn't written costs a
+/// restart of its daemon a heartbeat period, which matters little to a target that gets few requests.
+const MIN_SENT: u64 = 100;
+
+/// Interval of checks of that number.
+const SENT_CHECK: Duration = Duration::from_secs(2);
+
+/// Mean pause between two writes of lives in the whole fleet, if all targets restart at once.
+const LIFE_SPACING: Duration = Duration::from_millis(10);
 
 /// Pause between two checks whether the target has shown that it stays.
 const CONFIRM_PAUSE: Duration = Duration::from_secs(1);
@@ -140,12 +146,17 @@
         }
     }
 
-    /// Writes each life that a heartbeat names. The writes of a fleet whose targets restart at once are
+    /// Writes each life that a heartbeat names and that gets requests. The writes of a fleet whose targets restart at once are
     /// spread over a time that grows with the fleet, so that their rate doesn't.
     async fn write_lives(&self) {
         sleep(FLEET_KNOWN).await;
         loop {
             self.server.life_announced().await;
+            let sent = &self.server.stats().sent;
+            let enough = sent.get() + MIN_SENT;
+            while sent.get() < enough {
+                sleep(SENT_CHECK).await;
+            }
             let peers = self.roster.with(|roster| roster.peers().count());
             let spread = LIFE_SPACING.mul_f64(peers as f64);
             sleep(spread.mul_f64(rand::random())).await;
