--- a/crates/appleshore/src/leaves.rs
+++ b/crates/appleshore/src/leaves.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use feed::FLEET_KNOWN;
 use serde::{Deserialize, Serialize};
 use setting::Setting;
 use store::{Backoff, Condition, Error, Store};
@@ -28,9 +29,6 @@
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 const MAX_PAUSE: Duration = Duration::from_secs(2);
 
-/// How long a daemon that starts waits for the size of the fleet before it writes a life.
-const FLEET_KNOWN: Duration = Duration::from_secs(5);
-
 /// Number of requests that a life must have been sent before it is written. One that isn't written costs a
 /// restart of its daemon a heartbeat period, which matters little to a target that gets few requests.
 const MIN_SENT: u64 = 100;
@@ -146,8 +144,8 @@
         }
     }
 
-    /// Writes each life that a heartbeat names and that gets requests. The writes of a fleet whose targets restart at once are
-    /// spread over a time that grows with the fleet, so that their rate doesn't.
+    /// Writes each life that a heartbeat names and that gets requests. The writes of a fleet whose targets
+    /// restart at once are spread over a time that grows with the fleet, so that their rate doesn't.
     async fn write_lives(&self) {
         sleep(FLEET_KNOWN).await;
         loop {
@@ -198,18 +196,22 @@
         let found = self.store.get(key).await?;
         saved.version = found.as_ref().map(|object| object.version);
         saved.is_known = true;
-        saved.content = Content::default();
         let value = found.as_ref().map(|object| object.value.as_ref());
-        match value.map_or(Ok(Content::default()), serde_json::from_slice) {
+        let content: Result<Content, _> =
+            value.map_or(Ok(Content::default()), serde_json::from_slice);
+        match &content {
             Ok(content) => {
-                saved.content = content;
-                let Content { left, announced } = &saved.content;
-                let name = announced.as_ref().map_or("none", |run| run.name.as_str());
-                log::info!("leaves: read lives={} announced={name}.", left.len());
-                self.recover(&saved.content);
+                let name = content.announced.as_ref();
+                let name = name.map_or("none", |run| run.name.as_str());
+                log::info!(
+                    "leaves: read lives={} announced={name}.",
+                    content.left.len()
+                );
+                self.recover(content);
             }
             Err(error) => log::error!("leaves: object {key} can't be read: {error}."),
         }
+        saved.content = content.unwrap_or_default();
         Ok(())
     }
 
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -60,3 +60,4 @@
 pub use packed::Packed;
 pub use rules::MAX_PUSHED_BYTES;
 pub use stats::Stats;
+pub use watch::FLEET_KNOWN;
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -53,7 +53,7 @@
 const SPARSE_RELIST_DELAY: Duration = Duration::from_millis(2_100);
 
 /// Time after its start at which a daemon knows the size of the fleet, also after a start of all.
-const FLEET_KNOWN: Duration = Duration::from_secs(5);
+pub const FLEET_KNOWN: Duration = Duration::from_secs(5);
 
 /// Maximum number of further listings while no other instance is known.
 const MAX_RELISTS: u32 = 3;
--- a/crates/target/src/heartbeat.rs
+++ b/crates/target/src/heartbeat.rs
@@ -35,8 +35,8 @@
     /// The heartbeat has no start time, although earlier ones of the same life had one. It comes from
     /// another sender and was ignored.
     Undated,
-    /// The heartbeat names another life although the known one sent a heartbeat a moment ago. Only
-    /// the target itself can tell which of the two is current.
+    /// The heartbeat names another life although the known one sent a heartbeat or answered a health
+    /// check a moment ago. Only the target itself can tell which of the two is current.
     Conflicting,
 }
 
