Show how rules came into force, and how long a watch has waited

The line 'rules ... are in force' named the store for a watch, a read and the read that confirms alike; a watch that nobody will answer looked like one without news; a dropped job was logged without its kind and not counted.

No decision changes.

--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -111,6 +111,11 @@
         "Reading of rules before they are in force",
         feed.read,
     );
+    registry.register(
+        "feed_jobs_dropped",
+        "Work on rules and roster that was dropped because its queue was full",
+        feed.jobs_dropped,
+    );
     registry.register(
         "store_rollbacks",
         "Times that the store has come back from an older copy",
@@ -134,6 +139,7 @@
     rejected: Option<feed::RejectedState>,
     links: u64,
     connections: u64,
+    rules_watch_ms: u64,
     store: store::Count,
     era: u64,
     evacuated: bool,
@@ -154,6 +160,7 @@
             rejected: feed.rejected,
             links: state.dialer.links().len() as u64,
             connections: state.server.connections(),
+            rules_watch_ms: feed.rules_watch_ms.unwrap_or_default(),
             store: feed.store,
             era: feed.era.unwrap_or_default().0,
             evacuated: state.evacuations.zones().contains(&state.setting.zone),
@@ -175,6 +182,7 @@
             rejected,
             links,
             connections,
+            rules_watch_ms,
             store,
             era,
             evacuated,
@@ -264,6 +272,12 @@
             "For how long these rules have been rejected",
             rejected.map_or(0, |rejected| rejected.seconds),
         )?;
+        gauge(
+            &mut encoder,
+            "rules_watch_milliseconds",
+            "For how long the watch on the rules has waited for an answer; 0 if there is none",
+            *rules_watch_ms,
+        )?;
         counter(
             &mut encoder,
             "target_connections",
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -19,6 +19,7 @@
 use crate::era::OwnObject;
 use crate::feed::{Feed, Inner};
 use crate::relay::Relayed;
+use crate::rules_watch::RulesWatch;
 use crate::stats::Stats;
 use crate::{Current, Error};
 
@@ -241,6 +242,7 @@
             count: Count::default(),
             stats: Stats::default(),
             relayed: Mutex::new(Relayed::default()),
+            rules_watch: RulesWatch::default(),
             object: tokio::sync::Mutex::new(OwnObject::Nothing),
             rolled_back: Mutex::default(),
             syncing: tokio::sync::Mutex::new(()),
--- a/crates/feed/src/confirm/read.rs
+++ b/crates/feed/src/confirm/read.rs
@@ -13,6 +13,7 @@
 use super::{CHECK_INTERVAL, Confirming, place};
 use crate::feed::Inner;
 use crate::platform::{self, Role};
+use crate::rules::Source;
 
 /// Maximum time of a read. The next one is sent on a fresh call.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
@@ -168,5 +169,5 @@
         true => Role::Watcher,
         false => Role::Reader,
     };
-    platform::offer(inner, object, role);
+    platform::offer(inner, object, role, Source::Check);
 }
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -27,6 +27,7 @@
 use crate::job::{self, Job};
 use crate::message::{Answer, Kind, Message};
 use crate::relay::Relayed;
+use crate::rules_watch::RulesWatch;
 use crate::stats::Stats;
 use crate::{Current, Error, Rejected, announce, era, fallback, heartbeat, leave, note};
 
@@ -63,6 +64,7 @@
     pub(crate) count: Count,
     pub(crate) stats: Stats,
     pub(crate) relayed: Mutex<Relayed>,
+    pub(crate) rules_watch: RulesWatch,
     /// The last known state of the own object in the store; locked while the object is written.
     pub(crate) object: tokio::sync::Mutex<OwnObject>,
     /// When the store was last found to have been restored from an older copy.
@@ -104,6 +106,10 @@
     pub watcher: bool,
     /// The zones that are or were evacuated.
     pub evacuations: Vec<evacuation::Record>,
+    /// Milliseconds for which the watch on the rules has waited for an answer; left out while there is
+    /// none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rules_watch_ms: Option<u64>,
     /// The calls made to the store.
     pub store: store::Count,
     /// Messages and bytes by kind.
@@ -289,6 +295,7 @@
             era: self.inner.store.eras().newest(),
             watcher: self.inner.with(|roster| roster.is_watcher()),
             evacuations: self.inner.evacuations.records(),
+            rules_watch_ms: self.inner.rules_watch.waited_ms(),
             store: self.inner.meter.count(),
             flows: self.inner.count.flows(),
             confirmations: self.confirmations(),
@@ -326,8 +333,10 @@
     /// Queues a job for [`Feed::run`]. If the queue is full the job is dropped; heartbeats later
     /// detect what was missed.
     pub(crate) fn enqueue(&self, job: Job) {
+        let name = job.name();
         if self.jobs.try_send(job).is_err() {
-            log::warn!("feed: job queue is full, dropping a job.");
+            self.stats.jobs_dropped.inc();
+            log::warn!("feed: job queue is full, dropped a job: {name}.");
         }
     }
 
--- a/crates/feed/src/fetch.rs
+++ b/crates/feed/src/fetch.rs
@@ -15,7 +15,7 @@
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Answer, Message};
-use crate::rules::{self, Arrival, Origin};
+use crate::rules::{self, Arrival, Origin, Source};
 use crate::{Error, Packed, carrier};
 
 /// Maximum length of a piece in bytes.
@@ -233,7 +233,7 @@
     let arrival = Arrival {
         version,
         origin: Origin::Requested,
-        from: Some(from),
+        from: Source::Peer(from),
         fetched,
     };
     rules::unpack(inner, arrival, Packed::from(Bytes::from(partial.bytes)));
--- a/crates/feed/src/job.rs
+++ b/crates/feed/src/job.rs
@@ -37,6 +37,25 @@
     DeleteStale(Vec<Stale>),
 }
 
+impl Job {
+    /// Its name in the log.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Job::Relay(_) => "relay",
+            Job::Removals(_) => "removals",
+            Job::Push(_) => "push",
+            Job::Fetch => "fetch",
+            Job::Probe(_) => "probe",
+            Job::Vote(_) => "vote",
+            Job::Sync(..) => "sync",
+            Job::RelayEvacuations(_) => "relay-evacuations",
+            Job::CompareEvacuations(_) => "compare-evacuations",
+            Job::Restore(_) => "restore",
+            Job::DeleteStale(_) => "delete-stale",
+        }
+    }
+}
+
 pub(crate) async fn run(inner: Arc<Inner>, job: Job) {
     match job {
         Job::Relay(update) => relay::relay(&inner, update).await,
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -44,6 +44,7 @@
 mod relay;
 mod repair;
 mod rules;
+mod rules_watch;
 mod stats;
 mod sync;
 mod watch;
--- a/crates/feed/src/note.rs
+++ b/crates/feed/src/note.rs
@@ -10,7 +10,7 @@
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Answer, Message, Push, Update};
-use crate::rules::{Arrival, Origin};
+use crate::rules::{Arrival, Origin, Source};
 use crate::{Error, evacuations, fetch, heartbeat, rules, sync};
 
 pub(crate) fn answer(inner: &Inner, from: &Instance, payload: &[u8]) -> Result<Bytes, Error> {
@@ -74,7 +74,7 @@
             let arrival = Arrival {
                 version,
                 origin: Origin::Tree,
-                from: Some(from),
+                from: Source::Peer(from),
                 fetched: Duration::ZERO,
             };
             rules::unpack(inner, arrival, packed);
--- a/crates/feed/src/platform.rs
+++ b/crates/feed/src/platform.rs
@@ -11,7 +11,7 @@
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::repair::Stale;
-use crate::rules::{self, Arrival, Origin};
+use crate::rules::{self, Arrival, Origin, Source};
 use crate::{Error, relay};
 
 /// What this daemon does with what it reads.
@@ -80,7 +80,7 @@
 ) -> Result<(), Error> {
     let read = || inner.store.get_with(&inner.rules_key, consistency);
     if let Some(object) = within_budget(read).await? {
-        offer(inner, &object, role);
+        offer(inner, &object, role, Source::Read);
     }
     Ok(())
 }
@@ -91,7 +91,7 @@
     let listing = within_budget(|| inner.store.list(&inner.rules_key)).await?;
     let mut objects = listing.objects.iter();
     if let Some(object) = objects.find(|object| object.key == inner.rules_key) {
-        offer(inner, object, Role::Watcher);
+        offer(inner, object, Role::Watcher, Source::Read);
     }
     Ok(listing.revision)
 }
@@ -151,7 +151,7 @@
 }
 
 /// Offers the rules that an object holds.
-pub(crate) fn offer(inner: &Inner, object: &Object, role: Role) {
+pub(crate) fn offer(inner: &Inner, object: &Object, role: Role, from: Source<'_>) {
     let version = object.version;
     if version < inner.current.version() {
         // A slow read may be overtaken by newer rules. If this happens repeatedly, the store was
@@ -170,7 +170,7 @@
     let arrival = Arrival {
         version,
         origin,
-        from: None,
+        from,
         fetched: Duration::ZERO,
     };
     // Refused rules are logged where the refusal arises, and those in force stay.
--- a/crates/feed/src/rules.rs
+++ b/crates/feed/src/rules.rs
@@ -1,5 +1,6 @@
 //! Puts rules in force and relays them.
 
+use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
@@ -27,13 +28,24 @@
     Requested,
 }
 
+/// Where rules were received from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Source<'a> {
+    Peer(&'a Instance),
+    /// A watch on the store.
+    Watch,
+    /// A read of the store.
+    Read,
+    /// The read of the store that is repeated each second.
+    Check,
+}
+
 /// Rules received by this daemon.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Arrival<'a> {
     pub(crate) version: Version,
     pub(crate) origin: Origin,
-    /// The sender; `None` if they were read from the store.
-    pub(crate) from: Option<&'a Instance>,
+    pub(crate) from: Source<'a>,
     /// How long the fetch from another daemon took.
     pub(crate) fetched: Duration,
 }
@@ -78,14 +90,19 @@
     let text = packed.text();
     let offered = text.and_then(|text| offer(inner, arrival, &text, Some(packed)));
     if let Err(error) = offered {
-        let from = arrival.sender();
+        let from = arrival.from;
         log::warn!("feed: rules {version} from {from} not accepted: {error}.");
     }
 }
 
-impl Arrival<'_> {
-    fn sender(&self) -> &str {
-        self.from.map_or("store", Instance::as_str)
+impl Display for Source<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::Peer(instance) => instance.fmt(f),
+            Source::Watch => f.write_str("watch"),
+            Source::Read => f.write_str("read"),
+            Source::Check => f.write_str("check"),
+        }
     }
 }
 
@@ -94,7 +111,7 @@
     log::info!(
         "feed: rules {} are in force: from={} bytes={bytes} fetch_ms={} read_ms={}.",
         arrival.version,
-        arrival.sender(),
+        arrival.from,
         arrival.fetched.as_millis(),
         read.as_millis(),
     );
--- a/crates/feed/src/stats.rs
+++ b/crates/feed/src/stats.rs
@@ -12,6 +12,8 @@
     pub fetches_failed: Counter,
     /// Seconds from receiving rules to putting them in force.
     pub read: Histogram,
+    /// Jobs that were dropped because the queue was full.
+    pub jobs_dropped: Counter,
     /// Restorations of the store from an older copy.
     pub rollbacks: Counter,
     /// Own entries rewritten after a restoration.
@@ -29,6 +31,7 @@
             fetched: duration_histogram(),
             fetches_failed: Counter::default(),
             read: duration_histogram(),
+            jobs_dropped: Counter::default(),
             rollbacks: Counter::default(),
             rewritten: Counter::default(),
         }
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -9,6 +9,7 @@
 
 use crate::feed::Inner;
 use crate::platform::{self, Role};
+use crate::rules::Source;
 use crate::{Error, evacuations};
 
 /// Interval at which a daemon checks whether it is a watcher.
@@ -291,6 +292,7 @@
     };
     loop {
         let started = Instant::now();
+        let _waiting = (part == Part::Rules).then(|| inner.rules_watch.begin());
         let change = platform::within_budget(|| inner.store.watch(key, since, wait)).await?;
         backoff.reset();
         since = change.revision;
@@ -309,7 +311,7 @@
         Part::Rules => {
             let objects = change.changed.iter();
             for object in objects.filter(|object| object.key == inner.rules_key) {
-                platform::offer(inner, object, Role::Watcher);
+                platform::offer(inner, object, Role::Watcher, Source::Watch);
             }
         }
     }
