--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -290,7 +290,7 @@
         .iter()
         .map(|_| quota::LIST_KEY.to_string())
         .collect();
-    if setting.revoke.is_none() && keys.is_empty() {
+    if setting.revoke.is_none() && keys.is_empty() && !profile.check_rules {
         return feed.build();
     }
     let confirm = Confirm {
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -111,6 +111,16 @@
         "Reading of rules before they are in force",
         feed.read,
     );
+    registry.register(
+        "rules_checks",
+        "Reads of the store that show whether the rules are the newest",
+        feed.checks,
+    );
+    registry.register(
+        "rules_checks_failed",
+        "Such reads that failed",
+        feed.checks_failed,
+    );
     registry.register(
         "feed_jobs_dropped",
         "Work on rules and roster that was dropped because its queue was full",
--- a/crates/appleshore/src/profile.rs
+++ b/crates/appleshore/src/profile.rs
@@ -25,6 +25,8 @@
     pub standing: bool,
     /// Whether only some daemons are announced; see [`feed::Builder::sparse`].
     pub sparse: bool,
+    /// Whether the rules are read at intervals beside the watches; see [`feed::Builder::confirm`].
+    pub check_rules: bool,
     /// Fleets below this size announce all; see [`feed::Builder::announce_below`].
     pub announce_below: usize,
     /// The time between two heartbeats of a target that announces itself to its daemon; `None`
@@ -93,6 +95,7 @@
         }
         if setting.links == Links::Tcp {
             profile.standing = true;
+            profile.check_rules = true;
             // A takeover of quotas has to know all that may have borrowed, those that are cut off too.
             profile.sparse = setting.quota.is_none();
             profile.announce_below = PAGE;
--- a/crates/feed/src/builder.rs
+++ b/crates/feed/src/builder.rs
@@ -199,6 +199,10 @@
 
     /// Confirms that the rules in force, and the objects of further keys, are the newest in the
     /// store. By default nothing is confirmed, and no message or call is made for it.
+    ///
+    /// Without a revocation time and further keys only the watchers take part. The rules are then read
+    /// about once a second by one of them, so that a change is in force in time although watches have
+    /// become unresponsive.
     pub fn confirm(mut self, confirm: Confirm) -> Builder {
         self.confirm = Some(confirm);
         self
@@ -214,7 +218,7 @@
     pub fn build(self) -> Feed {
         let meter = Meter::new(STORE_CALL_RATE, STORE_CALL_BURST);
         let confirm = self.confirm;
-        let confirming = confirm.and_then(|confirm| Confirming::new(confirm, &self.rules_key));
+        let confirming = confirm.map(|confirm| Confirming::new(confirm, &self.rules_key));
         let needed = CancellationToken::new();
         let joined = CancellationToken::new();
         if !self.sparse {
--- a/crates/feed/src/confirm.rs
+++ b/crates/feed/src/confirm.rs
@@ -2,6 +2,10 @@
 //!
 //! One daemon of the fleet reads the store about once a second ([`read`]); all others ask it, or one
 //! that has asked it ([`pull`]). What they hold and how old it is decides the crate [`confirm`].
+//!
+//! A watch that brings nothing may have nothing to bring, or may have lost its connection. The reads
+//! bound the time until a change is found all the same: the reader tells the watchers of all zones
+//! which rules it has found.
 
 mod pull;
 mod read;
@@ -90,14 +94,16 @@
     clock: Clock,
     schedule: Schedule,
     keys: Vec<String>,
-    started: Moment,
+    /// Whether only the watchers confirm.
+    only_watchers: bool,
     state: Mutex<State>,
     versions: watch::Sender<Vec<Version>>,
     hastened: watch::Sender<bool>,
 }
 
-#[derive(Default)]
 struct State {
+    /// When this daemon began to confirm.
+    began: Moment,
     holding: Holding,
     /// Whether keyed requests were served at the last check.
     serving: bool,
@@ -112,32 +118,48 @@
 }
 
 impl Confirming {
-    /// The state for a feed whose rules have `rules_key`; `None` if nothing has to be confirmed.
-    pub(crate) fn new(confirm: Confirm, rules_key: &str) -> Option<Confirming> {
+    /// The state for a feed whose rules have `rules_key`.
+    pub(crate) fn new(confirm: Confirm, rules_key: &str) -> Confirming {
         let Confirm {
             clock,
             revoke,
             keys,
         } = confirm;
-        if revoke.is_none() && keys.is_empty() {
-            return None;
-        }
-        let started = clock.now();
+        let only_watchers = revoke.is_none() && keys.is_empty();
         let mut all = vec![rules_key.to_string()];
         all.extend(keys);
         let state = State {
+            began: clock.now(),
+            holding: Holding::default(),
+            serving: false,
             cursors: all.iter().map(|_| Cursor::default()).collect(),
-            ..State::default()
+            read: read::Attempts::default(),
+            sources: Sources::default(),
+            roles: None,
+            reads: 0,
+            reads_failed: 0,
+            asked: 0,
+            asks_failed: 0,
         };
-        Some(Confirming {
+        Confirming {
             clock,
             schedule: Schedule::new(revoke),
             keys: all,
-            started,
+            only_watchers,
             state: Mutex::new(state),
             versions: watch::Sender::default(),
             hastened: watch::Sender::default(),
-        })
+        }
+    }
+
+    /// Whether only the watchers confirm: the news has to reach them, and nothing depends on its age.
+    pub(crate) fn is_for_watchers(&self) -> bool {
+        self.only_watchers
+    }
+
+    /// Notes that this daemon begins to confirm now.
+    fn begin(&self) {
+        self.state.lock().began = self.clock.now();
     }
 
     /// Whether the rules of version `in_force` are confirmed as the newest.
@@ -223,13 +245,13 @@
     }
 
     /// The age of the newest confirmation. Before the first, it is that of one taken shortly before
-    /// the start, so that reads begin in the order of ranks.
+    /// this daemon began, so that reads begin in the order of ranks.
     fn age(&self) -> Duration {
         let state = self.state.lock();
         let now = self.clock.now();
-        let initial = now.since(self.started) + self.schedule.initial_age();
+        let initial = now.since(state.began) + self.schedule.initial_age();
         let newest = state.holding.newest();
-        newest.map_or(initial, |newest| newest.age(now))
+        newest.map_or(initial, |newest| newest.age(now).min(initial))
     }
 }
 
@@ -277,6 +299,7 @@
     let now = confirming.clock.now();
     match watcher {
         Some(place) => place,
+        None if confirming.only_watchers => Place::Member,
         None if confirming.state.lock().sources.is_isolated(now) => Place::Isolated,
         None => Place::Member,
     }
@@ -287,6 +310,9 @@
     let Some(confirming) = &inner.confirming else {
         return std::future::pending().await;
     };
+    if confirming.only_watchers {
+        return std::future::pending().await;
+    }
     inner.listed.cancelled().await;
     let check = async {
         loop {
@@ -300,3 +326,14 @@
         check
     );
 }
+
+/// Keeps the confirmation of this watcher new, if only watchers confirm. Never returns.
+pub(crate) async fn run_for_watcher(inner: &Inner) {
+    match &inner.confirming {
+        Some(confirming) if confirming.only_watchers => {
+            confirming.begin();
+            tokio::join!(read::run(inner, confirming), pull::run(inner, confirming));
+        }
+        _ => std::future::pending().await,
+    }
+}
--- a/crates/feed/src/confirm/pull.rs
+++ b/crates/feed/src/confirm/pull.rs
@@ -9,6 +9,7 @@
 use super::source::Roles;
 use super::{CHECK_INTERVAL, Confirming, place, with_roles};
 use crate::feed::Inner;
+use crate::job::Job;
 use crate::message::{Answer, Message};
 use crate::{Error, carrier};
 
@@ -124,6 +125,11 @@
     };
     let confirmation = report.and_then(|report| report.received(sent, held.as_ref()));
     let confirmation = confirmation.filter(|confirmation| covers(confirming, confirmation));
+    let rules = confirmation.as_ref().map(Confirmation::rules);
+    if rules.is_some_and(|rules| inner.current.wants(rules)) {
+        // A heartbeat says which rules the source has in force, which may not be those.
+        inner.enqueue(Job::Probe(source.clone()));
+    }
     Ok(confirmation.is_some_and(|confirmation| confirming.offer(confirmation)))
 }
 
--- a/crates/feed/src/confirm/read.rs
+++ b/crates/feed/src/confirm/read.rs
@@ -12,6 +12,7 @@
 
 use super::{CHECK_INTERVAL, Confirming, place};
 use crate::feed::Inner;
+use crate::job::Job;
 use crate::platform::{self, Role};
 use crate::rules::Source;
 
@@ -56,7 +57,7 @@
 fn is_due(confirming: &Confirming, place: Place) -> bool {
     let now = confirming.clock.now();
     let is_alone = matches!(place, Place::Watcher { of: 1, .. });
-    if is_alone && now.since(confirming.started) < ALONE_GRACE {
+    if is_alone && now.since(confirming.state.lock().began) < ALONE_GRACE {
         return false;
     }
     let state = confirming.state.lock();
@@ -75,6 +76,7 @@
 async fn read(inner: &Inner, confirming: &Confirming) {
     // Taken before the calls are made: whatever was acknowledged earlier shows in their answers.
     let began = confirming.clock.now();
+    inner.stats.checks.inc();
     let cursors = {
         let mut state = confirming.state.lock();
         state.read.last = Some(began);
@@ -94,16 +96,22 @@
                 versions: cursors.iter().map(|cursor| cursor.version).collect(),
                 values: cursors.iter().map(|cursor| cursor.value.clone()).collect(),
             };
+            let rules = confirmation.rules();
             let mut state = confirming.state.lock();
+            let is_change = state.cursors.first().map(|cursor| cursor.version) != Some(rules);
             state.cursors = cursors;
             state.read.failed = None;
             drop(state);
             confirming.offer(confirmation);
+            if is_change {
+                inner.enqueue(Job::TellRoots);
+            }
             return;
         }
         Ok(Err(error)) => error.to_string(),
         Err(_) => "no answer in time".to_string(),
     };
+    inner.stats.checks_failed.inc();
     log::warn!("confirm: the store is not read: {failure}.");
     let now = confirming.clock.now();
     let mut state = confirming.state.lock();
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -281,9 +281,12 @@
         }
     }
 
-    /// The state of confirmations; `None` without [`Builder::confirm`].
+    /// The state of confirmations; `None` without [`Builder::confirm`], or if only watchers confirm.
     pub fn confirmations(&self) -> Option<Confirmations> {
         let confirming = self.inner.confirming.as_ref()?;
+        if confirming.is_for_watchers() {
+            return None;
+        }
         Some(confirming.dump(self.inner.current.version()))
     }
 
--- a/crates/feed/src/job.rs
+++ b/crates/feed/src/job.rs
@@ -19,6 +19,8 @@
     Removals(Vec<Record>),
     /// Relay the rules in force to the children in the tree.
     Push(Version),
+    /// Tell the watchers of all zones which rules are in force here.
+    TellRoots,
     /// Fetch the newest rules from the daemons that have them.
     Fetch,
     /// Send a heartbeat to a daemon, and synchronize with it.
@@ -44,6 +46,7 @@
             Job::Relay(_) => "relay",
             Job::Removals(_) => "removals",
             Job::Push(_) => "push",
+            Job::TellRoots => "tell-roots",
             Job::Fetch => "fetch",
             Job::Probe(_) => "probe",
             Job::Vote(_) => "vote",
@@ -61,6 +64,7 @@
         Job::Relay(update) => relay::relay(&inner, update).await,
         Job::Removals(records) => relay::broadcast_removed(&inner, records).await,
         Job::Push(version) => rules::push(&inner, version).await,
+        Job::TellRoots => rules::tell_roots(&inner).await,
         Job::Fetch => fetch::run(&inner).await,
         Job::Probe(to) => heartbeat::probe(&inner, &to).await,
         Job::Vote(vote) => heartbeat::vote(&inner, vote).await,
--- a/crates/feed/src/rules.rs
+++ b/crates/feed/src/rules.rs
@@ -156,3 +156,18 @@
         unreached = relay::deliver(inner, tree_seed(version), message.clone(), unreached).await;
     }
 }
+
+/// Tells the watchers of all zones which rules are in force here. Those that lack them fetch them: their
+/// own watches have not brought them.
+pub(crate) async fn tell_roots(inner: &Inner) {
+    let version = inner.current.version();
+    if version == Version::NONE {
+        return;
+    }
+    let roots = inner.with(|roster| roster.roots());
+    let message = Message::Rules(Push {
+        version,
+        text: None,
+    });
+    relay::deliver(inner, tree_seed(version), message, roots).await;
+}
--- a/crates/feed/src/stats.rs
+++ b/crates/feed/src/stats.rs
@@ -12,6 +12,10 @@
     pub fetches_failed: Counter,
     /// Seconds from receiving rules to putting them in force.
     pub read: Histogram,
+    /// Reads of the store that show whether the rules are the newest.
+    pub checks: Counter,
+    /// Those that failed.
+    pub checks_failed: Counter,
     /// Jobs that were dropped because the queue was full.
     pub jobs_dropped: Counter,
     /// Restorations of the store from an older copy.
@@ -31,6 +35,8 @@
             fetched: duration_histogram(),
             fetches_failed: Counter::default(),
             read: duration_histogram(),
+            checks: Counter::default(),
+            checks_failed: Counter::default(),
             jobs_dropped: Counter::default(),
             rollbacks: Counter::default(),
             rewritten: Counter::default(),
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -10,7 +10,7 @@
 use crate::feed::Inner;
 use crate::platform::{self, Role};
 use crate::rules::Source;
-use crate::{Error, evacuations};
+use crate::{Error, confirm, evacuations};
 
 /// Interval at which a daemon checks whether it is a watcher.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -86,6 +86,7 @@
         watch(inner, Part::Instances),
         watch(inner, Part::Rules),
         evacuations,
+        check(inner),
         announce_in_small_fleet(inner)
     );
 }
@@ -211,6 +212,19 @@
     }
 }
 
+/// Takes part in checking the rules whenever this daemon is a watcher. Never returns.
+async fn check(inner: &Inner) {
+    loop {
+        sleep(CHECK_INTERVAL).await;
+        if is_watcher(inner, Part::Rules) {
+            tokio::select! {
+                () = confirm::run_for_watcher(inner) => {}
+                () = no_longer_watcher(inner, Part::Rules) => {}
+            }
+        }
+    }
+}
+
 fn is_watcher(inner: &Inner, part: Part) -> bool {
     inner.with(|roster| match part {
         Part::Rules | Part::Evacuations => roster.is_watcher(),
--- a/crates/feed/tests/it/main.rs
+++ b/crates/feed/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod piece;
 mod quiet;
 mod rejected;
+mod silent;
 mod sparse;
 mod spread;
 mod truth;
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -40,6 +40,7 @@
     delay_next: u32,
     delay: Duration,
     drop_watches: bool,
+    lost_watches: u64,
     reads: Option<Bucket>,
     writes: Option<Bucket>,
 }
@@ -64,6 +65,7 @@
             delay_next: 0,
             delay: Duration::ZERO,
             drop_watches: false,
+            lost_watches: 0,
             reads: None,
             writes: None,
         };
@@ -121,6 +123,11 @@
         self.state.lock().drop_watches = drop;
     }
 
+    /// Watches that wait now are never answered.
+    pub fn lose_watches(&self) {
+        self.state.lock().lost_watches += 1;
+    }
+
     /// Writes above this rate are refused; `burst` of them may come together.
     pub fn limit_writes(&self, rate: Rate, burst: u32) {
         self.state.lock().writes = Some(Bucket::new(rate, burst));
@@ -196,6 +203,11 @@
         [first, slow.saturating_sub(first)]
     }
 
+    /// How often the watches that waited were lost.
+    pub(crate) fn lost_watches(&self) -> u64 {
+        self.state.lock().lost_watches
+    }
+
     pub(crate) fn watches_dropped(&self) -> bool {
         self.state.lock().drop_watches
     }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -252,6 +252,7 @@
         let _held = self.faults.each_ref().map(Fault::wait);
         let until = Instant::now() + wait;
         let mut moved = self.platform.inner.moved.subscribe();
+        let lost = self.faults.each_ref().map(Fault::lost_watches);
         loop {
             let change = self.memory(|memory| memory.since(prefix, since))?;
             let empty = change.changed.is_empty() && change.deleted.is_empty();
@@ -267,7 +268,8 @@
             for fault in &self.faults {
                 fault.turn().await?;
             }
-            if self.faults.iter().any(Fault::watches_dropped) {
+            let is_lost = lost != self.faults.each_ref().map(Fault::lost_watches);
+            if is_lost || self.faults.iter().any(Fault::watches_dropped) {
                 std::future::pending::<()>().await;
             }
             if !empty || over {
