Check evacuations beside their watches

Requests reached an evacuated zone 12 s after its evacuation was acknowledged (rule EVAC: 5 s), where the answers of all waiting watches had been lost.

The same cause as for rules: a watch waits for 25 s, and its silence is taken for the absence of news.

--- a/crates/feed/src/confirm.rs
+++ b/crates/feed/src/confirm.rs
@@ -25,6 +25,7 @@
 use crate::feed::Inner;
 use crate::message::Answer;
 use read::Cursor;
+pub(crate) use read::NO_WAIT;
 use source::{Roles, Sources};
 
 /// Interval of the checks whether a read or a question is due.
--- a/crates/feed/src/confirm/read.rs
+++ b/crates/feed/src/confirm/read.rs
@@ -11,6 +11,7 @@
 use unit::Version;
 
 use super::{CHECK_INTERVAL, Confirming, place};
+use crate::evacuations;
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::platform::{self, Role};
@@ -19,7 +20,9 @@
 /// Maximum time of a read. The next one is sent on a fresh call.
 const READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// The wait of a watch that only asks whether something has changed.
-const NO_WAIT: Duration = Duration::from_millis(1);
+pub(crate) const NO_WAIT: Duration = Duration::from_millis(1);
+/// Interval of the checks for evacuations, which have to be heeded within five seconds.
+const EVACUATION_INTERVAL: Duration = Duration::from_secs(2);
 /// How long a daemon that failed to read leaves reading to the ranks behind it.
 const STEP_BACK: Duration = Duration::from_secs(5);
 /// How long after its start a daemon that knows no others waits for them: longer than it takes to
@@ -40,6 +43,15 @@
 pub(super) struct Attempts {
     last: Option<Moment>,
     failed: Option<Moment>,
+    evacuations: Evacuations,
+}
+
+/// The last check of the evacuations.
+#[derive(Debug, Clone, Copy, Default)]
+struct Evacuations {
+    last: Option<Moment>,
+    /// The revision from which the next check asks for changes; `None` if it has to list all.
+    since: Option<Version>,
 }
 
 /// Reads whenever that is due. Never returns.
@@ -97,15 +109,17 @@
                 values: cursors.iter().map(|cursor| cursor.value.clone()).collect(),
             };
             let rules = confirmation.rules();
-            let mut state = confirming.state.lock();
-            let is_change = state.cursors.first().map(|cursor| cursor.version) != Some(rules);
-            state.cursors = cursors;
-            state.read.failed = None;
-            drop(state);
+            let known = {
+                let mut state = confirming.state.lock();
+                state.read.failed = None;
+                std::mem::replace(&mut state.cursors, cursors)
+            };
+            let is_change = known.first().map(|cursor| cursor.version) != Some(rules);
             confirming.offer(confirmation);
             if is_change {
                 inner.enqueue(Job::TellRoots);
             }
+            check_evacuations(inner, confirming).await;
             return;
         }
         Ok(Err(error)) => error.to_string(),
@@ -122,6 +136,35 @@
     }
 }
 
+/// Checks for evacuations that the watches on them have not brought, if that is due.
+async fn check_evacuations(inner: &Inner, confirming: &Confirming) {
+    if inner.evacuation_prefix.is_none() {
+        return;
+    }
+    let began = confirming.clock.now();
+    let known = confirming.state.lock().read.evacuations;
+    let age = known.last.map(|last| began.since(last));
+    if age.is_some_and(|age| age < EVACUATION_INTERVAL) {
+        return;
+    }
+    let checked = timeout(READ_TIMEOUT, evacuations::check(inner, known.since)).await;
+    let since = match checked {
+        Ok(Ok(since)) => Some(since),
+        Ok(Err(error)) => {
+            log::warn!("confirm: evacuations are not read: {error}.");
+            None
+        }
+        Err(_) => {
+            log::warn!("confirm: evacuations are not read: no answer in time.");
+            None
+        }
+    };
+    confirming.state.lock().read.evacuations = Evacuations {
+        last: Some(began),
+        since,
+    };
+}
+
 async fn read_key(
     inner: &Inner,
     key: &str,
--- a/crates/feed/src/evacuations.rs
+++ b/crates/feed/src/evacuations.rs
@@ -9,6 +9,7 @@
 use store::{Change, Consistency};
 use unit::{Instance, Version, Zone};
 
+use crate::confirm::NO_WAIT;
 use crate::feed::Inner;
 use crate::job::Job;
 use crate::message::{Answer, Message};
@@ -34,6 +35,21 @@
     Ok(listing.revision)
 }
 
+/// Reads the changes after `since`, or all without it. Returns the revision from which to go on.
+pub(crate) async fn check(inner: &Inner, since: Option<Version>) -> Result<Version, Error> {
+    if let (Some(prefix), Some(since)) = (&inner.evacuation_prefix, since) {
+        match inner.store.watch(prefix, since, NO_WAIT).await {
+            Ok(change) => {
+                apply(inner, &change);
+                return Ok(change.revision);
+            }
+            Err(error) if error.is_compacted() => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+    list(inner).await
+}
+
 /// Applies a change reported by a watch on the evacuations.
 pub(crate) fn apply(inner: &Inner, change: &Change) {
     let begun = change.changed.iter();
