Refuse what waits before a planned stop ends

Cause: a stop waits for requests in flight until a second before the platform's patience ends, then ends its tasks. A request that waits is dropped with its connection, though it has not run and a refusal would be true.

Half a second before that the entry now takes back what has not run: it asks the gate where the call waits to fence its token, and answers 503 once the gate has confirmed that it never runs. What runs may finish as before.

--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -355,7 +355,7 @@
         }
         sleep(LAST_CALLERS).await;
         state.entry.leave();
-        if timeout_at(until, state.idle()).await.is_err() {
+        if !state.end_requests(until).await {
             let open = state.entry.count().open;
             let running = state.server.gate().report().running;
             log::error!("daemon: stop cuts off open={open} running={running}.");
@@ -396,7 +396,7 @@
         state.feed.leave().await;
         let bound = state.setting.limits.drain.0;
         let until = Instant::now() + bound;
-        if timeout_at(until, state.idle()).await.is_err() {
+        if !state.end_requests(until).await {
             let count = state.entry.count().open;
             let running = state.server.gate().report().running;
             log::error!(
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -1,13 +1,14 @@
 //! The parts of a running daemon, and what an operator may see of them.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use entry::Entry;
 use feed::{Current, Feed};
 use roster::Shared;
 use setting::Setting;
 use target::Server;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 use wire::Dialer;
 
@@ -38,6 +39,10 @@
     pub(crate) drain: CancellationToken,
 }
 
+/// Time before the end of a stop at which requests that wait are refused: it covers a question to their
+/// gates, and the delivery of the refusals.
+const WITHDRAW_TIME: Duration = Duration::from_millis(500);
+
 impl State {
     /// Waits until nothing runs at the target and no request is under way for callers here.
     pub(crate) async fn idle(&self) {
@@ -45,6 +50,20 @@
         self.entry.idle().await;
     }
 
+    /// Waits until nothing runs or waits here, at most until `until`, and shortly before that refuses what
+    /// still waits for a slot, here or at other gates. Returns whether nothing is left.
+    pub(crate) async fn end_requests(&self, until: Instant) -> bool {
+        if timeout_at(until - WITHDRAW_TIME, self.idle()).await.is_ok() {
+            return true;
+        }
+        log::info!(
+            "daemon: requests that wait are refused, open={}.",
+            self.entry.count().open
+        );
+        self.entry.withdraw();
+        timeout_at(until, self.idle()).await.is_ok()
+    }
+
     /// The state of one part. Keys and bodies of requests are in none of them.
     pub(crate) fn dump(&self, part: Part) -> Dump {
         let state = match part {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -24,7 +24,8 @@
     Refused(Refusal),
     /// Nothing was sent, or the gate has fenced the token: the request has not run and never will.
     NotSent(String),
-    /// The key of the request gives no access any more; nothing was sent.
+    /// The key of the request gives no access any more, or the instance is shutting down; the request has
+    /// not run and never will.
     Withdrawn(crate::Refusal),
     /// The answer was lost; the request may have run.
     Lost(String),
@@ -62,7 +63,13 @@
             guard.end(Kind::Lost, None);
             return AttemptOutcome::NotSent(format!("{instance} is not announced"));
         };
-        let opened = timeout_at(self.link_deadline(), self.open(&peer)).await;
+        let opened = tokio::select! {
+            opened = timeout_at(self.link_deadline(), self.open(&peer)) => opened,
+            () = self.entry.withdrawn() => {
+                guard.end(Kind::Refused, None);
+                return AttemptOutcome::Withdrawn(crate::Refusal::leaving());
+            }
+        };
         let (link, stream) = match opened {
             Ok(Ok(opened)) => opened,
             Ok(Err(error)) => {
@@ -85,7 +92,10 @@
         let mut transfer = self.upstream.pick.transfer(&instance, self.call.class);
         transfer.add(head_bytes(&self.call) + body.bytes());
         let exchanged = self.exchange(stream, body, transfer);
-        let outcome = timeout_at(self.deadline, exchanged).await;
+        let outcome = tokio::select! {
+            outcome = timeout_at(self.deadline, exchanged) => outcome,
+            outcome = self.withdraw(&peer) => Ok(Ok(outcome)),
+        };
         let outcome = match outcome {
             Ok(Ok(outcome)) => outcome,
             // The peer does not know this instance yet, so it has read nothing of the call.
@@ -97,6 +107,23 @@
         outcome
     }
 
+    /// Takes the call back from its gate once requests are to be withdrawn. Does not resolve unless the gate
+    /// has confirmed that the call has not run and never will.
+    async fn withdraw(&self, peer: &Peer) -> AttemptOutcome {
+        self.entry.withdrawn().await;
+        let asked = self.ask_once(peer, Duration::ZERO).await;
+        match asked {
+            Ok(Some(AttemptOutcome::NotSent(_))) => {
+                AttemptOutcome::Withdrawn(crate::Refusal::leaving())
+            }
+            Ok(_) => std::future::pending().await,
+            Err(error) => {
+                log::warn!("entry: call not withdrawn: {error}.");
+                std::future::pending().await
+            }
+        }
+    }
+
     /// When the attempt stops waiting for a link.
     fn link_deadline(&self) -> Instant {
         let timeout = self.entry.setting.link_timeout;
@@ -229,7 +256,7 @@
     /// Asks the gate until it reports how the call ended, or has fenced the token.
     async fn ask_until_known(&self, peer: &Peer) -> AttemptOutcome {
         loop {
-            match self.ask_once(peer).await {
+            match self.ask_once(peer, MAX_ASK_WAIT).await {
                 Ok(Some(outcome)) => return outcome,
                 Ok(None) => {}
                 Err(error) if self.is_replaced(peer) => {
@@ -247,7 +274,9 @@
         (self.entry.setting.peers)(&peer.instance).as_ref() != Some(peer)
     }
 
-    async fn ask_once(&self, peer: &Peer) -> Result<Option<AttemptOutcome>, Error> {
+    /// Asks the gate for the outcome of the call, which it may hold open for `wait` while the call runs.
+    /// If the call has not run the gate is told never to run it.
+    async fn ask_once(&self, peer: &Peer, wait: Duration) -> Result<Option<AttemptOutcome>, Error> {
         let life = self
             .entry
             .setting
@@ -265,7 +294,7 @@
         let ask = Ask {
             token,
             fence: true,
-            wait: remaining.min(MAX_ASK_WAIT),
+            wait: remaining.min(wait),
             remaining,
         };
         let mut receiver = ask_about_token(&self.entry, peer, ask).await?;
--- a/crates/entry/src/handle.rs
+++ b/crates/entry/src/handle.rs
@@ -99,7 +99,7 @@
         // those.
         let nested = matches!(origin, Origin::Nested(Some(_)));
         if self.is_leaving() && !nested {
-            return Err(Refusal::not_run(Reason::Leaving).detail("this instance is leaving"));
+            return Err(Refusal::leaving());
         }
         let document = self.document()?;
         let mut matched = self.match_rule(&document, origin, parts)?;
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -113,6 +113,11 @@
 }
 
 impl Refusal {
+    /// The refusal of a request that this instance does not serve because it is shutting down.
+    pub(crate) fn leaving() -> Refusal {
+        Refusal::not_run(Reason::Leaving).detail("this instance is leaving")
+    }
+
     /// Builds a refusal of a request that has not run and never will.
     pub fn not_run(reason: Reason) -> Refusal {
         Refusal::new(Outcome::NotRun, reason, default_status(reason))
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -33,6 +33,7 @@
     members: AtomicUsize,
     closing: AtomicBool,
     leaving: AtomicBool,
+    withdrawing: watch::Sender<bool>,
     open: watch::Sender<usize>,
     outcomes: [AtomicU64; 4],
     stats: Stats,
@@ -76,6 +77,7 @@
             members: AtomicUsize::new(1),
             closing: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            withdrawing: watch::Sender::new(false),
             open: watch::Sender::new(0),
             outcomes: Default::default(),
             stats: Stats::default(),
@@ -190,6 +192,24 @@
         self.leaving.load(Ordering::Acquire)
     }
 
+    /// Refuses the requests that have not run, wherever they wait, and makes no further attempts for any.
+    /// Those that run may finish.
+    pub fn withdraw(&self) {
+        self.withdrawing.send_replace(true);
+    }
+
+    /// Whether requests are to be withdrawn.
+    pub(crate) fn is_withdrawing(&self) -> bool {
+        *self.withdrawing.borrow()
+    }
+
+    /// Resolves once requests are to be withdrawn.
+    pub(crate) async fn withdrawn(&self) {
+        let mut withdrawing = self.withdrawing.subscribe();
+        // The sender lives as long as this entry, so the wait can't fail.
+        drop(withdrawing.wait_for(|withdrawing| *withdrawing).await);
+    }
+
     /// Waits until no request is in flight.
     pub async fn idle(&self) {
         let mut open = self.open.subscribe();
