Lose the answers of waiting watches in the soak

None of its faults did: the way to the store was silenced with all connections, or all watches for good.

--- a/bin/appleshored/tests/soak.rs
+++ b/bin/appleshored/tests/soak.rs
@@ -51,6 +51,14 @@
     assert!(report.injected.contains_key("store rolls back"), "{report}");
 }
 
+/// Guards against rules that come late because the answers of waiting watches were lost.
+#[test]
+fn promises_hold_when_watches_are_lost() {
+    let report = play(&Plan::draw(13, LENGTH, 4).with_silent_watches(), None);
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.injected.contains_key("watches lost"), "{report}");
+}
+
 /// Guards against targets that get more than they have said they take, or work behind their leave.
 #[test]
 fn promises_hold_when_targets_limit_their_requests_and_leave() {
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -105,6 +105,10 @@
                 self.note(Trouble::Other, from);
                 Ok(true)
             }
+            Fault::LoseWatches => {
+                self.platform.fault().lose_watches();
+                Ok(true)
+            }
             Fault::Rollback(age, away) => {
                 let history = self.customers.as_ref().map(|customers| &customers.history);
                 let newest = history.map(|history| history.lock().newest());
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -82,6 +82,9 @@
     /// Has the store come back from older copies.
     #[arg(long)]
     pub rollbacks: bool,
+    /// Has the answers of waiting watches lost.
+    #[arg(long)]
+    pub silent_watches: bool,
     /// Has targets limit their requests and leave.
     #[arg(long)]
     pub notices: bool,
@@ -132,6 +135,9 @@
         if options.rollbacks {
             plan = plan.with_rollbacks();
         }
+        if options.silent_watches {
+            plan = plan.with_silent_watches();
+        }
         if options.notices {
             plan = plan.with_notices();
         }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -16,6 +16,8 @@
 const LINKS: u64 = 0x11_4b5;
 /// The same for returns of the store.
 const ROLLBACKS: u64 = 0x5e_70e4;
+/// The same for watches that are lost.
+const WATCHES: u64 = 0x51_1e47;
 /// The same for what targets say of themselves.
 const NOTICES: u64 = 0x11_3a17;
 /// The same for workspaces and what is cut off from them.
@@ -72,6 +74,8 @@
     Links(usize, Mode, Duration),
     /// The store comes back from a copy of this age, after it was away for the time.
     Rollback(Duration, Duration),
+    /// Watches that wait at the store are never answered, and their connections stay open.
+    LoseWatches,
     /// The target limits its requests to so many a second for the time, and to half of it in the second
     /// half of the time.
     Limit(usize, f64, Duration),
@@ -113,6 +117,7 @@
             Fault::KillAll(..) => "all killed",
             Fault::Links(..) => "links to a daemon",
             Fault::Rollback(..) => "store rolls back",
+            Fault::LoseWatches => "watches lost",
             Fault::Limit(..) => "target limits its requests",
             Fault::Leave(..) => "target leaves",
             Fault::ReplaceKey(..) => "key replaced",
@@ -187,6 +192,21 @@
         self
     }
 
+    /// Adds losses of the answers of all waiting watches, the last one just before the last change of the
+    /// rules; the rest of the schedule stays as it is.
+    pub fn with_silent_watches(mut self) -> Plan {
+        let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ WATCHES);
+        let mut losses = steps(&mut random, self.length / SELDOM, |_| Fault::LoseWatches);
+        losses.iter_mut().for_each(|step| step.at *= SELDOM);
+        losses.push(Step {
+            at: self.length,
+            fault: Fault::LoseWatches,
+        });
+        self.steps.extend(losses);
+        self.steps.sort_by_key(|step| step.at);
+        self
+    }
+
     /// Adds targets that limit their requests or leave; the rest of the schedule stays as it is.
     pub fn with_notices(mut self) -> Plan {
         let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ NOTICES);
