--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -46,6 +46,8 @@
 const AWAY: std::ops::Range<f64> = 0.0..1.0;
 /// How many times the mean pause lies between two returns.
 const SELDOM: u32 = 4;
+/// Time after which the faults that began last are over, and daemons that they have ended are back.
+const OVER: Duration = Duration::from_secs(5);
 /// How long a fault lasts, in seconds.
 const LASTS: std::ops::Range<f64> = 0.2..3.0;
 
@@ -192,14 +194,14 @@
         self
     }
 
-    /// Adds losses of the answers of all waiting watches, the last one just before the last change of the
-    /// rules; the rest of the schedule stays as it is.
+    /// Adds losses of the answers of all waiting watches, the last one behind all other faults and just before
+    /// the last change of the rules; the rest of the schedule stays as it is.
     pub fn with_silent_watches(mut self) -> Plan {
         let mut random = Pcg64Mcg::seed_from_u64(self.seed ^ WATCHES);
         let mut losses = steps(&mut random, self.length / SELDOM, |_| Fault::LoseWatches);
         losses.iter_mut().for_each(|step| step.at *= SELDOM);
         losses.push(Step {
-            at: self.length,
+            at: self.length + OVER,
             fault: Fault::LoseWatches,
         });
         self.steps.extend(losses);
