--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -65,7 +65,7 @@
         };
         let opened = tokio::select! {
             opened = timeout_at(self.link_deadline(), self.open(&peer)) => opened,
-            () = self.entry.withdrawn() => {
+            () = self.entry.withdrawing.cancelled() => {
                 guard.end(Kind::Refused, None);
                 return AttemptOutcome::Withdrawn(crate::Refusal::leaving());
             }
@@ -110,7 +110,7 @@
     /// Takes the call back from its gate once requests are to be withdrawn. Does not resolve unless the gate
     /// has confirmed that the call has not run and never will.
     async fn withdraw(&self, peer: &Peer) -> AttemptOutcome {
-        self.entry.withdrawn().await;
+        self.entry.withdrawing.cancelled().await;
         let asked = self.ask_once(peer, Duration::ZERO).await;
         match asked {
             Ok(Some(AttemptOutcome::NotSent(_))) => {
--- a/crates/entry/src/attempts.rs
+++ b/crates/entry/src/attempts.rs
@@ -111,7 +111,7 @@
     async fn run_attempts(&mut self, body: &mut RequestBody) -> Result<Answer, Refusal> {
         self.job.upstream.count_request(Instant::now());
         loop {
-            if self.job.entry.is_withdrawing() {
+            if self.job.entry.withdrawing.is_cancelled() {
                 return Err(self.with_earlier_attempts(Refusal::leaving()));
             }
             let Some(guard) = self.choose() else {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use unit::{Instance, Outcome, Report, Service};
 
 use crate::{Builder, InitialTimeout, Notices, Stats, Upstream};
@@ -33,7 +34,8 @@
     members: AtomicUsize,
     closing: AtomicBool,
     leaving: AtomicBool,
-    withdrawing: watch::Sender<bool>,
+    /// Cancelled once requests that have not run are to be withdrawn.
+    pub(crate) withdrawing: CancellationToken,
     open: watch::Sender<usize>,
     outcomes: [AtomicU64; 4],
     stats: Stats,
@@ -77,7 +79,7 @@
             members: AtomicUsize::new(1),
             closing: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
-            withdrawing: watch::Sender::new(false),
+            withdrawing: CancellationToken::new(),
             open: watch::Sender::new(0),
             outcomes: Default::default(),
             stats: Stats::default(),
@@ -195,19 +197,7 @@
     /// Refuses the requests that have not run, wherever they wait, and makes no further attempts for any.
     /// Those that run may finish.
     pub fn withdraw(&self) {
-        self.withdrawing.send_replace(true);
-    }
-
-    /// Whether requests are to be withdrawn.
-    pub(crate) fn is_withdrawing(&self) -> bool {
-        *self.withdrawing.borrow()
-    }
-
-    /// Resolves once requests are to be withdrawn.
-    pub(crate) async fn withdrawn(&self) {
-        let mut withdrawing = self.withdrawing.subscribe();
-        // The sender lives as long as this entry, so the wait can't fail.
-        drop(withdrawing.wait_for(|withdrawing| *withdrawing).await);
+        self.withdrawing.cancel();
     }
 
     /// Waits until no request is in flight.
--- a/crates/feed/src/confirm.rs
+++ b/crates/feed/src/confirm.rs
@@ -97,14 +97,15 @@
     keys: Vec<String>,
     /// Whether only the watchers confirm.
     only_watchers: bool,
+    /// When this daemon began to confirm.
+    began: Mutex<Moment>,
     state: Mutex<State>,
     versions: watch::Sender<Vec<Version>>,
     hastened: watch::Sender<bool>,
 }
 
+#[derive(Default)]
 struct State {
-    /// When this daemon began to confirm.
-    began: Moment,
     holding: Holding,
     /// Whether keyed requests were served at the last check.
     serving: bool,
@@ -130,19 +131,11 @@
         let mut all = vec![rules_key.to_string()];
         all.extend(keys);
         let state = State {
-            began: clock.now(),
-            holding: Holding::default(),
-            serving: false,
             cursors: all.iter().map(|_| Cursor::default()).collect(),
-            read: read::Attempts::default(),
-            sources: Sources::default(),
-            roles: None,
-            reads: 0,
-            reads_failed: 0,
-            asked: 0,
-            asks_failed: 0,
+            ..State::default()
         };
         Confirming {
+            began: Mutex::new(clock.now()),
             clock,
             schedule: Schedule::new(revoke),
             keys: all,
@@ -158,11 +151,6 @@
         self.only_watchers
     }
 
-    /// Notes that this daemon begins to confirm now.
-    fn begin(&self) {
-        self.state.lock().began = self.clock.now();
-    }
-
     /// Whether the rules of version `in_force` are confirmed as the newest.
     pub(crate) fn check(&self, in_force: Version) -> Result<(), Unconfirmed> {
         let Some(lasts) = self.schedule.lasts() else {
@@ -250,7 +238,7 @@
     fn age(&self) -> Duration {
         let state = self.state.lock();
         let now = self.clock.now();
-        let initial = now.since(state.began) + self.schedule.initial_age();
+        let initial = now.since(*self.began.lock()) + self.schedule.initial_age();
         let newest = state.holding.newest();
         newest.map_or(initial, |newest| newest.age(now).min(initial))
     }
@@ -311,9 +299,6 @@
     let Some(confirming) = &inner.confirming else {
         return std::future::pending().await;
     };
-    if confirming.only_watchers {
-        return std::future::pending().await;
-    }
     inner.listed.cancelled().await;
     let check = async {
         loop {
@@ -328,13 +313,8 @@
     );
 }
 
-/// Keeps the confirmation of this watcher new, if only watchers confirm. Never returns.
-pub(crate) async fn run_for_watcher(inner: &Inner) {
-    match &inner.confirming {
-        Some(confirming) if confirming.only_watchers => {
-            confirming.begin();
-            tokio::join!(read::run(inner, confirming), pull::run(inner, confirming));
-        }
-        _ => std::future::pending().await,
-    }
+/// Keeps the confirmation of this watcher new, where only watchers confirm. Never returns.
+pub(crate) async fn run_for_watcher(inner: &Inner, confirming: &Confirming) {
+    *confirming.began.lock() = confirming.clock.now();
+    tokio::join!(read::run(inner, confirming), pull::run(inner, confirming));
 }
--- a/crates/feed/src/confirm/read.rs
+++ b/crates/feed/src/confirm/read.rs
@@ -69,7 +69,7 @@
 fn is_due(confirming: &Confirming, place: Place) -> bool {
     let now = confirming.clock.now();
     let is_alone = matches!(place, Place::Watcher { of: 1, .. });
-    if is_alone && now.since(confirming.state.lock().began) < ALONE_GRACE {
+    if is_alone && now.since(*confirming.began.lock()) < ALONE_GRACE {
         return false;
     }
     let state = confirming.state.lock();
--- a/crates/feed/src/feed.rs
+++ b/crates/feed/src/feed.rs
@@ -167,7 +167,8 @@
         tasks.spawn(heartbeat::review_loop(self.inner.clone()));
         tasks.spawn(fallback::run(self.inner.clone()));
         tasks.spawn(era::run(self.inner.clone()));
-        if self.inner.confirming.is_some() {
+        let confirming = self.inner.confirming.as_ref();
+        if confirming.is_some_and(|confirming| !confirming.is_for_watchers()) {
             tasks.spawn(confirm::run(self.inner.clone()));
         }
         loop {
--- a/crates/feed/src/rules_watch.rs
+++ b/crates/feed/src/rules_watch.rs
@@ -46,7 +46,7 @@
 
     /// Resolves once rules have been in force for a while that the watch has not brought: its
     /// connection is lost, and most likely those of the other watches too.
-    pub(crate) async fn miss(&self, current: &Current) {
+    pub(crate) async fn detect_miss(&self, current: &Current) {
         loop {
             sleep(CHECK_INTERVAL).await;
             let in_force = current.version();
@@ -64,8 +64,8 @@
         }
     }
 
-    /// Resolves once the watch has missed a change.
-    pub(crate) async fn missed(&self) {
+    /// Resolves once [`RulesWatch::detect_miss`] has found that the watch has missed a change.
+    pub(crate) async fn miss_detected(&self) {
         let mut missed = self.missed.subscribe();
         if missed.changed().await.is_err() {
             std::future::pending().await
--- a/crates/feed/src/watch.rs
+++ b/crates/feed/src/watch.rs
@@ -212,13 +212,18 @@
     }
 }
 
-/// Takes part in checking the rules whenever this daemon is a watcher. Never returns.
+/// Takes part in checking the rules whenever this daemon is a watcher. Returns at once where all daemons
+/// confirm them, or none.
 async fn check(inner: &Inner) {
+    let confirming = inner.confirming.as_ref();
+    let Some(confirming) = confirming.filter(|confirming| confirming.is_for_watchers()) else {
+        return;
+    };
     loop {
         sleep(CHECK_INTERVAL).await;
         if is_watcher(inner, Part::Rules) {
             tokio::select! {
-                () = confirm::run_for_watcher(inner) => {}
+                () = confirm::run_for_watcher(inner, confirming) => {}
                 () = no_longer_watcher(inner, Part::Rules) => {}
             }
         }
@@ -255,8 +260,8 @@
             Ok(())
         }
         result = follow(inner, part, since, backoff) => result,
-        () = inner.rules_watch.miss(&inner.current), if part == Part::Rules => Ok(()),
-        () = inner.rules_watch.missed(), if part != Part::Rules => Ok(()),
+        () = inner.rules_watch.detect_miss(&inner.current), if part == Part::Rules => Ok(()),
+        () = inner.rules_watch.miss_detected(), if part != Part::Rules => Ok(()),
         () = evacuations::may_end_later(inner), if part == Part::Evacuations => Ok(()),
         () = no_longer_watcher(inner, part) => {
             log::info!("feed: stops watching {part:?}, other daemons watch it now.");
@@ -312,8 +317,9 @@
     };
     loop {
         let started = Instant::now();
-        let _waiting = (part == Part::Rules).then(|| inner.rules_watch.begin());
+        let waiting = (part == Part::Rules).then(|| inner.rules_watch.begin());
         let change = platform::within_budget(|| inner.store.watch(key, since, wait)).await?;
+        drop(waiting);
         backoff.reset();
         since = change.revision;
         apply(inner, part, &change);
--- a/crates/feed/tests/it/silent.rs
+++ b/crates/feed/tests/it/silent.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// Guards against changes that come late because the reader and another watcher of each zone have stopped too.
+/// Guards against changes that come late because the first two readers have stopped too.
 #[tokio::test(start_paused = true)]
 async fn changes_are_in_force_in_time_though_the_first_readers_have_stopped() {
     let world = fleet(80, 3).await;
