Refuse answers with a status outside 100 to 599

What callers saw: an answer with the status 600 or 999 was passed on as it is. Cause: http::StatusCode takes 100 to 999, and the reader of heads relied on it. Evidence: statuses_outside_the_standard_are_refused failed before at 600; 000, 099, 20 and 2000 were refused already. Why it works: the one reader of answers' heads, which targets' answers and health checks pass, names the range itself.

--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -9,6 +9,9 @@
 /// Longest head of an answer that is read.
 const MAX_HEAD: usize = 64 << 10;
 
+/// Highest status of an answer.
+const MAX_STATUS: u16 = 599;
+
 /// The head of an answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Head {
@@ -40,17 +43,16 @@
 fn one(bytes: &mut BytesMut, method: &Method) -> Result<Option<Head>, Fault> {
     let mut space = [httparse::EMPTY_HEADER; MAX_FIELDS];
     let mut parsed = httparse::Response::new(&mut space);
-    let status = parsed
+    let parsed_head = parsed
         .parse(bytes)
         .map_err(|cause| Fault::Head(cause.to_string()))?;
-    let httparse::Status::Complete(end) = status else {
+    let httparse::Status::Complete(end) = parsed_head else {
         return match bytes.len() > MAX_HEAD {
             true => Err(Fault::LongHead(MAX_HEAD)),
             false => Ok(None),
         };
     };
-    let code = StatusCode::from_u16(parsed.code.unwrap_or_default());
-    let status = code.map_err(|cause| Fault::Head(cause.to_string()))?;
+    let status = status(parsed.code.unwrap_or_default())?;
     let headers = headers(parsed.headers)?;
     let version = match parsed.version {
         Some(0) => Version::HTTP_10,
@@ -70,6 +72,13 @@
     }))
 }
 
+/// The status of an answer. [`StatusCode`] takes those of 600 to 999 too, which no HTTP defines.
+fn status(code: u16) -> Result<StatusCode, Fault> {
+    let known = (100..=MAX_STATUS).contains(&code);
+    let status = StatusCode::from_u16(code).ok().filter(|_| known);
+    status.ok_or_else(|| Fault::Head(format!("status {code}: expected 100 to {MAX_STATUS}")))
+}
+
 /// Whether an answer with this status to a request of `method` has no body, whatever length its head
 /// declares.
 pub fn is_bodiless(status: StatusCode, method: &Method) -> bool {
