End no body behind trailers that are no header fields

What callers saw: an answer in chunks with a line behind them whose name holds a blank or a control byte ended as whole; a request of that kind too. Cause: trailers were counted by their bytes, and never looked at. Why it works: each line passes the parser of header fields, alone, so that a folded line is none either. Requests and answers share that reader.

--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -88,7 +88,7 @@
                     _ => return Err(Fault::Chunk("no size")),
                 },
                 State::ChunkEnd => match line(bytes)? {
-                    Some(0) => self.state = State::ChunkSize,
+                    Some(line) if line.is_empty() => self.state = State::ChunkSize,
                     Some(_) => return Err(Fault::Chunk("more data than its size")),
                     None => return Ok(None),
                 },
@@ -96,8 +96,11 @@
                     return Err(Fault::Chunk("trailers without end"));
                 }
                 State::Trailers(read) => match line(bytes)? {
-                    Some(0) => self.state = State::Done,
-                    Some(length) => self.state = State::Trailers(read + length),
+                    Some(line) if line.is_empty() => self.state = State::Done,
+                    Some(line) if is_field(&line) => {
+                        self.state = State::Trailers(read + line.len());
+                    }
+                    Some(_) => return Err(Fault::Chunk("a trailer that is no field")),
                     None => return Ok(None),
                 },
             }
@@ -134,8 +137,8 @@
     }
 }
 
-/// Takes a line out of `bytes`; answers its length without its end.
-fn line(bytes: &mut BytesMut) -> Result<Option<usize>, Fault> {
+/// Takes a line out of `bytes`, without its end.
+fn line(bytes: &mut BytesMut) -> Result<Option<Bytes>, Fault> {
     let Some(end) = bytes.iter().position(|byte| *byte == b'\n') else {
         let long = bytes.len() >= MAX_LINE;
         return if long {
@@ -144,9 +147,20 @@
             Ok(None)
         };
     };
-    let line = bytes.split_to(end + 1);
+    let mut line = bytes.split_to(end + 1).freeze();
     let text = line.strip_suffix(b"\r\n").or(line.strip_suffix(b"\n"));
-    Ok(Some(text.map_or(0, <[u8]>::len)))
+    line.truncate(text.map_or(0, <[u8]>::len));
+    Ok(Some(line))
+}
+
+/// Whether a line is one header field.
+fn is_field(line: &[u8]) -> bool {
+    let mut fields = [httparse::EMPTY_HEADER; 1];
+    let block = [line, b"\r\n\r\n"].concat();
+    matches!(
+        httparse::parse_headers(&block, &mut fields),
+        Ok(httparse::Status::Complete((_, [_])))
+    )
 }
 
 /// Writes `data` as one chunk; it must not be empty, as an empty one would end the body.
