Take no answer for whole that ends behind a failed write

What callers saw (MIXED): a target answered a long upload at once with 200 and no length, sent a part of the body and reset the connection; some callers got that part as a complete answer. Cause: the socket reports the error of a reset once, to the call that comes first. The write of the upload took it, and was allowed to, since a target may answer early and read no more. The read behind it got the bytes and then a clean end, and a body that is delimited by the connection's end was complete. Evidence: answers_cut_by_a_reset_during_an_upload_are_errors failed before ("a part ends as Ok(None)"); it resets 40 uploads of 8 MiB. Why it works: a connection remembers that a write has failed, and its end then ends no body. A body with a length or in chunks has an end of its own and stays whole, which the test checks beside it. The same cause elsewhere, by reading: links end with the first error of either half, and a stream needs its end frame; bodies of callers have a length or chunks; an idle connection whose check finds an error is dropped; the store's client drops a connection whose write has failed before it reads on.

--- a/crates/target/src/connection.rs
+++ b/crates/target/src/connection.rs
@@ -75,6 +75,9 @@
     /// Whether the last request has been written to its end. Otherwise the target would take another
     /// request for the rest of it.
     request_complete: bool,
+    /// Whether a write has failed. The socket reports an error only once, so that a read may then end
+    /// as if the target had closed the connection in order.
+    write_failed: bool,
     /// How long the target keeps an idle connection open, if it says so.
     pub(crate) keep_alive_timeout: Option<Duration>,
     /// Number of requests sent on it.
@@ -96,6 +99,7 @@
             body: Body::of(Length::Empty),
             keep_alive: true,
             request_complete: true,
+            write_failed: false,
             keep_alive_timeout: None,
             carried: 0,
             idle_since: Instant::now(),
@@ -165,7 +169,10 @@
             },
             advanced = upload.advance(&mut writer) => {
                 // A target that reads no more of the request may have sent an answer to it.
-                self.keep_alive &= advanced? == Written::Open;
+                if advanced? == Written::Closed {
+                    self.keep_alive = false;
+                    self.write_failed = true;
+                }
                 Ok(())
             }
         }
@@ -222,6 +229,9 @@
             }
             self.input.reserve(READ_SIZE);
             match self.stream.read_buf(&mut self.input).await {
+                Ok(0) if self.write_failed => {
+                    return Err(Error::Lost("closed behind a failed write".to_string()));
+                }
                 Ok(0) => {
                     self.keep_alive = false;
                     self.body.finish().map_err(to_error)?;
--- a/crates/target/tests/internal/connection.rs
+++ b/crates/target/tests/internal/connection.rs
@@ -189,3 +189,56 @@
         assert!(!connection.is_reusable());
     }
 }
+
+/// A target that reads the start of a request, sends `answer` and resets the connection; returns a
+/// connection to it, and a future that resolves once the reset has been sent.
+async fn connect_to_reset(answer: &'static [u8]) -> (Connection, tokio::task::JoinHandle<()>) {
+    let listener = TcpListener::bind((LOOPBACK, 0)).await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let reset = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        stream.read_u8().await.expect("the start of a request");
+        tokio::io::AsyncWriteExt::write_all(&mut stream, answer)
+            .await
+            .expect("sent");
+        stream.set_zero_linger().expect("a reset at the close");
+    });
+    let connection = Connection::open(address).await.expect("connected");
+    (connection, reset)
+}
+
+/// Guards against a part of an answer that looks complete: the reset behind it is reported only once, to
+/// the write of the request, and the body has no other end than that of its connection.
+#[tokio::test]
+async fn answers_cut_by_a_reset_during_an_upload_are_errors() {
+    const UPLOAD: usize = 8 << 20;
+    const PART: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nsome bytes";
+    const WHOLE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    for _ in 0..40 {
+        for (answer, is_whole) in [(PART, false), (WHOLE, true)] {
+            let (mut connection, reset) = connect_to_reset(answer).await;
+            let content = Content::Complete(Bytes::from(vec![0; UPLOAD]));
+            let (request, dialect) = (request(Some(UPLOAD)), Dialect::default());
+            let mut sending = Box::pin(connection.send(&request, content, &dialect, || ()));
+            // The request fills the way to the target, and the reset comes before the next write.
+            let poll = futures_util::poll!(sending.as_mut());
+            assert!(poll.is_pending(), "{poll:?}");
+            reset.await.expect("the target ends");
+            let head = timeout(TEST_TIMEOUT, sending).await.expect("in time");
+            if head.is_err() {
+                continue;
+            }
+            let ended = loop {
+                match timeout(TEST_TIMEOUT, connection.piece())
+                    .await
+                    .expect("in time")
+                {
+                    Ok(Some(_)) => {}
+                    ended => break ended,
+                }
+            };
+            assert!(is_whole || ended.is_err(), "a part ends as {ended:?}");
+            assert!(!connection.is_reusable());
+        }
+    }
+}
