Bound what all clients make a daemon hold

What callers saw: clients that sent ahead on a few connections and left the answers unread ended a process, which ran out of memory; others made it hang or took its descriptors. Cause: entry::connection bounds each connection, limits.connections allowed 4,096 of them, which is more than a machine's descriptors, and nothing bounded the product: requests in flight, answers that wait, bodies, buffers of sockets. Change: the crate clients counts what all connections hold, and decides who pays. Above the high-water mark a connection with more than an equal share begins nothing further, and leaves what was sent ahead unread; above the limit those that wait for their clients are closed, the one that holds most first, and a request without room is refused with 503. A connection serves no further request while 256 KB of its answers wait; one that takes no byte for the idle timeout, or for 5 s if it has sent further requests, is closed. When all connections are taken, the one that has waited longest for its client makes room.

The counts of known settings and of optional fields rise with the two new fields.

--- a/crates/appleshore/src/assembly.rs
+++ b/crates/appleshore/src/assembly.rs
@@ -39,6 +39,14 @@
     }
 }
 
+/// The clients of a process with these limits.
+pub(crate) fn clients(limits: &setting::Limits) -> clients::Table {
+    clients::Table::new(clients::Limits {
+        memory: limits.client_memory(),
+        connections: limits.client_connections(),
+    })
+}
+
 pub(crate) fn server(
     setting: &Setting,
     profile: &Profile,
--- a/crates/appleshore/src/daemon.rs
+++ b/crates/appleshore/src/daemon.rs
@@ -118,6 +118,7 @@
         let current = Arc::new(Current::default());
         let nests = Table::default();
         let held = held::Table::new(HELD, HELD_FOR);
+        let clients = assembly::clients(&setting.limits);
         let link = setting.bandwidth.map(bandwidth::Link::new);
         let server = Arc::new(assembly::server(
             &setting,
@@ -167,6 +168,7 @@
             profile,
             link,
             quotas,
+            clients,
             drain,
         };
         let close = CancellationToken::new();
@@ -189,7 +191,7 @@
         let bound = Limits {
             head: limits.head,
             head_timeout: limits.head_timeout.0,
-            connections: limits.connections,
+            connections: limits.client_connections(),
         };
         let operator = operator::router(state.clone());
         let entry = state.entry.clone();
@@ -201,7 +203,8 @@
             }
             None => {
                 let dialect = state.profile.dialect.clone();
-                let port = port::shared(entry, nests, dialect, self.bounds(), self.close.clone());
+                let (clients, stop) = (state.clients.clone(), self.close.clone());
+                let port = port::shared(entry, nests, dialect, self.bounds(), clients, stop);
                 self.ports.spawn(port.serve(ports.outbound));
             }
         }
@@ -220,7 +223,6 @@
                 head: said.head.unwrap_or(limits.head),
                 head_timeout: said.head_timeout.unwrap_or(limits.head_timeout.0),
                 idle_timeout: said.idle.unwrap_or(limits.idle.0),
-                connections: limits.connections,
             }
         }
     }
--- a/crates/appleshore/src/lib.rs
+++ b/crates/appleshore/src/lib.rs
@@ -21,6 +21,7 @@
 
 mod assembly;
 mod claims;
+mod client_metric;
 mod daemon;
 mod directory;
 mod dump;
--- a/crates/appleshore/src/metric.rs
+++ b/crates/appleshore/src/metric.rs
@@ -10,6 +10,7 @@
 use prometheus_client::registry::Registry;
 use unit::Version;
 
+use crate::client_metric;
 use crate::quota::Group;
 use crate::region_metric::Regions;
 use crate::state::State;
@@ -158,6 +159,7 @@
     confirmations: Option<feed::Confirmations>,
     link: Option<bandwidth::Dump>,
     regions: Regions,
+    clients: clients::Count,
 }
 
 impl Values {
@@ -179,6 +181,7 @@
             link: state.link.as_ref().map(bandwidth::Link::dump),
             quotas: state.quotas.as_ref().map(|quotas| quotas.groups()),
             regions: Regions::of(&state.entry, &state.setting.region),
+            clients: state.clients.count(),
         }
     }
 }
@@ -201,8 +204,10 @@
             confirmations,
             link,
             regions,
+            clients,
         } = &self.0;
         regions.encode(&mut encoder)?;
+        client_metric::encode(&mut encoder, clients)?;
         if let Some(link) = link {
             encode_link(&mut encoder, link)?;
         }
@@ -454,7 +459,7 @@
 }
 
 /// Counters by name and help text.
-fn encode_counters(
+pub(crate) fn encode_counters(
     encoder: &mut DescriptorEncoder<'_>,
     counters: &[(&str, &str, u64)],
 ) -> fmt::Result {
@@ -469,7 +474,12 @@
     metric.encode(encoder.encode_descriptor(name, help, None, metric.metric_type())?)
 }
 
-fn gauge(encoder: &mut DescriptorEncoder<'_>, name: &str, help: &str, value: u64) -> fmt::Result {
+pub(crate) fn gauge(
+    encoder: &mut DescriptorEncoder<'_>,
+    name: &str,
+    help: &str,
+    value: u64,
+) -> fmt::Result {
     let metric = ConstGauge::new(value as i64);
     metric.encode(encoder.encode_descriptor(name, help, None, metric.metric_type())?)
 }
--- a/crates/appleshore/src/port.rs
+++ b/crates/appleshore/src/port.rs
@@ -24,6 +24,7 @@
     nests: Table,
     dialect: Dialect,
     limits: impl Fn() -> ConnectionLimits + Send + Sync + 'static,
+    clients: clients::Table,
     stop: CancellationToken,
 ) -> Port {
     let handler = move |peer: SocketAddr, request: Request<Body>| {
@@ -47,6 +48,7 @@
     Port {
         handler: Arc::new(handler),
         limits: Arc::new(limits),
+        clients,
         stop,
     }
 }
--- a/crates/appleshore/src/state.rs
+++ b/crates/appleshore/src/state.rs
@@ -35,6 +35,8 @@
     pub(crate) link: Option<bandwidth::Link>,
     /// None where requests of workspaces are not counted.
     pub(crate) quotas: Option<Arc<quota::Desk>>,
+    /// What callers make this process hold.
+    pub(crate) clients: clients::Table,
     /// Set when a planned stop is asked for.
     pub(crate) drain: CancellationToken,
 }
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -6,41 +6,46 @@
 //! nobody reads. Therefore the connection is always read, each request is served as soon as its
 //! head has arrived, and the requests in flight are dropped when the caller disconnects.
 
-use std::collections::VecDeque;
+//!
+//! A caller that sends ahead and doesn't read could make each connection hold all that it may. So no
+//! further request is served while answers wait unread, and what all connections hold together is
+//! bounded by [`clients::Table`].
+
+mod answers;
+mod body_upload;
+mod pressure;
+mod refusal;
+
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use futures_util::future::{BoxFuture, ready};
-use futures_util::stream::FuturesOrdered;
-use futures_util::{FutureExt, StreamExt};
-use http::{Method, Request, Response, StatusCode, header};
+use clients::{Client, Hold};
+use http::{Request, header};
 use http_body_util::{BodyExt, Full};
-use http1::{Fault, Length, Piece, request, response};
+use http1::{Length, Piece, request, response};
 use hyper::body::{Body as _, Frame};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
+use self::answers::{Answered, Answers};
+use self::body_upload::BodyUpload;
+use self::pressure::MAX_CONCURRENT_REQUESTS;
 use crate::port::Port;
 use crate::writing::Writing;
 use crate::{Body, Reason, Refusal, upload};
 
-/// Requests of one connection that are served concurrently; further ones stay in the input buffer.
-const MAX_CONCURRENT_REQUESTS: usize = 64;
-/// Size of the input buffer beyond which reading pauses. A disconnect is detected only while the
-/// buffer has room.
-const MAX_INPUT_BYTES: usize = 256 << 10;
 /// Space reserved for each read. Without it the buffer grows by 64 bytes at a time, with one system
 /// call each.
 const READ_RESERVE_BYTES: usize = 4 << 10;
 /// Size of the output buffer from which on no more is read from the body of an answer.
 const MAX_OUTPUT_BYTES: usize = 64 << 10;
-/// Bytes of a body that are read after its handler has dropped it, so that the caller can read its answer
-/// and use the connection again.
-const MAX_DISCARDED_BYTES: usize = 64 << 20;
+/// What a request holds beside its body while it is served.
+const REQUEST_BYTES: usize = 32 << 10;
 /// How long a closed connection is still read, so that bytes in transit don't reset it before the
 /// answer has arrived.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -49,14 +54,14 @@
 pub(crate) struct Connection {
     port: Port,
     peer: SocketAddr,
+    client: Client,
     input: BytesMut,
     output: BytesMut,
-    /// Requests in flight, in the order of their arrival.
-    pending: FuturesOrdered<BoxFuture<'static, Answered>>,
-    /// Answers that wait for earlier answers to be written.
-    ready: VecDeque<Answered>,
+    answers: Answers,
     /// The answer that is being written.
     writing: Option<Writing>,
+    /// When the caller last took a byte of the output.
+    written_at: Instant,
     /// The body of the last request, while it is being received.
     upload: Option<BodyUpload>,
     /// Whether no further request is read.
@@ -66,22 +71,7 @@
     /// The idle timeout in force when the connection became idle. A lower setting takes effect
     /// later, since the caller relies on the timeout that it knows.
     idle_timeout: Duration,
-}
-
-/// An answer, and the request method, which its framing depends on.
-struct Answered {
-    response: Response<Body>,
-    method: Method,
-}
-
-/// The transfer of a request's body to the handler.
-struct BodyUpload {
-    body: http1::Body,
-    /// `None` once the handler has dropped the body; the rest is read and discarded.
-    to: Option<upload::Sender>,
-    /// Whether input waits until the handler takes more.
-    blocked: bool,
-    /// Bytes read of the body since the handler has dropped it.
+    /// Bytes discarded of what was sent behind the last request that is served.
     discarded: usize,
 }
 
@@ -94,23 +84,29 @@
     Room,
     Timeout,
     Stop,
+    /// The high-water mark of all connections is reached, or no longer is.
+    Tight,
+    /// The connection has to end.
+    Closed,
 }
 
 impl Connection {
-    pub(crate) fn new(port: Port, peer: SocketAddr) -> Connection {
+    pub(crate) fn new(port: Port, peer: SocketAddr, client: Client) -> Connection {
         let idle_timeout = (port.limits)().idle_timeout;
         Connection {
             port,
             peer,
+            client,
             input: BytesMut::new(),
             output: BytesMut::new(),
-            pending: FuturesOrdered::new(),
-            ready: VecDeque::new(),
+            answers: Answers::default(),
             writing: None,
+            written_at: Instant::now(),
             upload: None,
             reads_done: false,
             timer_start: Instant::now(),
             idle_timeout,
+            discarded: 0,
         }
     }
 
@@ -123,12 +119,16 @@
             if self.is_finished() {
                 return linger(stream).await;
             }
+            self.report();
             match self.wait(&mut stream).await? {
                 // Requests in flight are dropped with the connection, which cancels them.
                 Event::Read(0) => return Ok(()),
-                Event::Read(_) | Event::Written | Event::Room => {}
-                Event::Answered(answered) => self.ready.push_back(answered),
+                Event::Read(_) | Event::Room | Event::Tight => {}
+                Event::Written => self.written_at = Instant::now(),
+                Event::Answered(answered) => self.answers.push(answered),
+                Event::Closed => return Err(self.close("others need room")),
                 Event::Piece(piece) => self.write_piece(piece)?,
+                Event::Timeout if !self.output.is_empty() => self.write_or_give_up(&stream)?,
                 Event::Timeout => match self.read_arrived(&stream)? {
                     Some(0) => return Ok(()),
                     Some(_) => self.parse_or_time_out(),
@@ -153,9 +153,39 @@
         }
     }
 
+    /// Writes what the caller takes now.
+    ///
+    /// # Errors
+    ///
+    /// An error if it takes nothing even now.
+    fn write_or_give_up(&mut self, stream: &TcpStream) -> io::Result<()> {
+        match stream.try_write(&self.output) {
+            Ok(count) => {
+                drop(self.output.split_to(count));
+                self.written_at = Instant::now();
+                Ok(())
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                Err(self.close("the caller doesn't read its answers"))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Logs why the connection is closed although its caller has not left, and returns that as an error.
+    fn close(&self, cause: &'static str) -> io::Error {
+        log::info!(
+            "entry: connection of {} closed: {cause}; waits_for={:?} unanswered={} unwritten={}.",
+            self.peer,
+            self.waits_for(),
+            self.answers.len(),
+            self.output.len()
+        );
+        io::Error::other(cause)
+    }
+
     fn is_idle(&self) -> bool {
-        let served = self.pending.is_empty() && self.ready.is_empty();
-        served && self.writing.is_none() && self.output.is_empty()
+        self.answers.is_empty() && self.writing.is_none() && self.output.is_empty()
     }
 
     fn is_finished(&self) -> bool {
@@ -166,18 +196,20 @@
         let timeout = self.timeout();
         let stopping = self.port.stop.clone();
         let room = self.upload_capacity();
+        let closed = self.client.closed();
         let (mut reader, mut writer) = stream.split();
-        let can_read = self.input.len() < MAX_INPUT_BYTES;
+        let can_read = self.can_read();
         self.input.reserve(READ_RESERVE_BYTES);
         let can_write = !self.output.is_empty();
         let can_fill = self.output.len() < MAX_OUTPUT_BYTES;
         let may_stop = !self.reads_done && self.input.is_empty() && self.upload.is_none();
+        let held_back = !can_read || !self.input.is_empty();
         tokio::select! {
             read = reader.read_buf(&mut self.input), if can_read => Ok(Event::Read(read?)),
             written = writer.write_buf(&mut self.output), if can_write => {
                 written.map(|_| Event::Written)
             }
-            Some(answered) = self.pending.next(), if !self.pending.is_empty() => {
+            Some(answered) = self.answers.next(), if self.answers.is_running() => {
                 Ok(Event::Answered(answered))
             }
             piece = next_piece(&mut self.writing), if can_fill && self.writing.is_some() => {
@@ -188,14 +220,15 @@
                 Ok(Event::Timeout)
             }
             () = stopped(stopping), if may_stop => Ok(Event::Stop),
+            () = self.client.tight_changed(), if held_back => Ok(Event::Tight),
+            () = closed => Ok(Event::Closed),
         }
     }
 
     /// Waits until the handler that blocks the current body can take more or has dropped the body. It
     /// never resolves for a body that waits for input: room alone lets it make no progress.
     fn upload_capacity(&self) -> impl Future<Output = ()> + use<> {
-        let blocked = self.upload.as_ref().filter(|upload| upload.blocked);
-        let room = blocked.and_then(|upload| upload.to.as_ref().map(upload::Sender::room));
+        let room = self.upload.as_ref().and_then(BodyUpload::room);
         async move {
             match room {
                 Some(room) => room.await,
@@ -204,25 +237,6 @@
         }
     }
 
-    /// When the caller exceeds the timeout for the current head, or for an idle connection.
-    fn timeout(&self) -> Option<Instant> {
-        if self.reads_done {
-            return None;
-        }
-        let limits = (self.port.limits)();
-        if self.upload.is_some() {
-            // The handler bounds the time of a body until its request is answered.
-            return self
-                .is_idle()
-                .then(|| self.timer_start + limits.head_timeout);
-        }
-        if !self.input.is_empty() {
-            return Some(self.timer_start + limits.head_timeout);
-        }
-        let idle = self.idle_timeout.max(limits.idle_timeout);
-        self.is_idle().then(|| self.timer_start + idle)
-    }
-
     /// Times out unless what has been read in the end completes the head.
     fn parse_or_time_out(&mut self) {
         self.parse_requests();
@@ -232,7 +246,7 @@
     }
 
     fn time_out(&mut self) {
-        let room = self.pending.len() + self.ready.len() < MAX_CONCURRENT_REQUESTS;
+        let room = self.answers.len() < MAX_CONCURRENT_REQUESTS;
         if self.upload.take().is_none() && !self.input.is_empty() && room {
             let refusal = Refusal::not_run(Reason::SlowBody).detail("the head took too long");
             self.refuse(&refusal);
@@ -246,46 +260,65 @@
             if self.upload.is_some() && !self.forward_body() {
                 return;
             }
-            let room = self.pending.len() + self.ready.len() < MAX_CONCURRENT_REQUESTS;
-            if self.reads_done || !room || self.input.is_empty() {
+            if self.reads_done {
+                return self.discard_input();
+            }
+            if self.input.is_empty() {
                 return;
             }
+            if !self.has_room() {
+                return self.shed_requests();
+            }
             let most = (self.port.limits)().head.bytes() as usize;
             match request::parse(&mut self.input, most) {
                 Ok(Some(head)) => self.begin(head),
                 Ok(None) => return,
                 Err(fault) => {
-                    self.refuse(&refusal_of(&fault));
+                    self.refuse(&refusal::of(&fault));
                     return;
                 }
             }
         }
     }
 
+    fn discard_input(&mut self) {
+        self.discarded += self.input.len();
+        self.input.clear();
+    }
+
     /// Starts to serve a request.
     fn begin(&mut self, head: request::Head) {
         self.reads_done = !head.keep;
         self.timer_start = Instant::now();
+        let Some(hold) = self.client.try_hold(REQUEST_BYTES) else {
+            log::info!(
+                "entry: request of {} refused: no memory is left.",
+                self.peer
+            );
+            return self.refuse(&refusal::out_of_memory());
+        };
+        let hold = Arc::new(hold);
         let waits = head.parts.headers.get(header::EXPECT).is_some();
         let mut body = http1::Body::of(head.length);
-        let content = self.request_body(head.length, &mut body);
+        let content = self.request_body(head.length, &mut body, &hold);
         if waits && self.upload.is_some() && self.is_idle() {
+            self.start_output();
             self.output
                 .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
         }
         let method = head.parts.method.clone();
         let request = Request::from_parts(head.parts, content);
         let served = (self.port.handler)(self.peer, request);
-        let answered = served.map(move |response| Answered { response, method });
-        self.pending.push_back(answered.boxed());
+        self.answers.serve(served, method, hold);
     }
 
     /// The body of a request: complete if it has already arrived, otherwise streamed.
-    fn request_body(&mut self, length: Length, body: &mut http1::Body) -> Body {
+    fn request_body(&mut self, length: Length, body: &mut http1::Body, hold: &Arc<Hold>) -> Body {
         match length {
             Length::Empty | Length::Close => return Body::default(),
             Length::Sized(size) if size <= self.input.len() as u64 => {
                 if let Ok(Some(Piece::Data(data))) = body.next(&mut self.input) {
+                    hold.grow(data.len());
                     return Full::from(data)
                         .map_err(|never| match never {})
                         .boxed_unsync();
@@ -294,14 +327,7 @@
             Length::Sized(_) | Length::Chunked => {}
         }
         let (to, content) = upload::channel();
-        let to = Some(to);
-        let body = body.clone();
-        self.upload = Some(BodyUpload {
-            body,
-            to,
-            blocked: false,
-            discarded: 0,
-        });
+        self.upload = Some(BodyUpload::new(body.clone(), to, hold.clone()));
         content
     }
 
@@ -310,30 +336,8 @@
         let Some(upload) = &mut self.upload else {
             return true;
         };
-        let end = loop {
-            if upload.body.is_done() {
-                break Ok(());
-            }
-            upload.blocked = upload.to.as_ref().is_some_and(upload::Sender::is_full);
-            if upload.blocked {
-                return false;
-            }
-            let before = self.input.len();
-            let piece = upload.body.next(&mut self.input);
-            if upload.to.is_none() {
-                upload.discarded += before - self.input.len();
-            }
-            match piece {
-                _ if upload.discarded > MAX_DISCARDED_BYTES => {
-                    break Err(io::Error::other("too much of a body to discard"));
-                }
-                Ok(Some(Piece::Data(data))) => {
-                    upload.to = upload.to.take().filter(|to| to.try_send(data));
-                }
-                Ok(Some(Piece::End)) => break Ok(()),
-                Ok(None) => return false,
-                Err(fault) => break Err(io::Error::other(fault.to_string())),
-            }
+        let Some(end) = upload.forward(&mut self.input) else {
+            return false;
         };
         match end {
             Ok(()) => self.timer_start = Instant::now(),
@@ -342,8 +346,8 @@
                 self.input.clear();
             }
         }
-        if let Some(to) = self.upload.take().and_then(|upload| upload.to) {
-            to.finish(end);
+        if let Some(upload) = self.upload.take() {
+            upload.finish(end);
         }
         true
     }
@@ -354,11 +358,9 @@
         let mut response = refusal.response();
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
-        let method = Method::GET;
-        let answered = Answered { response, method };
-        self.pending.push_back(ready(answered).boxed());
+        self.answers.refuse(response);
         self.reads_done = true;
-        self.input.clear();
+        self.discard_input();
     }
 
     /// Writes the head of the next answer, unless another one is being written.
@@ -366,12 +368,19 @@
         if self.writing.is_some() {
             return;
         }
-        let Some(Answered { response, method }) = self.ready.pop_front() else {
+        let Some(answered) = self.answers.pop() else {
             return;
         };
+        let Answered {
+            response,
+            method,
+            hold,
+            ..
+        } = answered;
+        self.start_output();
         let (mut parts, body) = response.into_parts();
         let close_requested = parts.headers.remove(header::CONNECTION).is_some();
-        let last = self.pending.is_empty() && self.ready.is_empty() && self.upload.is_none();
+        let last = self.answers.is_empty() && self.upload.is_none();
         // A caller takes requests after an answer with `close` as unread and resends them, although
         // they run here. So only the last of the pending answers closes the connection.
         if last && (close_requested && self.input.is_empty() || self.reads_done) {
@@ -397,7 +406,7 @@
             &mut self.output,
         );
         if length != Length::Empty && !response::is_bodiless(parts.status, &method) {
-            self.writing = Some(Writing::new(body, length));
+            self.writing = Some(Writing::new(body, length, hold));
         }
         self.start_idle_if_done();
     }
@@ -407,6 +416,7 @@
     /// An error in the body ends the connection, so that the caller sees a truncated answer and
     /// can't take it for a shorter complete one.
     fn write_piece(&mut self, piece: Option<io::Result<Frame<Bytes>>>) -> io::Result<()> {
+        self.start_output();
         let Some(writing) = &mut self.writing else {
             return Ok(());
         };
@@ -420,8 +430,15 @@
         Ok(())
     }
 
+    /// The caller has to take what is written from now on.
+    fn start_output(&mut self) {
+        if self.output.is_empty() {
+            self.written_at = Instant::now();
+        }
+    }
+
     fn start_idle_if_done(&mut self) {
-        if self.writing.is_none() && self.pending.is_empty() {
+        if self.writing.is_none() && !self.answers.is_running() {
             self.timer_start = Instant::now();
             self.idle_timeout = (self.port.limits)().idle_timeout;
         }
@@ -451,12 +468,3 @@
     drop(timeout(LINGER_TIMEOUT, drained).await);
     Ok(())
 }
-
-fn refusal_of(fault: &Fault) -> Refusal {
-    match fault {
-        Fault::LongHead(_) => Refusal::not_run(Reason::TooLarge)
-            .status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
-            .detail(fault),
-        _ => Refusal::not_run(Reason::Malformed).detail(fault),
-    }
-}
--- a/crates/entry/src/port.rs
+++ b/crates/entry/src/port.rs
@@ -6,8 +6,8 @@
 
 use futures_util::future::BoxFuture;
 use http::{Request, Response};
+use socket2::SockRef;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use unit::Size;
@@ -28,10 +28,13 @@
     pub head_timeout: Duration,
     /// Longest time that a connection may be idle.
     pub idle_timeout: Duration,
-    /// Most concurrent connections. Any further one is closed immediately.
-    pub connections: u32,
 }
 
+/// Size of the buffers of a connection's socket. Unread bytes wait there as well, and count for the
+/// machine. The system takes twice as much for its own needs.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+pub(crate) const SEND_BUFFER_BYTES: usize = 128 << 10;
+
 /// A listening address and the handler of its requests.
 #[derive(Clone)]
 pub struct Port {
@@ -39,6 +42,8 @@
     pub handler: Handler,
     /// Returns the limits currently in force.
     pub limits: Arc<dyn Fn() -> ConnectionLimits + Send + Sync>,
+    /// What the connections of all addresses hold together.
+    pub clients: clients::Table,
     /// Once cancelled, each connection is closed after its requests in flight are answered.
     pub stop: CancellationToken,
 }
@@ -46,7 +51,7 @@
 impl Port {
     /// Serves the connections of `listener` until the port is stopped and all of them have ended.
     pub async fn serve(self, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new((self.limits)().connections as usize));
+        bound_buffers(&listener);
         let connections = TaskTracker::new();
         loop {
             let accepted = tokio::select! {
@@ -60,16 +65,16 @@
                     continue;
                 }
             };
-            let Ok(permit) = permits.clone().try_acquire_owned() else {
+            let Some(client) = self.clients.connect().await else {
                 log::warn!("entry: connection limit reached; connection of {peer} closed.");
                 continue;
             };
             let port = self.clone();
             connections.spawn(async move {
-                if let Err(error) = Connection::new(port, peer).serve(stream).await {
+                let connection = Connection::new(port, peer, client);
+                if let Err(error) = connection.serve(stream).await {
                     log::debug!("entry: connection of {peer} ended: {error}.");
                 }
-                drop(permit);
             });
         }
         drop(listener);
@@ -77,3 +82,14 @@
         connections.wait().await;
     }
 }
+
+/// Bounds the buffers of the connections that `listener` will accept, which take over its options.
+fn bound_buffers(listener: &TcpListener) {
+    let socket = SockRef::from(listener);
+    let bounded = socket
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .and_then(|()| socket.set_send_buffer_size(SEND_BUFFER_BYTES));
+    if let Err(error) = bounded {
+        log::warn!("entry: the buffers of connections keep their size: {error}.");
+    }
+}
--- a/crates/entry/src/writing.rs
+++ b/crates/entry/src/writing.rs
@@ -1,8 +1,10 @@
 //! Writes the body of an answer whose head has been written.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use clients::Hold;
 use http_body_util::BodyExt;
 use http1::{Encoder, Length};
 use hyper::body::Frame;
@@ -13,13 +15,24 @@
 pub(crate) struct Writing {
     body: Body,
     encoder: Encoder,
+    /// Counts what the answer holds, if its request was served.
+    hold: Option<Arc<Hold>>,
 }
 
 impl Writing {
     /// A body of which nothing has been written.
-    pub(crate) fn new(body: Body, length: Length) -> Writing {
+    pub(crate) fn new(body: Body, length: Length, hold: Option<Arc<Hold>>) -> Writing {
         let encoder = Encoder::of(length);
-        Writing { body, encoder }
+        Writing {
+            body,
+            encoder,
+            hold,
+        }
+    }
+
+    /// What the answer holds.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.hold.as_ref().map_or(0, |hold| hold.bytes())
     }
 
     /// Reads the next frame of the body; `None` at its end.
--- a/crates/entry/tests/connection/main.rs
+++ b/crates/entry/tests/connection/main.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
-use crate::world::{TEST_TIMEOUT, echo_path, limits, read_until, serve, text_response};
+use crate::world::{TEST_TIMEOUT, clients, echo_path, limits, read_until, serve, text_response};
 
 /// Guards against a pipelined request that waits for the service time of the previous one. The
 /// answers must still be sent in the order of the requests.
@@ -204,6 +204,7 @@
             idle_timeout: idle,
             ..limits()
         }),
+        clients: clients(),
         stop: CancellationToken::new(),
     };
     tokio::spawn(port.serve(listener));
--- a/crates/entry/tests/connection/world.rs
+++ b/crates/entry/tests/connection/world.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use clients::Table;
 use entry::{Body, ConnectionLimits, Handler, Port};
 use futures_util::FutureExt;
 use http::{Request, Response};
@@ -23,10 +24,17 @@
         head: Size::of(4_096),
         head_timeout: Duration::from_millis(200),
         idle_timeout: Duration::from_secs(60),
-        connections: 16,
     }
 }
 
+/// Room for the clients of one test.
+pub fn clients() -> Table {
+    Table::new(clients::Limits {
+        memory: Size::of(64_000_000),
+        connections: 16,
+    })
+}
+
 /// Serves `handler` on a port of the loopback interface until the test's runtime stops.
 pub async fn serve(handler: Handler) -> (SocketAddr, CancellationToken) {
     serve_with(handler, limits()).await
@@ -43,6 +51,7 @@
     let port = Port {
         handler,
         limits: Arc::new(move || limits),
+        clients: clients(),
         stop: stop.clone(),
     };
     tokio::spawn(port.serve(listener));
--- a/crates/setting/src/limits.rs
+++ b/crates/setting/src/limits.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use jsonc::{Fields, Reader, Value};
-use unit::{Size, Span};
+use unit::{Decimal, Size, Span};
 
-const FIELDS: [&str; 8] = [
+const FIELDS: [&str; 10] = [
     "head",
     "body",
     "idle",
@@ -14,6 +14,8 @@
     "queue",
     "depth",
     "drain",
+    "memory",
+    "descriptors",
 ];
 
 const HEAD_RANGE: Range<Size> = Range(Size::of(1_000), Size::of(1_000_000));
@@ -25,6 +27,13 @@
 const MAX_QUEUE: u32 = 10_000;
 const MAX_DEPTH: u32 = 64;
 
+const MEMORY_RANGE: Range<Size> = Range(Size::of(32_000_000), Size::of(1_000_000_000_000));
+const MIN_DESCRIPTORS: u32 = 300;
+const MAX_DESCRIPTORS: u32 = 1_000_000;
+
+/// Descriptors that are kept for files.
+const FILE_DESCRIPTORS: u32 = 200;
+
 /// The smallest and the largest value that is accepted.
 #[derive(Debug, Clone, Copy)]
 struct Range<T>(T, T);
@@ -40,7 +49,8 @@
     pub idle: Span,
     /// How long a caller may take to send a request head; 10 s by default.
     pub head_timeout: Span,
-    /// The maximum number of concurrent connections of callers; 4,096 by default.
+    /// The maximum number of concurrent connections of callers; 4,096 by default. See
+    /// [`Limits::client_connections`].
     pub connections: u32,
     /// The maximum number of requests queued at the gate for each request that the gate lets run
     /// concurrently; 64 by default.
@@ -50,6 +60,25 @@
     /// How long a planned stop waits for running requests; 120 s by default. Reaching this limit is
     /// reported.
     pub drain: Span,
+    /// The memory that the machine has for this process; 260 MB by default.
+    pub memory: Size,
+    /// The descriptors that the machine has for this process; 4,100 by default.
+    pub descriptors: u32,
+}
+
+impl Limits {
+    /// What callers may make this process hold. The rest is for links, targets, the rules and what the
+    /// allocator can't reuse.
+    pub fn client_memory(&self) -> Size {
+        Size::of(self.memory.bytes() / 8 * 3)
+    }
+
+    /// Connections that callers may have. The rest of the descriptors is for links, targets, the store
+    /// and the platform.
+    pub fn client_connections(&self) -> u32 {
+        let sockets = self.descriptors.saturating_sub(FILE_DESCRIPTORS);
+        self.connections.min(sockets / 4 * 3)
+    }
 }
 
 impl Default for Limits {
@@ -63,6 +92,8 @@
             queue: 64,
             depth: 9,
             drain: seconds(120),
+            memory: Size::of(260_000_000),
+            descriptors: 4_100,
         }
     }
 }
@@ -85,6 +116,8 @@
         queue: count(reader, &fields, "queue", MAX_QUEUE).unwrap_or(default.queue),
         depth: depth(reader, &fields).unwrap_or(default.depth),
         drain: bounded(reader, &fields, "drain", DRAIN_RANGE).unwrap_or(default.drain),
+        memory: memory(reader, &fields).unwrap_or(default.memory),
+        descriptors: descriptors(reader, &fields).unwrap_or(default.descriptors),
     })
 }
 
@@ -124,3 +157,39 @@
     let depth = count(reader, fields, "depth", MAX_DEPTH)?;
     u8::try_from(depth).ok()
 }
+
+/// Reads the memory of the machine. A platform may work it out, so that it may be a part of a megabyte.
+fn memory<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> Option<Size> {
+    let value = fields.get("memory")?;
+    let text = reader.text(value)?;
+    let megabytes = text.strip_suffix("MB").and_then(whole_part);
+    let computed = megabytes.and_then(|count| count.checked_mul(1_000_000));
+    let found = text.parse().ok().or_else(|| computed.map(Size::of));
+    let Range(min, max) = MEMORY_RANGE;
+    let found = found.filter(|found| (min..=max).contains(found));
+    if found.is_none() {
+        let cause = format!("{text:?} is out of range: expected {min} to {max}");
+        reader.fault_at(value, cause);
+    }
+    found
+}
+
+/// Reads the number of descriptors, which a platform may work out too.
+fn descriptors<'t>(reader: &mut Reader<'t>, fields: &Fields<'_, 't>) -> Option<u32> {
+    let value = fields.get("descriptors")?;
+    let text = reader.numeral(value)?;
+    let found = whole_part(text).and_then(|count| u32::try_from(count).ok());
+    let found = found.filter(|found| (MIN_DESCRIPTORS..=MAX_DESCRIPTORS).contains(found));
+    if found.is_none() {
+        let cause = format!(
+            "{text} is out of range: expected a whole number from {MIN_DESCRIPTORS} to \
+             {MAX_DESCRIPTORS}"
+        );
+        reader.fault_at(value, cause);
+    }
+    found
+}
+
+fn whole_part(text: &str) -> Option<u64> {
+    text.parse::<Decimal>().ok().and_then(Decimal::down)
+}
--- a/crates/setting/tests/example.rs
+++ b/crates/setting/tests/example.rs
@@ -43,7 +43,7 @@
         .filter_map(|fault| fault.cause.split_once("one of "))
         .flat_map(|(_, names)| names.split(", "))
         .collect();
-    assert_eq!(known.len(), 43);
+    assert_eq!(known.len(), 45);
     for name in known {
         assert!(
             Setting::example().contains(&format!("{name:?}: ")),
