Bound the connections of the other addresses of a daemon

What callers saw: a crowd at readiness, control or the operator's address took memory and descriptors that links, targets and callers needed. Cause: each address had 4,096 connections of its own, and a further one was closed at once, so that a crowd also kept the platform out. Why it works: an address takes 64 connections, and a further one takes the place of the one that has waited longest for its client. The callers' own hyper ports have the descriptors of callers as their limit.

--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use clients::{Client, Table, Wait};
 use gotham::handler::NewHandler;
 use gotham::service::call_handler;
 use gotham::state::State;
@@ -19,7 +20,6 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 use unit::Size;
 
@@ -34,7 +34,8 @@
     /// Longest time that a head may take to arrive. The time starts anew for each request of a
     /// connection, so an idle connection is closed after this time as well.
     pub head_timeout: Duration,
-    /// Most concurrent connections. Any further one is closed immediately.
+    /// Most concurrent connections. A further one takes the place of the one that has waited longest for
+    /// its client.
     pub connections: u32,
 }
 
@@ -43,7 +44,7 @@
         Limits {
             head: Size::of(64_000),
             head_timeout: Duration::from_secs(10),
-            connections: 4_096,
+            connections: 64,
         }
     }
 }
@@ -53,6 +54,9 @@
 /// only stops heads that never end. hyper needs a buffer of at least 8 KB.
 const EXTRA_BUFFER_BYTES: usize = 64 << 10;
 
+/// What the buffers of one connection may take.
+const CONNECTION_BYTES: u64 = 256 << 10;
+
 /// Bytes of a head line besides its name and value: `": "` and the line end.
 const LINE_OVERHEAD_BYTES: usize = 4;
 
@@ -66,7 +70,10 @@
 {
     let handler = Arc::new(handler);
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(limits.connections as usize));
+    let clients = Table::new(clients::Limits {
+        memory: Size::of(u64::from(limits.connections) * CONNECTION_BYTES),
+        connections: limits.connections,
+    });
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -74,17 +81,14 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                if let Ok(permit) = permits.clone().try_acquire_owned() {
-                    connect(
-                        Connection {
-                            stream,
-                            peer,
-                            permit,
-                        },
-                        &handler,
-                        limits,
-                        &graceful,
-                    );
+                if let Some(client) = clients.connect().await {
+                    let client = Arc::new(client);
+                    let connection = Connection {
+                        stream,
+                        peer,
+                        client,
+                    };
+                    connect(connection, &handler, limits, &graceful);
                 }
             }
             Err(error) => pause_after_accept_error(&error).await,
@@ -97,7 +101,7 @@
 struct Connection {
     stream: TcpStream,
     peer: SocketAddr,
-    permit: OwnedSemaphorePermit,
+    client: Arc<Client>,
 }
 
 /// Logs a failed accept, and waits before the next one.
@@ -113,23 +117,35 @@
     let Connection {
         stream,
         peer,
-        permit,
+        client,
     } = connection;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("entry: connection of {peer}: {error}.");
     }
     let handler = handler.clone();
-    let service = service_fn(move |request| answer(handler.clone(), request, peer, limits.head));
+    let serving = client.clone();
+    let service = service_fn(move |request| {
+        let (handler, client) = (handler.clone(), serving.clone());
+        async move {
+            client.update(0, Wait::Nothing);
+            let answer = answer(handler, request, peer, limits.head).await;
+            client.update(0, Wait::Output);
+            answer
+        }
+    });
     let mut builder = http1::Builder::new();
     builder.timer(timer::Timer);
     builder.header_read_timeout(limits.head_timeout);
     builder.max_buf_size(limits.head.bytes() as usize + EXTRA_BUFFER_BYTES);
     let served = graceful.watch(builder.serve_connection(TokioIo::new(stream), service));
     tokio::spawn(async move {
-        if let Err(error) = served.await {
+        let ended = tokio::select! {
+            ended = served => ended.map_err(|error| error.to_string()),
+            () = client.closed() => Err("others need room".to_string()),
+        };
+        if let Err(error) = ended {
             log::debug!("entry: connection of {peer} ended: {error}.");
         }
-        drop(permit);
     });
 }
 
