Count heads and records of answers that are kept

What callers saw: a daemon grew with each request that may not be repeated: 183 MB after 49,026 requests with ids of their own. Cause: the answers that are kept for a while were bounded by the bytes of their bodies alone, so that heads, and records without an answer, had no bound but two minutes.

--- a/crates/held/src/lib.rs
+++ b/crates/held/src/lib.rs
@@ -1,8 +1,8 @@
 //! Answers of requests that may not be repeated, kept for those who ask after their token.
 //!
 //! When a link is lost under such a request, the entry can't send it anew. It asks the gate after
-//! the token instead, and gets the answer from here. The store of answers is bounded in bytes and
-//! in time; an answer that is too large or too old is gone, and the entry then says "unknown"
+//! the token instead, and gets the answer from here. The store of answers is bounded in bytes, records
+//! and heads included, and in time; an answer that is too large or too old is gone, and the entry then says "unknown"
 //! with what it knows. Nothing runs twice either way. The entry that holds a claim keeps the answer
 //! too, for a caller that sends its request again.
 //!
@@ -31,6 +31,12 @@
 /// Largest body that is kept.
 pub const MAX_BODY: usize = 256 << 10;
 
+/// What the record of a token takes beside its answer.
+const RECORD_BYTES: usize = 1_024;
+
+/// What a header takes beside its name and value.
+const HEADER_BYTES: usize = 64;
+
 /// A complete answer.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Answer {
@@ -90,7 +96,7 @@
 }
 
 impl Table {
-    /// Keeps at most `bound` bytes of bodies, each for `age`.
+    /// Keeps at most about `bound` bytes of records and answers, each for `age`.
     pub fn new(bound: Size, age: Duration) -> Table {
         Table {
             bound,
@@ -135,7 +141,7 @@
     }
 
     fn end(&self, token: Token, answer: Option<Answer>) {
-        let bytes = answer.as_ref().map_or(0, |answer| answer.body.len() as u64);
+        let bytes = (RECORD_BYTES + answer.as_ref().map_or(0, Answer::bytes)) as u64;
         let mut table = self.inner.lock();
         if let Some(state) = table.states.get(&token) {
             state.send_replace(State::Done(answer));
@@ -163,6 +169,15 @@
     }
 }
 
+impl Answer {
+    /// About what it takes in memory.
+    fn bytes(&self) -> usize {
+        let headers = self.reply.headers.iter();
+        let headers = headers.map(|header| header.name.len() + header.value.len() + HEADER_BYTES);
+        self.body.len() + headers.sum::<usize>()
+    }
+}
+
 impl State {
     fn found(&self) -> Found {
         match self {
