Bound the links that have not said who they are

Cause, by reading: a connection to the links' port may be silent for a second, and nothing bounded how many are: 300 that send other bytes are closed at once (the crowd of crowds_at_other_addresses_leave_memory_and_descriptors), silent ones took a descriptor each. Why it works: 256 may be without a greeting at once, further ones wait in the system's queue. A fleet that starts together greets within milliseconds.

--- a/crates/wire/src/tcp/listener.rs
+++ b/crates/wire/src/tcp/listener.rs
@@ -1,12 +1,13 @@
 //! The end of TCP links that peers dial.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -28,6 +29,9 @@
 /// How often a link is checked for silence.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2_500);
 
+/// Connections that may be without a greeting at once. Who connects may be no daemon, and say nothing.
+const MAX_GREETINGS: usize = 256;
+
 /// Pause after a failed accept, which mostly means that file descriptors have run out.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
 
@@ -39,11 +43,13 @@
     /// Streams whose answers are not written yet.
     answering: TaskTracker,
     links: Arc<Mutex<Vec<Mux>>>,
+    greetings: Arc<Semaphore>,
 }
 
 /// A link that a peer has begun.
 pub(crate) struct Handshake {
     stream: TcpStream,
+    greeting: OwnedSemaphorePermit,
     greeter: Greeter,
     answering: TaskTracker,
     links: Arc<Mutex<Vec<Mux>>>,
@@ -74,6 +80,7 @@
             closed: CancellationToken::new(),
             answering: TaskTracker::new(),
             links: Arc::default(),
+            greetings: Arc::new(Semaphore::new(MAX_GREETINGS)),
         })
     }
 
@@ -85,13 +92,14 @@
     pub(crate) async fn accept(&self) -> Option<Handshake> {
         loop {
             let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
+                accepted = self.accept_when_free() => accepted,
                 () = self.closed.cancelled() => return None,
             };
             match accepted {
-                Ok((stream, _)) => {
+                Ok((stream, greeting)) => {
                     return Some(Handshake {
                         stream,
+                        greeting,
                         greeter: self.greeter.clone(),
                         answering: self.answering.clone(),
                         links: self.links.clone(),
@@ -105,6 +113,14 @@
         }
     }
 
+    async fn accept_when_free(&self) -> io::Result<(TcpStream, OwnedSemaphorePermit)> {
+        let greeting = self.greetings.clone().acquire_owned().await;
+        // The semaphore is never closed.
+        let greeting = greeting.map_err(io::Error::other)?;
+        let (stream, _) = self.listener.accept().await?;
+        Ok((stream, greeting))
+    }
+
     pub(crate) async fn close(&self) {
         self.closed.cancel();
         self.answering.close();
@@ -130,6 +146,7 @@
         let nodelay = self.stream.set_nodelay(true);
         nodelay.map_err(|e| Error::dial("a peer", e))?;
         let greeting = self.greeter.greet(&mut self.stream).await?;
+        drop(self.greeting);
         let (to, opened) = mpsc::unbounded_channel();
         let told = self.greeter.told.clone();
         let from = greeting.instance.clone();
