Count output as unread only once its caller has not taken it

What callers saw: none reported it; found by requests_without_memory_are_refused, a new test: a caller that should have got 503 was closed without an answer. Cause: a connection reported what it holds before its first try to write, so that each answer counted as unread for a moment, with the buffer of the socket. With all memory taken, the connection that was about to answer was the one to be closed. Change: what can be written is written first. Beside it: a connection whose last answer is out makes room at once when it is asked to, where it lingered for up to half a second and held up the next one; connections that can be shed are counted, so that nobody looks for them in vain with each change; one function changes a holder and its sums. Tests of the connection: no request is served behind unread answers, requests beyond a share are left unread and none of them runs, requests without memory get 503 with the time to come back, a caller that takes no byte is closed. The third failed before.

--- a/crates/clients/src/core.rs
+++ b/crates/clients/src/core.rs
@@ -54,10 +54,17 @@
         self.buffers + self.requests
     }
 
+    /// What counts of it.
+    fn counted(&self) -> u64 {
+        match self.closing {
+            true => 0,
+            false => self.held(),
+        }
+    }
+
     /// Whether closing it frees memory, and harms nobody who waits for an answer that can be sent.
     fn can_be_shed(&self) -> bool {
-        let waits = matches!(self.wait, Wait::Body | Wait::Output);
-        waits && !self.closing && self.held() > 0
+        !self.closing && matches!(self.wait, Wait::Body | Wait::Output)
     }
 
     /// Whether it can make room for another connection.
@@ -76,6 +83,8 @@
     next: u64,
     /// What the clients that are not being closed hold.
     used: u64,
+    /// Connections that can be shed.
+    sheddable: usize,
     /// Whether the high-water mark is reached.
     tight: bool,
 }
@@ -88,6 +97,7 @@
             holders: HashMap::new(),
             next: 0,
             used: 0,
+            sheddable: 0,
             tight: false,
         }
     }
@@ -109,54 +119,30 @@
 
     /// Removes a connection that has ended, and all that it holds.
     pub fn remove(&mut self, id: Id) {
-        let Some(holder) = self.holders.remove(&id) else {
-            return;
-        };
-        if !holder.closing {
-            self.used -= holder.held();
-        }
-        self.update_tight();
+        self.close(id);
+        self.holders.remove(&id);
     }
 
     /// Sets what the buffers of a connection hold, and what it waits for.
     pub fn update(&mut self, now: Instant, id: Id, buffers: u64, wait: Wait) {
-        let Some(holder) = self.holders.get_mut(&id) else {
-            return;
-        };
-        if !holder.closing {
-            self.used = self.used - holder.buffers + buffers;
-        }
-        // A client that takes or sends something makes progress.
-        if holder.wait != wait || holder.buffers != buffers {
-            holder.since = now;
-        }
-        holder.buffers = buffers;
-        holder.wait = wait;
-        self.update_tight();
+        self.change(id, |holder| {
+            // A client that takes or sends something makes progress.
+            if holder.wait != wait || holder.buffers != buffers {
+                holder.since = now;
+            }
+            holder.buffers = buffers;
+            holder.wait = wait;
+        });
     }
 
     /// Adds to what the requests of a connection hold.
     pub fn hold(&mut self, id: Id, bytes: u64) {
-        let Some(holder) = self.holders.get_mut(&id) else {
-            return;
-        };
-        holder.requests += bytes;
-        if !holder.closing {
-            self.used += bytes;
-        }
-        self.update_tight();
+        self.change(id, |holder| holder.requests += bytes);
     }
 
     /// Takes from what the requests of a connection hold.
     pub fn release(&mut self, id: Id, bytes: u64) {
-        let Some(holder) = self.holders.get_mut(&id) else {
-            return;
-        };
-        holder.requests -= bytes;
-        if !holder.closing {
-            self.used -= bytes;
-        }
-        self.update_tight();
+        self.change(id, |holder| holder.requests -= bytes);
     }
 
     /// Whether `bytes` more are within the limit.
@@ -168,7 +154,7 @@
     /// those that wait for their clients, first the one that holds most.
     pub fn shed(&mut self, bytes: u64) -> Vec<Id> {
         let mut shed = Vec::new();
-        if self.fits(bytes) {
+        if self.fits(bytes) || self.sheddable == 0 {
             return shed;
         }
         let sheddable = self.holders.iter();
@@ -199,12 +185,19 @@
     }
 
     fn close(&mut self, id: Id) {
-        if let Some(holder) = self.holders.get_mut(&id)
-            && !holder.closing
-        {
-            holder.closing = true;
-            self.used -= holder.held();
-        }
+        self.change(id, |holder| holder.closing = true);
+    }
+
+    /// Changes a connection, and the sums with it.
+    fn change(&mut self, id: Id, change: impl FnOnce(&mut Holder)) {
+        let Some(holder) = self.holders.get_mut(&id) else {
+            return;
+        };
+        self.used -= holder.counted();
+        self.sheddable -= usize::from(holder.can_be_shed());
+        change(holder);
+        self.used += holder.counted();
+        self.sheddable += usize::from(holder.can_be_shed());
         self.update_tight();
     }
 
--- a/crates/entry/src/connection.rs
+++ b/crates/entry/src/connection.rs
@@ -116,8 +116,13 @@
         loop {
             self.parse_requests();
             self.write_next();
+            // What is left then is unread, and counts for it.
+            self.write_output(&stream)?;
             if self.is_finished() {
-                return linger(stream).await;
+                return tokio::select! {
+                    closed = linger(stream) => closed,
+                    () = self.client.closed() => Ok(()),
+                };
             }
             self.report();
             match self.wait(&mut stream).await? {
@@ -128,7 +133,11 @@
                 Event::Answered(answered) => self.answers.push(answered),
                 Event::Closed => return Err(self.close("others need room")),
                 Event::Piece(piece) => self.write_piece(piece)?,
-                Event::Timeout if !self.output.is_empty() => self.write_or_give_up(&stream)?,
+                Event::Timeout if !self.output.is_empty() => {
+                    if !self.write_output(&stream)? {
+                        return Err(self.close("the caller doesn't read its answers"));
+                    }
+                }
                 Event::Timeout => match self.read_arrived(&stream)? {
                     Some(0) => return Ok(()),
                     Some(_) => self.parse_or_time_out(),
@@ -153,21 +162,18 @@
         }
     }
 
-    /// Writes what the caller takes now.
-    ///
-    /// # Errors
-    ///
-    /// An error if it takes nothing even now.
-    fn write_or_give_up(&mut self, stream: &TcpStream) -> io::Result<()> {
+    /// Writes what the caller takes now; returns whether it has taken a byte.
+    fn write_output(&mut self, stream: &TcpStream) -> io::Result<bool> {
+        if self.output.is_empty() {
+            return Ok(false);
+        }
         match stream.try_write(&self.output) {
             Ok(count) => {
                 drop(self.output.split_to(count));
                 self.written_at = Instant::now();
-                Ok(())
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                Err(self.close("the caller doesn't read its answers"))
+                Ok(true)
             }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
             Err(error) => Err(error),
         }
     }
--- a/crates/entry/tests/connection/main.rs
+++ b/crates/entry/tests/connection/main.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod discard;
+mod pressure;
 mod stop;
 mod upload;
 mod world;
--- a/crates/entry/tests/connection/world.rs
+++ b/crates/entry/tests/connection/world.rs
@@ -44,6 +44,15 @@
 pub async fn serve_with(
     handler: Handler,
     limits: ConnectionLimits,
+) -> (SocketAddr, CancellationToken) {
+    serve_for(handler, limits, clients()).await
+}
+
+/// The same with a table of its own.
+pub async fn serve_for(
+    handler: Handler,
+    limits: ConnectionLimits,
+    clients: Table,
 ) -> (SocketAddr, CancellationToken) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
@@ -51,7 +60,7 @@
     let port = Port {
         handler,
         limits: Arc::new(move || limits),
-        clients: clients(),
+        clients,
         stop: stop.clone(),
     };
     tokio::spawn(port.serve(listener));
