Fill a target's slots in a test also where its gate refuses one

Traced by a trial that read the answers: on a busy machine three of the four callers had measured run times of 1.3 s for the gate, and it refused the fourth at once (503, deadline, not-run, Retry-After), which it may. The test now adds a caller until four requests run, and then checks what it did before: that all give their slots back, that others are served, and that no cut answer looks whole. Neither bound nor check changes.

--- a/crates/appleshore/tests/bad_input.rs
+++ b/crates/appleshore/tests/bad_input.rs
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// What comes back for raw bytes, until the daemon closes the connection.
 async fn raw(to: SocketAddr, bytes: &[u8]) -> String {
@@ -266,8 +266,16 @@
         .settings(r#""limits": { "idle": "1s" }"#)
         .start()
         .await;
-    let stalled = stalled_callers(&mesh, 4, 50_000_000).await;
-    until("a full target", || mesh.target(0).runs() == 4).await;
+    let mut stalled = stalled_callers(&mesh, 4, 50_000_000).await;
+    let give_up = Instant::now() + Duration::from_secs(60);
+    // On a busy machine the gate may refuse one of them, which it may tell from its run times.
+    while mesh.target(0).runs() < 4 {
+        assert!(Instant::now() < give_up, "no full target");
+        sleep(Duration::from_secs(1)).await;
+        if mesh.target(0).runs() < 4 {
+            stalled.extend(stalled_callers(&mesh, 1, 50_000_000).await);
+        }
+    }
     until("an empty gate", || {
         let state = mesh.daemon(0).dump(appleshore::Part::Gate).state;
         state["report"]["running"] == 0
