--- a/crates/held/src/lib.rs
+++ b/crates/held/src/lib.rs
@@ -12,8 +12,9 @@
 //!
 //! let table = Table::new(Size::of(1_000_000), std::time::Duration::from_secs(60));
 //! let running = table.begin(Token(7));
-//! drop(running);
 //! assert_eq!(table.bytes(), Size::of(0));
+//! drop(running);
+//! assert_eq!(table.bytes(), Size::of(1_024), "that it ran is kept for a while");
 //! ```
 
 use std::collections::{HashMap, VecDeque};
